Resume a stream beside a silent engine, not instead of it

Ruled out: planned stops themselves, the streams were cut before or without them. Change: another engine is asked while the first is still listened to; the first event of either counts. Stream ends are logged with expected and seen times.

--- a/clayplank-forward/src/stream.rs
+++ b/clayplank-forward/src/stream.rs
@@ -44,8 +44,10 @@
     Event(StreamEvent),
     /// It ended as a whole answer does.
     End,
-    /// It broke off, or said nothing for too long.
+    /// It broke off.
     Broken(&'static str),
+    /// It said nothing for too long.
+    Silent,
 }
 
 /// One upstream's stream.
@@ -75,7 +77,7 @@
                 }
                 Ok(None) => return Next::End,
                 Ok(Some(Err(_))) => return Next::Broken("the connection failed"),
-                Err(_) => return Next::Broken("silent"),
+                Err(_) => return Next::Silent,
             }
         }
     }
@@ -90,6 +92,15 @@
     head: Parts,
     source: Source,
     first: Option<StreamEvent>,
+    timing: Timing,
+}
+
+/// How a stream began, for the line that tells of its end.
+#[derive(Clone, Copy)]
+struct Timing {
+    expected_ms: u64,
+    first_event_ms: u64,
+    helpers: usize,
 }
 
 enum Opened {
@@ -154,6 +165,8 @@
 async fn open_at(call: &mut Call, chosen: Chosen, last_event_id: Option<u64>) -> Tried {
     let patience = first_event_patience(call, chosen.expected_ms);
     let began = Instant::now();
+    let expected_ms = chosen.expected_ms as u64;
+    let helpers = chosen.helpers.split(',').filter(|helper| !helper.is_empty()).count();
     let upstream = chosen.record.heartbeat.id.to_string();
     let (response, connection, load) = match call.attempt(chosen, last_event_id, patience).await {
         Attempt::Answered(response, connection, load) => (response, connection, load),
@@ -169,14 +182,19 @@
     let first = match source.next(patience.saturating_sub(began.elapsed())).await {
         Next::Event(event) => Some(event),
         Next::End => None,
-        Next::Broken(cause) => {
-            source.note_failed();
-            log_broken(call, &source.upstream, cause, last_event_id);
-            return Tried::Lost;
-        }
+        Next::Broken(cause) => return note_lost(call, source, cause, last_event_id),
+        Next::Silent => return note_lost(call, source, "silent", last_event_id),
     };
     source.load.note_started();
-    Tried::Begun(Box::new(Begun { head, source, first }))
+    let first_event_ms = began.elapsed().as_millis() as u64;
+    let timing = Timing { expected_ms, first_event_ms, helpers };
+    Tried::Begun(Box::new(Begun { head, source, first, timing }))
+}
+
+fn note_lost(call: &Call, mut source: Source, cause: &str, last_event_id: Option<u64>) -> Tried {
+    source.note_failed();
+    log_broken(call, &source.upstream, cause, last_event_id);
+    Tried::Lost
 }
 
 fn first_event_patience(call: &Call, expected_ms: f64) -> Duration {
@@ -213,11 +231,19 @@
 
 /// Sends the head out, and the events as they come.
 fn respond(call: Call, guard: ProgressGuard, begun: Begun) -> Response<AnswerBody> {
-    let Begun { mut head, source, first } = begun;
+    let Begun { mut head, source, first, timing } = begun;
     strip_hop_by_hop(&mut head.headers);
     call.entry.figures.record_first_byte(&call.route.name, call.waited_ms());
     let (sender, receiver) = mpsc::channel(QUEUED_EVENTS);
-    let pump = Pump { last_event_id: call.facts.last_event_id, call, sender, source };
+    let pump = Pump {
+        last_event_id: call.facts.last_event_id,
+        call,
+        sender,
+        source,
+        timing,
+        sent_at: Instant::now(),
+        longest_pause: Duration::ZERO,
+    };
     tokio::spawn(async move {
         pump.run(first).await;
         drop(guard);
@@ -231,6 +257,9 @@
     sender: mpsc::Sender<Result<Bytes, BrokenOff>>,
     source: Source,
     last_event_id: Option<u64>,
+    timing: Timing,
+    sent_at: Instant,
+    longest_pause: Duration,
 }
 
 /// How a stream to a caller ended.
@@ -268,10 +297,17 @@
             }
             StreamEnd::Whole | StreamEnd::CallerLeft => {}
         }
-        let call = &self.call;
+        self.log_end(end);
+    }
+
+    fn log_end(&self, end: StreamEnd) {
+        let (call, timing) = (&self.call, &self.timing);
         log::info!(target: "forward",
             request = call.facts.attempt_id, route = call.route.name,
             upstream = self.source.upstream, outcome = end.as_str(), sent = call.sent_count,
+            prompt_tokens = call.facts.prompt_tokens, helpers = timing.helpers,
+            expected_ms = timing.expected_ms, first_event_ms = timing.first_event_ms,
+            longest_pause_ms = self.longest_pause.as_millis() as u64,
             last_event = self.last_event_id.unwrap_or_default(), waited_ms = call.waited_ms();
             "A stream ended");
         call.entry.figures.count(&call.route.name, end.as_str());
@@ -285,7 +321,11 @@
             return StreamEnd::CallerLeft;
         }
         loop {
-            match self.source.next(self.silence()).await {
+            let next = match self.source.next(self.silence()).await {
+                Next::Silent => self.next_or_resumed().await,
+                next => next,
+            };
+            match next {
                 Next::Event(event) if self.follows(&event) => {
                     if !self.send(event).await {
                         return StreamEnd::CallerLeft;
@@ -294,13 +334,40 @@
                 Next::End => return StreamEnd::Whole,
                 Next::Event(_) => return StreamEnd::Broken,
                 Next::Broken(cause) => {
-                    self.source.note_failed();
-                    log_broken(&self.call, &self.source.upstream, cause, self.last_event_id);
+                    self.note_broken(cause);
                     if !self.resume().await {
                         return StreamEnd::Broken;
                     }
                 }
+                Next::Silent => return StreamEnd::TimedOut,
+            }
+        }
+    }
+
+    fn note_broken(&mut self, cause: &'static str) {
+        self.source.note_failed();
+        log_broken(&self.call, &self.source.upstream, cause, self.last_event_id);
+    }
+
+    /// Asks another upstream while the first one is silent, and takes what comes
+    /// first: a silent engine may only be reading a long prompt.
+    async fn next_or_resumed(&mut self) -> Next {
+        let left = self.call.left();
+        if !self.call.may_try() {
+            return self.source.next(left).await;
+        }
+        let last_event_id = self.last_event_id;
+        let resumed = tokio::select! {
+            next = self.source.next(left) => return next,
+            resumed = open_elsewhere(&mut self.call, last_event_id) => resumed,
+        };
+        match resumed {
+            Some(begun) => {
+                self.note_broken("silent");
+                self.source = begun.source;
+                begun.first.map_or(Next::End, Next::Event)
             }
+            None => self.source.next(left).await,
         }
     }
 
@@ -319,19 +386,16 @@
 
     async fn send(&mut self, event: StreamEvent) -> bool {
         self.last_event_id = event.id.or(self.last_event_id);
+        self.longest_pause = self.longest_pause.max(self.sent_at.elapsed());
+        self.sent_at = Instant::now();
         self.sender.send(Ok(event.bytes)).await.is_ok()
     }
 
     /// Goes on at another upstream after the last event.
     async fn resume(&mut self) -> bool {
         while self.call.may_try() {
-            let Ok(chosen) = self.call.choose().await else {
-                return false;
-            };
-            match open_at(&mut self.call, chosen, self.last_event_id).await {
-                Tried::Begun(begun) => return self.take_over(*begun).await,
-                Tried::Other(..) => return false,
-                Tried::NotRun | Tried::Lost => {}
+            if let Some(begun) = open_elsewhere(&mut self.call, self.last_event_id).await {
+                return self.take_over(begun).await;
             }
         }
         false
@@ -348,6 +412,15 @@
     }
 }
 
+/// One attempt to go on after an event at another upstream.
+async fn open_elsewhere(call: &mut Call, last_event_id: Option<u64>) -> Option<Begun> {
+    let chosen = call.choose().await.ok()?;
+    match open_at(call, chosen, last_event_id).await {
+        Tried::Begun(begun) => Some(*begun),
+        Tried::Other(..) | Tried::NotRun | Tried::Lost => None,
+    }
+}
+
 /// A body of events; ends with an error if the stream was broken off.
 struct EventBody {
     receiver: mpsc::Receiver<Result<Bytes, BrokenOff>>,
