--- a/clayplank-forward/src/stream.rs
+++ b/clayplank-forward/src/stream.rs
@@ -25,11 +25,14 @@
 const QUEUED_EVENTS: usize = 64;
 
 /// An upstream may take this many times what was expected until its first event, and a margin.
-const FIRST_EVENT_FACTOR: f64 = 3.0;
+const FIRST_EVENT_FACTOR: f64 = 4.0;
 
 /// The margin, in ms: a pass of a busy engine and the way there.
 const FIRST_EVENT_MARGIN_MS: f64 = 1_000.0;
 
+/// Nor less than this many goals: what an engine has read of a long prompt is lost with the attempt.
+const FIRST_EVENT_GOALS: f64 = 2.0;
+
 /// Silence between events after which a stream is resumed elsewhere: this many pause goals,
 const SILENT_GOALS: u64 = 3;
 
@@ -200,6 +203,7 @@
 fn first_event_patience(call: &Call, expected_ms: f64) -> Duration {
     let is_last = !call.kind().may_repeat() || call.sent_count + 1 >= call.route.max_attempts;
     let usual_ms = expected_ms * FIRST_EVENT_FACTOR + FIRST_EVENT_MARGIN_MS;
+    let usual_ms = usual_ms.max(call.route.goal_ms as f64 * FIRST_EVENT_GOALS);
     let left = call.left();
     if is_last { left } else { left.min(millis(usual_ms as u64)) }
 }
--- a/clayplank-placement/src/choose.rs
+++ b/clayplank-placement/src/choose.rs
@@ -3,7 +3,7 @@
 use clayplank_types::UpstreamId;
 
 use crate::ask::{Ask, Assignment, Part, Placed};
-use crate::engine::{Engine, JobKind};
+use crate::engine::{Engine, JobKind, Queued};
 use crate::fleet::Fleet;
 
 /// How many engines may read one prompt: the first and as many helpers as engines take.
@@ -70,7 +70,7 @@
     match best {
         Some((_, assignment)) if assignment.first_token_ms < ask.limit_ms => Placed::At(assignment),
         Some((_, assignment)) => Placed::Full { retry_after_ms: retry_after(&assignment, ask) },
-        None => Placed::Full { retry_after_ms: expected_slot_ms(&open, now_ms) },
+        None => Placed::Full { retry_after_ms: expected_slot_ms(&open) },
     }
 }
 
@@ -88,11 +88,12 @@
     (assignment.first_token_ms - ask.limit_ms / 2.0).clamp(100.0, 5_000.0) as u64
 }
 
-fn expected_slot_ms(open: &[(&UpstreamId, &Engine)], now_ms: f64) -> u64 {
+fn expected_slot_ms(open: &[(&UpstreamId, &Engine)]) -> u64 {
     /// A stream of usual length, as a share of which a slot comes free on a full engine.
     const USUAL_STREAM_MS: f64 = 1_600.0;
     let soonest = open.iter().map(|(_, engine)| {
-        engine.read_backlog_ms(now_ms) + USUAL_STREAM_MS / f64::from(engine.spec.model.slots)
+        let queued = engine.queued_before(false);
+        engine.time_to_read_ms(queued) + USUAL_STREAM_MS / f64::from(engine.spec.model.slots)
     });
     soonest.fold(1_000.0, f64::min).max(50.0) as u64
 }
@@ -201,8 +202,13 @@
 ) -> Candidate<'a> {
     let read_ms =
         engine.spec.model.part_read_ms(ask.prompt_tokens, parts) * engine.slowness(now_ms);
-    let part_tokens = ask.prompt_tokens / parts as u64;
-    let mut harm = pause_harm(engine, now_ms, read_ms, part_tokens);
+    let part = Queued { tokens: ask.prompt_tokens as f64 / parts as f64, read_ms };
+    let before = engine.queued_before(parts > 1);
+    let until_read = Queued {
+        tokens: before.tokens + part.tokens,
+        read_ms: before.read_ms + part.read_ms,
+    };
+    let mut harm = pause_harm(engine, part);
     if parts > 1 {
         harm += delay_harm(engine, now_ms, read_ms);
     }
@@ -216,22 +222,22 @@
         id,
         engine,
         harm,
-        read_ms: engine.read_backlog_ms(now_ms) + read_ms,
+        read_ms: engine.time_to_read_ms(until_read),
         has_slot: engine.primaries() < engine.spec.model.slots as usize,
         memory_free: engine.memory_free(),
     }
 }
 
 /// What streams on the engine lose by the pause while it reads.
-fn pause_harm(engine: &Engine, now_ms: f64, read_ms: f64, read_tokens: u64) -> f64 {
-    let (queued_tokens, queued_ms) = engine.queued(now_ms);
+fn pause_harm(engine: &Engine, part: Queued) -> f64 {
+    let queued = engine.queued_before(false);
     let pass_ms = engine.pass_ms();
-    let pause = |tokens: u64, total_ms: f64| {
-        let share = engine.spec.model.pass_read_tokens() as f64 / (tokens as f64).max(1.0);
-        pass_ms + total_ms * share.min(1.0)
+    let pause = |tokens: f64, read_ms: f64| {
+        let share = engine.spec.model.pass_read_tokens() as f64 / tokens.max(1.0);
+        pass_ms + read_ms * share.min(1.0)
     };
-    let before_ms = pause(queued_tokens, queued_ms);
-    let after_ms = pause(queued_tokens + read_tokens, queued_ms + read_ms);
+    let before_ms = pause(queued.tokens, queued.read_ms);
+    let after_ms = pause(queued.tokens + part.tokens, queued.read_ms + part.read_ms);
     let written = engine.jobs.iter().filter(|job| job.kind == JobKind::Primary);
     let harmed = written.filter(|job| {
         let safe_ms = job.pause_goal_ms * SAFE_PAUSE_SHARE;
@@ -240,17 +246,18 @@
     harmed.map(|job| job.weight * LATE_LOSS).sum()
 }
 
-/// What prompts that wait on the engine lose: a helper's part is read before them.
+/// What prompts that wait on the engine lose: a part of a split prompt is read before them.
 fn delay_harm(engine: &Engine, now_ms: f64, read_ms: f64) -> f64 {
-    let waiting = engine
-        .jobs
-        .iter()
-        .filter(|job| job.kind == JobKind::Primary && job.is_reading && job.read_until_ms > now_ms);
-    let harmed = waiting.filter(|job| {
-        let is_in_time = job.read_until_ms <= job.first_token_due_ms;
-        is_in_time && job.read_until_ms + read_ms > job.first_token_due_ms
-    });
-    harmed.map(|job| job.weight * LATE_LOSS).sum()
+    let mut until_ms = now_ms + engine.time_to_read_ms(engine.queued_before(true));
+    let mut harm = 0.0;
+    for job in engine.jobs.iter().filter(|job| job.is_queued() && !job.is_split) {
+        until_ms += job.left_ms;
+        let is_in_time = until_ms <= job.first_token_due_ms;
+        if is_in_time && until_ms + read_ms > job.first_token_due_ms {
+            harm += job.weight * LATE_LOSS;
+        }
+    }
+    harm
 }
 
 /// A tight stream on an engine without one keeps long prompts away from there.
--- a/clayplank-placement/src/engine.rs
+++ b/clayplank-placement/src/engine.rs
@@ -28,10 +28,13 @@
 pub(crate) struct Job {
     pub(crate) id: PlacementId,
     pub(crate) kind: JobKind,
+    /// Until the first token of the request has come.
     pub(crate) is_reading: bool,
-    pub(crate) read_ms: f64,
-    pub(crate) read_tokens: u64,
-    pub(crate) read_until_ms: f64,
+    /// Whether several engines read the prompt: such parts are read before others.
+    pub(crate) is_split: bool,
+    /// What is left of its part to be read, as far as can be known from here.
+    pub(crate) left_ms: f64,
+    pub(crate) left_tokens: f64,
     pub(crate) memory_tokens: u64,
     pub(crate) context_tokens: u64,
     pub(crate) pause_goal_ms: f64,
@@ -39,6 +42,19 @@
     pub(crate) weight: f64,
 }
 
+impl Job {
+    pub(crate) fn is_queued(&self) -> bool {
+        self.is_reading && self.left_ms > 0.0
+    }
+}
+
+/// Reads that wait on an engine.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Queued {
+    pub(crate) tokens: f64,
+    pub(crate) read_ms: f64,
+}
+
 /// After a first failure an engine is avoided for this long, in ms; twice as long after the next.
 const AVOID_BASE_MS: f64 = 500.0;
 
@@ -63,8 +79,8 @@
     pub(crate) spec: EngineSpec,
     pub(crate) is_open: bool,
     pub(crate) jobs: Vec<Job>,
-    /// When it is expected to have read all that was given to it.
-    read_until_ms: f64,
+    /// Up to when the reading of its jobs was worked out.
+    advanced_at_ms: f64,
     failures: u32,
     avoid_until_ms: f64,
     slowness: f64,
@@ -77,7 +93,7 @@
             spec,
             is_open,
             jobs: Vec::new(),
-            read_until_ms: 0.0,
+            advanced_at_ms: 0.0,
             failures: 0,
             avoid_until_ms: 0.0,
             slowness: 1.0,
@@ -95,10 +111,6 @@
         1.0 + (self.slowness - 1.0) * 0.5_f64.powf(age_ms / SLOWNESS_HALF_LIFE_MS)
     }
 
-    pub(crate) fn read_backlog_ms(&self, now_ms: f64) -> f64 {
-        (self.read_until_ms - now_ms).max(0.0)
-    }
-
     /// Requests that run here, written or about to be.
     pub(crate) fn primaries(&self) -> usize {
         self.jobs.iter().filter(|job| job.kind == JobKind::Primary).count()
@@ -121,46 +133,70 @@
         self.spec.model.pass_ms(count, context)
     }
 
-    /// Prompt tokens, and the time for them, that wait to be read.
-    pub(crate) fn queued(&self, now_ms: f64) -> (u64, f64) {
-        let reading = self.jobs.iter().filter(|job| job.is_reading && job.read_until_ms > now_ms);
-        reading.fold((0, 0.0), |(tokens, read_ms), job| {
-            let left_ms = job.read_ms.min(job.read_until_ms - now_ms);
-            (tokens + job.read_tokens, read_ms + left_ms)
+    /// Whether streams are written here.
+    fn is_writing(&self) -> bool {
+        self.jobs.iter().any(|job| job.kind == JobKind::Primary && !job.is_reading)
+    }
+
+    /// Reads that come before a new one.
+    pub(crate) fn queued_before(&self, is_split: bool) -> Queued {
+        let before = self.jobs.iter().filter(|job| job.is_queued() && (job.is_split || !is_split));
+        before.fold(Queued::default(), |sum, job| Queued {
+            tokens: sum.tokens + job.left_tokens,
+            read_ms: sum.read_ms + job.left_ms,
         })
     }
 
-    /// Takes a job; its reading comes after what was given before.
-    pub(crate) fn take(&mut self, now_ms: f64, mut job: Job) {
-        let pass_ms = if self.primaries() > 0 { self.pass_ms() } else { 0.0 };
-        let passes = (job.read_tokens as f64 / self.spec.model.pass_read_tokens() as f64).ceil();
-        let start_ms = self.read_until_ms.max(now_ms);
-        self.read_until_ms = start_ms + job.read_ms + pass_ms * passes;
-        job.read_until_ms = self.read_until_ms;
+    /// Time to read what is queued: each pass also plays the steps of what is written.
+    pub(crate) fn time_to_read_ms(&self, queued: Queued) -> f64 {
+        if !self.is_writing() || queued.read_ms <= 0.0 {
+            return queued.read_ms;
+        }
+        let passes = (queued.tokens / self.spec.model.pass_read_tokens() as f64).ceil();
+        queued.read_ms + passes.max(1.0) * self.pass_ms()
+    }
+
+    /// Works out what was read since the last time.
+    pub(crate) fn advance(&mut self, now_ms: f64) {
+        let span_ms = (now_ms - self.advanced_at_ms).max(0.0);
+        self.advanced_at_ms = now_ms;
+        let queued = self.queued_before(false);
+        if queued.read_ms <= 0.0 || span_ms <= 0.0 {
+            return;
+        }
+        let share = queued.read_ms / self.time_to_read_ms(queued).max(queued.read_ms);
+        let mut work_ms = span_ms * share;
+        for is_split in [true, false] {
+            let jobs = self.jobs.iter_mut();
+            for job in jobs.filter(|job| job.is_queued() && job.is_split == is_split) {
+                let done_ms = work_ms.min(job.left_ms);
+                job.left_tokens *= 1.0 - done_ms / job.left_ms;
+                job.left_ms -= done_ms;
+                work_ms -= done_ms;
+            }
+        }
+    }
+
+    /// Takes a job; its reading comes after what is queued before it.
+    pub(crate) fn take(&mut self, now_ms: f64, job: Job) {
+        self.advance(now_ms);
         self.jobs.push(job);
     }
 
     /// The prompt was read: what helped it is free again.
     pub(crate) fn note_started(&mut self, now_ms: f64, id: PlacementId) {
-        self.jobs
-            .retain(|job| job.id != id || job.kind == JobKind::Primary || job.memory_tokens > 0);
+        self.advance(now_ms);
+        self.jobs.retain(|job| {
+            job.id != id || job.kind == JobKind::Primary || job.memory_tokens > 0
+        });
         for job in self.jobs.iter_mut().filter(|job| job.id == id) {
             job.is_reading = false;
         }
-        self.shorten_backlog(now_ms);
     }
 
     pub(crate) fn drop_job(&mut self, now_ms: f64, id: PlacementId) {
+        self.advance(now_ms);
         self.jobs.retain(|job| job.id != id);
-        self.shorten_backlog(now_ms);
-    }
-
-    fn shorten_backlog(&mut self, now_ms: f64) {
-        let left_ms: f64 =
-            self.jobs.iter().filter(|job| job.is_reading).map(|job| job.read_ms).sum();
-        let passes = self.jobs.iter().filter(|job| job.is_reading).count() as f64;
-        let bound_ms = now_ms + left_ms + passes * self.pass_ms();
-        self.read_until_ms = self.read_until_ms.min(bound_ms);
     }
 
     pub(crate) fn note_failure(&mut self, now_ms: f64) {
--- a/clayplank-placement/src/fleet.rs
+++ b/clayplank-placement/src/fleet.rs
@@ -78,6 +78,9 @@
 
     /// Chooses engines for a prompt and notes their load.
     pub fn place(&mut self, now_ms: f64, ask: &Ask) -> Placed {
+        for engine in self.engines.values_mut() {
+            engine.advance(now_ms);
+        }
         let placed = choose(self, now_ms, ask);
         if let Placed::At(assignment) = &placed {
             self.note_placed(now_ms, ask, assignment, false);
@@ -135,9 +138,9 @@
             id: ask.id,
             kind,
             is_reading: true,
-            read_ms: read_ms * engine.slowness(now_ms),
-            read_tokens: ask.prompt_tokens / parts as u64,
-            read_until_ms: 0.0,
+            is_split: parts > 1,
+            left_ms: read_ms * engine.slowness(now_ms),
+            left_tokens: ask.prompt_tokens as f64 / parts as f64,
             memory_tokens,
             context_tokens: ask.prompt_tokens / parts as u64,
             pause_goal_ms: ask.pause_goal_ms,
