--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -7,7 +7,9 @@
 mod log;
 mod members;
 mod mix;
+mod pass_engine;
 mod path;
+mod placement;
 mod policy;
 mod replay;
 mod settings;
@@ -34,6 +36,16 @@
         /// Print JSON
         json: bool,
     },
+    /// The placement of prompts, against engines of the published cost model
+    #[bpaf(command)]
+    Placement {
+        /// The first seed
+        #[bpaf(argument("N"), fallback(1))]
+        seed: u64,
+        /// How many seeds
+        #[bpaf(argument("N"), fallback(20))]
+        seeds: u64,
+    },
     /// The replicated log: commits, recovery, memory of claims
     #[bpaf(command)]
     Log,
@@ -78,6 +90,7 @@
 fn run(options: Options) -> Result<(), BenchError> {
     match options {
         Options::Policy { seed, only, json } => policy::run(seed, json, only.as_deref()),
+        Options::Placement { seed, seeds } => placement::run(seed, seeds),
         Options::Log => log::run()?,
         Options::Members => members::run(),
         Options::Settings => settings::run()?,
--- /dev/null
+++ b/bench/src/placement.rs
@@ -0,0 +1,422 @@
+//! The placement of prompts against engines of the published cost model.
+//!
+//! The mix swings as the users' days do: for ten seconds long prompts come at
+//! 2.8 times their mean, then short ones at 2.5 times theirs. Nothing fails and
+//! nothing is sent: what is measured is the decision alone.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use clayplank_placement::{Ask, EngineModel, EngineSpec, Event, Fleet, Placed, PlacementId};
+use clayplank_types::{DataCentre, UpstreamId};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::pass_engine::{PassEngine, Reading, Writing};
+
+const ENGINES: usize = 18;
+
+/// Length of a run, in ms, and of a phase of the mix.
+const RUN_MS: f64 = 34_000.0;
+const PHASE_MS: f64 = 11_000.0;
+
+/// From an event at an engine until the placement knows of it, in ms.
+const NEWS_MS: f64 = 20.0;
+
+/// Tokens of an event.
+const EVENT_TOKENS: f64 = 46.0;
+
+/// A refused request comes back once, after what it was told.
+const RETRIES: u32 = 1;
+
+/// One kind of prompt, with its worth as the users' sheet gives it.
+struct Kind {
+    name: &'static str,
+    per_s: f64,
+    /// Factors of the rate in the long phase and in the short one.
+    swing: [f64; 2],
+    mean_tokens: f64,
+    spread: f64,
+    max_tokens: f64,
+    mean_events: f64,
+    goal_ms: f64,
+    pause_goal_ms: f64,
+    limit_ms: f64,
+    worth: f64,
+    late_worth: f64,
+}
+
+const KINDS: [Kind; 3] = [
+    Kind {
+        name: "short",
+        per_s: 33.5,
+        swing: [0.34, 2.45],
+        mean_tokens: 4_960.0,
+        spread: 0.9,
+        max_tokens: 23_800.0,
+        mean_events: 35.0,
+        goal_ms: 300.0,
+        pause_goal_ms: 200.0,
+        limit_ms: 2_000.0,
+        worth: 1.3,
+        late_worth: 0.33,
+    },
+    Kind {
+        name: "medium",
+        per_s: 2.43,
+        swing: [1.3, 0.5],
+        mean_tokens: 45_000.0,
+        spread: 0.5,
+        max_tokens: 110_000.0,
+        mean_events: 21.0,
+        goal_ms: 1_500.0,
+        pause_goal_ms: 500.0,
+        limit_ms: 6_000.0,
+        worth: 3.1,
+        late_worth: 0.79,
+    },
+    Kind {
+        name: "long",
+        per_s: 1.01,
+        swing: [2.8, 0.05],
+        mean_tokens: 210_000.0,
+        spread: 0.55,
+        max_tokens: 430_000.0,
+        mean_events: 17.0,
+        goal_ms: 3_000.0,
+        pause_goal_ms: 800.0,
+        limit_ms: 12_000.0,
+        worth: 22.0,
+        late_worth: 5.4,
+    },
+];
+
+/// One prompt, and what became of it.
+#[derive(Clone, Debug)]
+struct Request {
+    kind: usize,
+    arrives_ms: f64,
+    tokens: f64,
+    events: u32,
+    retries: u32,
+    engine: usize,
+    sent_ms: f64,
+    parts_left: usize,
+    events_left: u32,
+    last_event_ms: Option<f64>,
+    first_ms: Option<f64>,
+    longest_pause_ms: f64,
+    is_done: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Happening {
+    Arrival(usize),
+    PassEnd(usize),
+    News(usize, Event),
+}
+
+/// Ordered by time, then by when it was planned.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Planned {
+    at_ms: f64,
+    number: u64,
+    happening: Happening,
+}
+
+impl Eq for Planned {}
+
+impl Ord for Planned {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.at_ms.total_cmp(&other.at_ms).then(self.number.cmp(&other.number))
+    }
+}
+
+impl PartialOrd for Planned {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+struct World {
+    fleet: Fleet,
+    engines: Vec<PassEngine>,
+    requests: Vec<Request>,
+    planned: BinaryHeap<Reverse<Planned>>,
+    count: u64,
+    refused: u64,
+}
+
+fn engine_name(engine: usize) -> UpstreamId {
+    UpstreamId::new(format!("engine-{engine:02}"))
+}
+
+impl World {
+    fn new(requests: Vec<Request>) -> Self {
+        let model = EngineModel::default();
+        let mut fleet = Fleet::default();
+        for engine in 0..ENGINES {
+            let spec = EngineSpec {
+                pool: "main".to_owned(),
+                data_centre: DataCentre::new("a"),
+                model: model.clone(),
+            };
+            fleet.set_engine(engine_name(engine), spec, true);
+        }
+        let engines = vec![PassEngine::new(model); ENGINES];
+        let mut world =
+            Self { fleet, engines, requests, planned: BinaryHeap::new(), count: 0, refused: 0 };
+        for request in 0..world.requests.len() {
+            world.plan(world.requests[request].arrives_ms, Happening::Arrival(request));
+        }
+        world
+    }
+
+    fn plan(&mut self, at_ms: f64, happening: Happening) {
+        self.count += 1;
+        self.planned.push(Reverse(Planned { at_ms, number: self.count, happening }));
+    }
+
+    fn run(&mut self) {
+        while let Some(Reverse(next)) = self.planned.pop() {
+            match next.happening {
+                Happening::Arrival(request) => self.place(next.at_ms, request),
+                Happening::PassEnd(engine) => self.end_pass(next.at_ms, engine),
+                Happening::News(request, event) => {
+                    let id = PlacementId { host: 1, number: request as u64 };
+                    self.fleet.note(next.at_ms, id, event);
+                }
+            }
+        }
+    }
+
+    fn place(&mut self, now_ms: f64, number: usize) {
+        let request = &self.requests[number];
+        let kind = &KINDS[request.kind];
+        let id = PlacementId { host: 1, number: number as u64 };
+        let mut ask = Ask::new(id, "main", request.tokens as u64, kind.goal_ms);
+        ask.output_tokens = (f64::from(request.events) * EVENT_TOKENS) as u64;
+        ask.pause_goal_ms = kind.pause_goal_ms;
+        ask.limit_ms = kind.limit_ms;
+        ask.data_centre = DataCentre::new("a");
+        match self.fleet.place(now_ms, &ask) {
+            Placed::At(assignment) => {
+                let names: Vec<_> = std::iter::once(assignment.engine)
+                    .chain(assignment.helpers.into_iter().map(|part| part.engine))
+                    .collect();
+                self.begin(now_ms, number, &names);
+            }
+            Placed::Full { retry_after_ms } => {
+                self.refused += 1;
+                if self.requests[number].retries < RETRIES {
+                    self.requests[number].retries += 1;
+                    self.plan(now_ms + retry_after_ms as f64, Happening::Arrival(number));
+                }
+            }
+        }
+    }
+
+    fn begin(&mut self, now_ms: f64, number: usize, names: &[UpstreamId]) {
+        let engines: Vec<_> =
+            (0..ENGINES).filter(|&engine| names.contains(&engine_name(engine))).collect();
+        let first = (0..ENGINES).find(|&engine| engine_name(engine) == names[0]);
+        let model = EngineModel::default();
+        let request = &mut self.requests[number];
+        let million_pairs = request.tokens * request.tokens / 2.0 / 1e6;
+        let pairs_ms = million_pairs * model.per_million_pairs_ms;
+        let ms_per_token = 1e3 / model.read_tokens_per_s + pairs_ms / request.tokens;
+        request.engine = first.unwrap_or_default();
+        request.sent_ms = now_ms;
+        request.parts_left = engines.len();
+        request.events_left = request.events;
+        let left_tokens = request.tokens / engines.len() as f64;
+        let is_split = engines.len() > 1;
+        for engine in engines {
+            let reading = Reading { request: number, left_tokens, ms_per_token, is_split };
+            self.engines[engine].read(reading);
+            self.start_pass(now_ms, engine);
+        }
+    }
+
+    fn start_pass(&mut self, now_ms: f64, engine: usize) {
+        if !self.engines[engine].is_resting() {
+            return;
+        }
+        if let Some(span_ms) = self.engines[engine].start_pass() {
+            self.plan(now_ms + span_ms, Happening::PassEnd(engine));
+        }
+    }
+
+    fn end_pass(&mut self, now_ms: f64, engine: usize) {
+        let end = self.engines[engine].end_pass();
+        for number in end.written {
+            self.write_event(now_ms, number);
+        }
+        for number in end.read {
+            let request = &mut self.requests[number];
+            request.parts_left -= 1;
+            if request.parts_left > 0 {
+                continue;
+            }
+            let writing = Writing { request: number, context_tokens: request.tokens };
+            let primary = request.engine;
+            self.engines[primary].write(writing);
+            if primary == engine && end.is_long {
+                self.write_event(now_ms, number);
+            }
+            self.start_pass(now_ms, primary);
+        }
+        self.start_pass(now_ms, engine);
+    }
+
+    fn write_event(&mut self, now_ms: f64, number: usize) {
+        let request = &mut self.requests[number];
+        let arrives_ms = request.arrives_ms;
+        match request.last_event_ms {
+            Some(last_ms) => {
+                request.longest_pause_ms = request.longest_pause_ms.max(now_ms - last_ms);
+            }
+            None => {
+                request.first_ms = Some(now_ms - arrives_ms);
+                let took_ms = now_ms - request.sent_ms;
+                self.plan(now_ms + NEWS_MS, Happening::News(number, Event::Started { took_ms }));
+            }
+        }
+        let request = &mut self.requests[number];
+        request.last_event_ms = Some(now_ms);
+        request.events_left -= 1;
+        if request.events_left == 0 {
+            request.is_done = true;
+            let engine = request.engine;
+            self.engines[engine].end_writing(number);
+            self.plan(now_ms + NEWS_MS, Happening::News(number, Event::Ended));
+        }
+    }
+}
+
+/// A standard normal draw (Box and Muller, 1958).
+fn draw_normal(rng: &mut SmallRng) -> f64 {
+    let radius = (-2.0 * (1.0 - rng.random::<f64>()).ln()).sqrt();
+    radius * (std::f64::consts::TAU * rng.random::<f64>()).cos()
+}
+
+fn draw_requests(seed: u64, load: f64) -> Vec<Request> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut requests = Vec::new();
+    for (kind, facts) in KINDS.iter().enumerate() {
+        let mut at_ms = 0.0;
+        loop {
+            let phase = (at_ms / PHASE_MS) as usize % 2;
+            let per_ms = facts.per_s * facts.swing[phase] * load / 1e3;
+            at_ms += -(1.0 - rng.random::<f64>()).ln() / per_ms;
+            if at_ms > RUN_MS {
+                break;
+            }
+            let scale = (facts.spread * draw_normal(&mut rng) - facts.spread.powi(2) / 2.0).exp();
+            let events = facts.mean_events * (0.6 * draw_normal(&mut rng) - 0.18).exp();
+            requests.push(Request {
+                kind,
+                arrives_ms: at_ms,
+                tokens: (facts.mean_tokens * scale).clamp(200.0, facts.max_tokens),
+                events: events.clamp(1.0, 2.5 * facts.mean_events) as u32,
+                retries: 0,
+                engine: 0,
+                sent_ms: 0.0,
+                parts_left: 0,
+                events_left: 0,
+                last_event_ms: None,
+                first_ms: None,
+                longest_pause_ms: 0.0,
+                is_done: false,
+            });
+        }
+    }
+    requests
+}
+
+/// Worth earned and owed, of a kind or of all.
+#[derive(Clone, Copy, Debug, Default)]
+struct Account {
+    earned: f64,
+    owed: f64,
+}
+
+impl Account {
+    fn share(self) -> f64 {
+        self.earned / self.owed.max(1e-9)
+    }
+}
+
+fn settle(request: &Request) -> (f64, f64) {
+    let kind = &KINDS[request.kind];
+    let size = request.tokens + 10.0 * f64::from(request.events) * EVENT_TOKENS;
+    let mean = kind.mean_tokens + 10.0 * kind.mean_events * EVENT_TOKENS;
+    let factor = (0.3 + 0.7 * size / mean).min(4.0);
+    let is_in_time = request.first_ms.is_some_and(|first_ms| first_ms <= kind.goal_ms)
+        && request.longest_pause_ms <= kind.pause_goal_ms;
+    let is_waited_for = request.first_ms.is_some_and(|first_ms| first_ms <= kind.limit_ms);
+    let earned = match (request.is_done && is_waited_for, is_in_time) {
+        (true, true) => kind.worth,
+        (true, false) => kind.late_worth,
+        (false, _) => 0.0,
+    };
+    (earned * factor, kind.worth * factor)
+}
+
+/// Why a request earned less than its worth.
+const CAUSES: [&str; 4] = ["in time", "first event late", "pause too long", "not served"];
+
+fn late_cause(request: &Request) -> usize {
+    let kind = &KINDS[request.kind];
+    match request.first_ms {
+        _ if !request.is_done => 3,
+        None => 3,
+        Some(first_ms) if first_ms > kind.limit_ms => 3,
+        Some(first_ms) if first_ms > kind.goal_ms => 1,
+        Some(_) if request.longest_pause_ms > kind.pause_goal_ms => 2,
+        Some(_) => 0,
+    }
+}
+
+/// Prints the share of worth that is earned, by kind, over seeds.
+pub(crate) fn run(first_seed: u64, seeds: u64) {
+    println!("load  seeds  whole  short  medium  long  worst 2 s  refused");
+    for load in [1.0, 1.2] {
+        let mut whole = Account::default();
+        let mut kinds = [Account::default(); KINDS.len()];
+        let mut worst = 0.0;
+        let mut refused = 0;
+        let mut causes = [[0_u64; CAUSES.len()]; KINDS.len()];
+        for seed in first_seed..first_seed + seeds {
+            let mut world = World::new(draw_requests(seed, load));
+            world.run();
+            let mut windows = [Account::default(); 17];
+            for request in &world.requests {
+                causes[request.kind][late_cause(request)] += 1;
+            }
+            for request in &world.requests {
+                let (earned, owed) = settle(request);
+                let window = ((request.arrives_ms / 2_000.0) as usize).min(16);
+                for account in [&mut whole, &mut kinds[request.kind], &mut windows[window]] {
+                    account.earned += earned;
+                    account.owed += owed;
+                }
+            }
+            let mut shares: Vec<_> = windows.iter().map(|window| window.share()).collect();
+            shares.sort_by(f64::total_cmp);
+            worst += (shares[0] + shares[1]) / 2.0 / seeds as f64;
+            refused += world.refused;
+        }
+        let kinds: Vec<_> = kinds.iter().map(|kind| format!("{:.3}", kind.share())).collect();
+        println!(
+            "{load:.1}   {seeds:5}  {:.3}  {}  {worst:.3}  {refused}",
+            whole.share(),
+            kinds.join("  ")
+        );
+        for (kind, counts) in KINDS.iter().zip(causes) {
+            println!("      {}: {CAUSES:?} {counts:?}", kind.name);
+        }
+    }
+    let names: Vec<_> = KINDS.iter().map(|kind| kind.name).collect();
+    println!("kinds in order: {}", names.join(", "));
+}
--- a/clayplank-placement/src/choose.rs
+++ b/clayplank-placement/src/choose.rs
@@ -7,7 +7,7 @@
 use crate::fleet::Fleet;
 
 /// How many engines may read one prompt: the first and as many helpers as engines take.
-const PART_COUNTS: [usize; 9] = [1, 2, 3, 4, 6, 8, 10, 13, 16];
+const PART_COUNTS: [usize; 10] = [1, 2, 3, 4, 6, 8, 10, 12, 14, 17];
 
 /// A part below this is not worth another engine, in tokens: each part costs a pass.
 const MIN_PART_TOKENS: u64 = 12_000;
@@ -19,13 +19,15 @@
 const SAFE_SHARE: f64 = 0.55;
 
 /// An expected pause up to this share of its goal is safely in time.
-const SAFE_PAUSE_SHARE: f64 = 0.85;
+const SAFE_PAUSE_SHARE: f64 = 1.0;
 
 /// Loss, as a share of the weight, for each goal of waiting: prefers the quicker of two good ways.
 const WAIT_LOSS: f64 = 0.02;
 
-/// Loss for the first stream with a tight pause goal on an engine that long prompts could use.
-const OPEN_LOSS: f64 = 0.06;
+/// What a stream among no others of its kind loses, as a share of its weight, where
+/// the whole fleet reads split prompts: the next one pauses it. Among others that a
+/// pause would harm too, it is spared with them.
+const EXPOSURE_LOSS: f64 = 0.5;
 
 /// Loss for each further engine that reads, so that small gains take no more engines.
 const PART_LOSS: f64 = 0.01;
@@ -45,6 +47,8 @@
     engine: &'a Engine,
     /// What it costs to read a part here.
     harm: f64,
+    /// What it risks to write the answer here.
+    exposure: f64,
     /// When the part is read, from now.
     read_ms: f64,
     has_slot: bool,
@@ -60,7 +64,7 @@
         if parts > open.len() || !is_worth {
             break;
         }
-        let found = choose_parts(&open, now_ms, ask, parts);
+        let found = choose_parts(fleet, &open, now_ms, ask, parts);
         if let Some((loss, assignment)) = found
             && best.as_ref().is_none_or(|(best_loss, _)| loss < *best_loss)
         {
@@ -100,15 +104,20 @@
 
 /// The best way with a number of parts, and what it loses in all.
 fn choose_parts(
+    fleet: &Fleet,
     open: &[(&UpstreamId, &Engine)],
     now_ms: f64,
     ask: &Ask,
     parts: usize,
 ) -> Option<(f64, Assignment)> {
     let mut candidates: Vec<_> =
-        open.iter().map(|(id, engine)| weigh(id, engine, now_ms, ask, parts)).collect();
+        open.iter().map(|(id, engine)| weigh(fleet, id, engine, now_ms, ask, parts)).collect();
     candidates.retain(|one| one.has_slot || one.engine.helped() < one.max_helped());
-    let score = |one: &Candidate<'_>| one.harm + own_loss(ask, one.read_ms);
+    let is_whole = parts == 1;
+    let score = |one: &Candidate<'_>| {
+        let exposure = if is_whole { one.exposure } else { 0.0 };
+        one.harm + exposure + own_loss(ask, one.read_ms)
+    };
     candidates.sort_by(|left, right| score(left).total_cmp(&score(right)));
     let first = candidates.iter().position(|one| one.has_slot && one.fits(ask));
     let first = match first {
@@ -170,10 +179,8 @@
     let read_ms = chosen.iter().fold(primary.read_ms, |longest, one| longest.max(one.read_ms));
     let first_token_ms = read_ms + primary.engine.pass_ms();
     let harm: f64 = primary.harm + chosen.iter().map(|one| one.harm).sum::<f64>();
-    let loss = own_loss(ask, first_token_ms)
-        + harm
-        + open_loss(primary.engine, ask)
-        + PART_LOSS * chosen.len() as f64;
+    let loss =
+        own_loss(ask, first_token_ms) + harm + primary.exposure + PART_LOSS * chosen.len() as f64;
     let assignment = Assignment { engine: primary.id.clone(), helpers, first_token_ms };
     (loss, assignment)
 }
@@ -194,6 +201,7 @@
 }
 
 fn weigh<'a>(
+    fleet: &Fleet,
     id: &'a UpstreamId,
     engine: &'a Engine,
     now_ms: f64,
@@ -204,10 +212,8 @@
         engine.spec.model.part_read_ms(ask.prompt_tokens, parts) * engine.slowness(now_ms);
     let part = Queued { tokens: ask.prompt_tokens as f64 / parts as f64, read_ms };
     let before = engine.queued_before(parts > 1);
-    let until_read = Queued {
-        tokens: before.tokens + part.tokens,
-        read_ms: before.read_ms + part.read_ms,
-    };
+    let until_read =
+        Queued { tokens: before.tokens + part.tokens, read_ms: before.read_ms + part.read_ms };
     let mut harm = pause_harm(engine, part);
     if parts > 1 {
         harm += delay_harm(engine, now_ms, read_ms);
@@ -222,6 +228,7 @@
         id,
         engine,
         harm,
+        exposure: exposure_loss(fleet, engine, now_ms, ask),
         read_ms: engine.time_to_read_ms(until_read),
         has_slot: engine.primaries() < engine.spec.model.slots as usize,
         memory_free: engine.memory_free(),
@@ -260,13 +267,12 @@
     harm
 }
 
-/// A tight stream on an engine without one keeps long prompts away from there.
-fn open_loss(engine: &Engine, ask: &Ask) -> f64 {
-    let is_as_tight = engine
-        .jobs
-        .iter()
-        .any(|job| job.kind == JobKind::Primary && job.pause_goal_ms <= ask.pause_goal_ms);
-    if is_as_tight { 0.0 } else { OPEN_LOSS }
+/// What a stream risks on an engine where few others keep split prompts away.
+fn exposure_loss(fleet: &Fleet, engine: &Engine, now_ms: f64, ask: &Ask) -> f64 {
+    let written = engine.jobs.iter().filter(|job| job.kind == JobKind::Primary);
+    let as_tight = written.filter(|job| job.pause_goal_ms <= ask.pause_goal_ms);
+    let kept_by: f64 = as_tight.map(|job| job.weight).sum();
+    EXPOSURE_LOSS * fleet.split_load(now_ms) * ask.weight() / (1.0 + kept_by)
 }
 
 /// What the prompt itself loses by a first token after this time.
--- a/clayplank-placement/src/engine.rs
+++ b/clayplank-placement/src/engine.rs
@@ -186,9 +186,8 @@
     /// The prompt was read: what helped it is free again.
     pub(crate) fn note_started(&mut self, now_ms: f64, id: PlacementId) {
         self.advance(now_ms);
-        self.jobs.retain(|job| {
-            job.id != id || job.kind == JobKind::Primary || job.memory_tokens > 0
-        });
+        self.jobs
+            .retain(|job| job.id != id || job.kind == JobKind::Primary || job.memory_tokens > 0);
         for job in self.jobs.iter_mut().filter(|job| job.id == id) {
             job.is_reading = false;
         }
--- a/clayplank-placement/src/fleet.rs
+++ b/clayplank-placement/src/fleet.rs
@@ -55,9 +55,26 @@
 pub struct Fleet {
     pub(crate) engines: BTreeMap<UpstreamId, Engine>,
     placements: HashMap<PlacementId, Placement>,
+    split_work_ms: f64,
+    split_work_at_ms: f64,
 }
 
+/// Time, in ms, in which split prompts lose half of their weight in the load.
+const SPLIT_LOAD_HALF_LIFE_MS: f64 = 2_000.0;
+
 impl Fleet {
+    fn split_work(&self, now_ms: f64) -> f64 {
+        let age_ms = (now_ms - self.split_work_at_ms).max(0.0);
+        self.split_work_ms * 0.5_f64.powf(age_ms / SPLIT_LOAD_HALF_LIFE_MS)
+    }
+
+    /// Share of the fleet's time that lately went into prompts that several engines read.
+    pub(crate) fn split_load(&self, now_ms: f64) -> f64 {
+        let span_ms = SPLIT_LOAD_HALF_LIFE_MS / std::f64::consts::LN_2;
+        let fleet_ms = span_ms * self.engines.len().max(1) as f64;
+        (self.split_work(now_ms) / fleet_ms).min(1.0)
+    }
+
     /// Adds an engine or changes what is known of it; one that is not open gets nothing new.
     pub fn set_engine(&mut self, id: UpstreamId, spec: EngineSpec, is_open: bool) {
         match self.engines.get_mut(&id) {
@@ -102,6 +119,11 @@
         let reserved: u64 = assignment.helpers.iter().map(|part| part.reserve_tokens).sum();
         let own_tokens = ask.memory_tokens().saturating_sub(reserved);
         let expected_ms = assignment.first_token_ms;
+        if let Some(engine) = self.engines.get(&assignment.engine).filter(|_| parts > 1) {
+            let work_ms = engine.spec.model.part_read_ms(ask.prompt_tokens, 1);
+            self.split_work_ms = self.split_work(now_ms) + work_ms;
+            self.split_work_at_ms = now_ms;
+        }
         self.take_job(now_ms, ask, &assignment.engine, JobKind::Primary, parts, own_tokens);
         for part in &assignment.helpers {
             let kind = JobKind::Helper;
