--- a/bench/src/placement.rs
+++ b/bench/src/placement.rs
@@ -42,6 +42,7 @@
     goal_ms: f64,
     pause_goal_ms: f64,
     limit_ms: f64,
+    time_ms: f64,
     worth: f64,
     late_worth: f64,
 }
@@ -58,6 +59,7 @@
         goal_ms: 300.0,
         pause_goal_ms: 200.0,
         limit_ms: 2_000.0,
+        time_ms: 10_000.0,
         worth: 1.3,
         late_worth: 0.33,
     },
@@ -72,6 +74,7 @@
         goal_ms: 1_500.0,
         pause_goal_ms: 500.0,
         limit_ms: 6_000.0,
+        time_ms: 10_000.0,
         worth: 3.1,
         late_worth: 0.79,
     },
@@ -86,6 +89,7 @@
         goal_ms: 3_000.0,
         pause_goal_ms: 800.0,
         limit_ms: 12_000.0,
+        time_ms: 15_000.0,
         worth: 22.0,
         late_worth: 5.4,
     },
@@ -199,6 +203,7 @@
         ask.pause_goal_ms = kind.pause_goal_ms;
         ask.limit_ms = kind.limit_ms;
         ask.data_centre = DataCentre::new("a");
+        ask.is_returning = request.retries > 0;
         match self.fleet.place(now_ms, &ask) {
             Placed::At(assignment) => {
                 let names: Vec<_> = std::iter::once(assignment.engine)
@@ -209,8 +214,10 @@
             Placed::Full { retry_after_ms } => {
                 self.refused += 1;
                 if self.requests[number].retries < RETRIES {
+                    let back_ms = now_ms + (retry_after_ms as f64).min(kind.time_ms / 3.0);
                     self.requests[number].retries += 1;
-                    self.plan(now_ms + retry_after_ms as f64, Happening::Arrival(number));
+                    self.requests[number].arrives_ms = back_ms;
+                    self.plan(back_ms, Happening::Arrival(number));
                 }
             }
         }
@@ -356,6 +363,8 @@
         && request.longest_pause_ms <= kind.pause_goal_ms;
     let is_waited_for = request.first_ms.is_some_and(|first_ms| first_ms <= kind.limit_ms);
     let earned = match (request.is_done && is_waited_for, is_in_time) {
+        // One that came back in time earns the mean.
+        (true, true) if request.retries > 0 => (kind.worth + kind.late_worth) / 2.0,
         (true, true) => kind.worth,
         (true, false) => kind.late_worth,
         (false, _) => 0.0,
--- a/clayplank-agreement/src/replica.rs
+++ b/clayplank-agreement/src/replica.rs
@@ -213,7 +213,7 @@
             log,
         };
         replica.reload_configuration();
-        replica.reset_election(now_ms);
+        replica.set_first_election(now_ms);
         replica
     }
 
@@ -359,6 +359,14 @@
         self.is_hard_state_dirty = true;
     }
 
+    /// A replica that has just started asks early: after a loss of power nobody leads,
+    /// and a leader that does is heard before, or refuses the vote that changes nothing.
+    fn set_first_election(&mut self, now_ms: u64) {
+        let earliest_ms = 2 * self.options.heartbeat_ms;
+        let span_ms = earliest_ms..=self.options.election_ms.max(earliest_ms);
+        self.election_due_ms = now_ms + self.rng.random_range(span_ms);
+    }
+
     pub(crate) fn reset_election(&mut self, now_ms: u64) {
         let election_ms = self.options.election_ms;
         self.election_due_ms = now_ms + self.rng.random_range(election_ms..=2 * election_ms);
--- a/clayplank-agreement/tests/cluster/mod.rs
+++ b/clayplank-agreement/tests/cluster/mod.rs
@@ -56,7 +56,13 @@
 }
 
 fn options() -> Options {
-    Options { election_ms: 100, heartbeat_ms: 20, max_batch_entries: 8, keep_entries: 16 }
+    Options {
+        election_ms: 100,
+        heartbeat_ms: 20,
+        max_batch_entries: 8,
+        keep_entries: 16,
+        ..Options::default()
+    }
 }
 
 impl Cluster {
--- a/clayplank-forward/src/directory.rs
+++ b/clayplank-forward/src/directory.rs
@@ -96,7 +96,7 @@
         let cost = |record: &Record| {
             let seen = seen.get(&record.heartbeat.id).cloned().unwrap_or_default();
             let remote_ms = if record.heartbeat.data_centre == *own { 0.0 } else { REMOTE_MS };
-            let is_avoided = now_ms < seen.avoid_until_ms || record.is_silent;
+            let is_avoided = now_ms < seen.avoid_until_ms;
             (is_avoided, expected_ms(&seen, record, now_ms) + remote_ms)
         };
         let fit = inner.records.values().filter(|record| {
--- a/clayplank-forward/src/dispatch.rs
+++ b/clayplank-forward/src/dispatch.rs
@@ -27,11 +27,23 @@
 use crate::placer::Placer;
 use crate::refusal::{AnswerBody, Refusal};
 
-/// When to come back if the host has no confirmed plan, in ms: about an election of the keepers.
-const NO_PLAN_RETRY_MS: u64 = 300;
+/// When to come back if the host has no confirmed plan, in ms: after a restart of all
+/// keepers, an election and the first heartbeats of upstreams. Callers come back once
+/// or twice, so an early time is worse than a late one.
+const NO_PLAN_RETRY_MS: u64 = 2_500;
 
 /// When to come back if no upstream is known, in ms: about a heartbeat of upstreams.
-const NO_UPSTREAM_RETRY_MS: u64 = 300;
+const NO_UPSTREAM_RETRY_MS: u64 = 1_500;
+
+/// The least time, in ms, after which engines that are full are worth another try.
+const FULL_RETRY_MS: u64 = 700;
+
+/// Share of its goal for which a request waits for engines that are full; slots come
+/// free within some tens of ms, and a refusal after that comes too late to be of use.
+const FULL_WAIT_SHARE: f64 = 0.22;
+
+/// Between two tries to place a request that waits, in ms.
+const FULL_PAUSE_MS: u64 = 15;
 
 /// An event stream whose route has no goal for pauses is given this one, in ms.
 const USUAL_PAUSE_GOAL_MS: u64 = 1_000;
@@ -322,10 +334,17 @@
     }
 
     async fn choose_engine(&self) -> Result<Chosen, Refusal> {
-        let ask = self.ask();
-        match self.entry.placer.place(&ask).await {
-            Placed::At(assignment) => self.take_assignment(&ask, &assignment),
-            Placed::Full { retry_after_ms } => Err(Refusal::NotRun { retry_after_ms }),
+        let wait = millis((self.route.goal_ms as f64 * FULL_WAIT_SHARE) as u64);
+        loop {
+            let ask = self.ask();
+            match self.entry.placer.place(&ask).await {
+                Placed::At(assignment) => return self.take_assignment(&ask, &assignment),
+                Placed::Full { retry_after_ms } if self.arrived.elapsed() >= wait => {
+                    let retry_after_ms = retry_after_ms.max(FULL_RETRY_MS);
+                    return Err(Refusal::NotRun { retry_after_ms });
+                }
+                Placed::Full { .. } => tokio::time::sleep(millis(FULL_PAUSE_MS)).await,
+            }
         }
     }
 
@@ -347,6 +366,9 @@
         ask.pause_goal_ms = pause_goal_ms;
         ask.data_centre = self.entry.data_centre.clone();
         ask.avoid = self.tried.clone();
+        let asked_ms = self.facts.deadline_ms.unwrap_or(u64::MAX) as f64;
+        ask.is_returning =
+            asked_ms < RETURNING_SHARE * self.route.time_limit_ms as f64 || !self.tried.is_empty();
         ask
     }
 
@@ -508,6 +530,10 @@
 /// Connections that may fail, beyond the first, before a request is given up.
 const MAX_UNREACHED: usize = 3;
 
+/// A caller that has less than this share of its route's time has spent the rest on
+/// an attempt that was refused.
+const RETURNING_SHARE: f64 = 0.93;
+
 /// Callers of streams wait this long at least, in ms.
 const MIN_PATIENCE_MS: f64 = 2_000.0;
 
--- a/clayplank-forward/src/plain.rs
+++ b/clayplank-forward/src/plain.rs
@@ -81,7 +81,7 @@
 }
 
 /// When to come back to upstreams that were full, in ms.
-const BUSY_RETRY_MS: u64 = 100;
+const BUSY_RETRY_MS: u64 = 700;
 
 /// How long one upstream may take while another could be asked.
 fn patience(call: &Call) -> Duration {
--- a/clayplank-forward/src/stream.rs
+++ b/clayplank-forward/src/stream.rs
@@ -40,7 +40,7 @@
 const MIN_SILENCE_MS: u64 = 1_000;
 
 /// When to come back to engines that were full, in ms.
-const BUSY_RETRY_MS: u64 = 150;
+const BUSY_RETRY_MS: u64 = 700;
 
 /// What an upstream's stream brings next.
 enum Next {
--- a/clayplank-placement/src/ask.rs
+++ b/clayplank-placement/src/ask.rs
@@ -35,6 +35,8 @@
     pub data_centre: DataCentre,
     /// Engines that have failed it.
     pub avoid: Vec<UpstreamId>,
+    /// Whether it was refused before, and will not come back once more.
+    pub is_returning: bool,
 }
 
 /// A pause between events that matters to nobody.
@@ -56,6 +58,7 @@
             pause_goal_ms: NO_PAUSE_GOAL_MS,
             data_centre: DataCentre::default(),
             avoid: Vec::new(),
+            is_returning: false,
         }
     }
 
--- a/clayplank-placement/src/choose.rs
+++ b/clayplank-placement/src/choose.rs
@@ -38,6 +38,18 @@
 /// Loss for an engine that failed lately; it still serves if nothing else can.
 const AVOID_LOSS: f64 = 3.0;
 
+/// Loss for an engine of which nothing was heard lately, as a share of the weight: it may
+/// be down, or only unable to reach the keepers.
+const DOUBT_LOSS: f64 = 0.2;
+
+/// A prompt whose first token is expected after this many goals is refused once.
+const REFUSE_GOALS: f64 = 1.15;
+
+/// Bounds, in ms, of the time to come back: engines need some time to catch up, and
+/// callers honour no more than a third of what they have left.
+const RETRY_MIN_MS: f64 = 700.0;
+const RETRY_MAX_MS: f64 = 5_000.0;
+
 /// Memory left free on each engine, as a share: answers may be longer than expected.
 const MEMORY_MARGIN: f64 = 0.04;
 
@@ -57,7 +69,7 @@
 
 /// Chooses engines for a prompt; changes nothing.
 pub(crate) fn choose(fleet: &Fleet, now_ms: f64, ask: &Ask) -> Placed {
-    let open: Vec<_> = open_engines(fleet, ask).collect();
+    let open = open_engines(fleet, ask);
     let mut best: Option<(f64, Assignment)> = None;
     for parts in PART_COUNTS {
         let is_worth = parts == 1 || ask.prompt_tokens / parts as u64 >= MIN_PART_TOKENS;
@@ -72,32 +84,49 @@
         }
     }
     match best {
-        Some((_, assignment)) if assignment.first_token_ms < ask.limit_ms => Placed::At(assignment),
+        Some((_, assignment)) if assignment.first_token_ms < longest_wait_ms(ask) => {
+            Placed::At(assignment)
+        }
         Some((_, assignment)) => Placed::Full { retry_after_ms: retry_after(&assignment, ask) },
         None => Placed::Full { retry_after_ms: expected_slot_ms(&open) },
     }
 }
 
-fn open_engines<'a>(
-    fleet: &'a Fleet,
-    ask: &'a Ask,
-) -> impl Iterator<Item = (&'a UpstreamId, &'a Engine)> {
-    fleet.engines.iter().filter(|(id, engine)| {
+/// Engines that take the prompt, each with what chance adds to its cost.
+fn open_engines<'a>(fleet: &'a Fleet, ask: &Ask) -> Vec<Open<'a>> {
+    let engines = fleet.engines.iter().filter(|(id, engine)| {
         engine.is_open && engine.spec.pool == ask.pool && !ask.avoid.contains(id)
-    })
+    });
+    engines
+        .map(|(id, engine)| Open { id, engine, noise: fleet.draw_noise() * ask.weight() })
+        .collect()
+}
+
+/// An engine that takes new work.
+struct Open<'a> {
+    id: &'a UpstreamId,
+    engine: &'a Engine,
+    noise: f64,
+}
+
+/// How late a first token may be expected. One that comes back in time is worth more
+/// than one that is late now, and leaves the engines to those that are still in time.
+fn longest_wait_ms(ask: &Ask) -> f64 {
+    if ask.is_returning { ask.limit_ms } else { ask.limit_ms.min(ask.goal_ms * REFUSE_GOALS) }
 }
 
 /// A refusal that comes back when the wait has shrunk to what the prompt can bear.
 fn retry_after(assignment: &Assignment, ask: &Ask) -> u64 {
-    (assignment.first_token_ms - ask.limit_ms / 2.0).clamp(100.0, 5_000.0) as u64
+    (assignment.first_token_ms - ask.goal_ms / 2.0).clamp(RETRY_MIN_MS, RETRY_MAX_MS) as u64
 }
 
-fn expected_slot_ms(open: &[(&UpstreamId, &Engine)]) -> u64 {
+fn expected_slot_ms(open: &[Open<'_>]) -> u64 {
     /// A stream of usual length, as a share of which a slot comes free on a full engine.
     const USUAL_STREAM_MS: f64 = 1_600.0;
-    let soonest = open.iter().map(|(_, engine)| {
-        let queued = engine.queued_before(false);
-        engine.time_to_read_ms(queued) + USUAL_STREAM_MS / f64::from(engine.spec.model.slots)
+    let soonest = open.iter().map(|one| {
+        let queued = one.engine.queued_before(false);
+        let slots = f64::from(one.engine.spec.model.slots);
+        one.engine.time_to_read_ms(queued) + USUAL_STREAM_MS / slots
     });
     soonest.fold(1_000.0, f64::min).max(50.0) as u64
 }
@@ -105,13 +134,13 @@
 /// The best way with a number of parts, and what it loses in all.
 fn choose_parts(
     fleet: &Fleet,
-    open: &[(&UpstreamId, &Engine)],
+    open: &[Open<'_>],
     now_ms: f64,
     ask: &Ask,
     parts: usize,
 ) -> Option<(f64, Assignment)> {
     let mut candidates: Vec<_> =
-        open.iter().map(|(id, engine)| weigh(fleet, id, engine, now_ms, ask, parts)).collect();
+        open.iter().map(|one| weigh(fleet, one, now_ms, ask, parts)).collect();
     candidates.retain(|one| one.has_slot || one.engine.helped() < one.max_helped());
     let is_whole = parts == 1;
     let score = |one: &Candidate<'_>| {
@@ -202,22 +231,25 @@
 
 fn weigh<'a>(
     fleet: &Fleet,
-    id: &'a UpstreamId,
-    engine: &'a Engine,
+    open: &Open<'a>,
     now_ms: f64,
     ask: &Ask,
     parts: usize,
 ) -> Candidate<'a> {
+    let (id, engine) = (open.id, open.engine);
     let read_ms =
         engine.spec.model.part_read_ms(ask.prompt_tokens, parts) * engine.slowness(now_ms);
     let part = Queued { tokens: ask.prompt_tokens as f64 / parts as f64, read_ms };
     let before = engine.queued_before(parts > 1);
     let until_read =
         Queued { tokens: before.tokens + part.tokens, read_ms: before.read_ms + part.read_ms };
-    let mut harm = pause_harm(engine, part);
+    let mut harm = pause_harm(engine, part) + open.noise;
     if parts > 1 {
         harm += delay_harm(engine, now_ms, read_ms);
     }
+    if engine.is_doubtful(now_ms) {
+        harm += DOUBT_LOSS * ask.weight();
+    }
     if engine.is_avoided(now_ms) {
         harm += AVOID_LOSS * ask.weight();
     }
--- a/clayplank-placement/src/engine.rs
+++ b/clayplank-placement/src/engine.rs
@@ -73,11 +73,18 @@
 /// Time, in ms, in which what was learned of an engine's slowness loses half of its weight.
 const SLOWNESS_HALF_LIFE_MS: f64 = 3_000.0;
 
+/// An answer shows for this long, in ms, that an engine lives whose heartbeats are missing.
+const SEEN_MS: f64 = 3_000.0;
+
 /// What is known of one engine.
 #[derive(Clone, Debug)]
 pub(crate) struct Engine {
     pub(crate) spec: EngineSpec,
     pub(crate) is_open: bool,
+    /// Whether its heartbeats are missing.
+    pub(crate) is_silent: bool,
+    /// When an answer of it was last seen.
+    seen_at_ms: f64,
     pub(crate) jobs: Vec<Job>,
     /// Up to when the reading of its jobs was worked out.
     advanced_at_ms: f64,
@@ -92,6 +99,8 @@
         Self {
             spec,
             is_open,
+            is_silent: false,
+            seen_at_ms: 0.0,
             jobs: Vec::new(),
             advanced_at_ms: 0.0,
             failures: 0,
@@ -204,8 +213,14 @@
         self.avoid_until_ms = now_ms + pause_ms.min(AVOID_MAX_MS);
     }
 
-    pub(crate) fn note_success(&mut self) {
+    pub(crate) fn note_success(&mut self, now_ms: f64) {
         self.failures = 0;
+        self.seen_at_ms = now_ms;
+    }
+
+    /// Whether neither heartbeats nor answers tell that it lives.
+    pub(crate) fn is_doubtful(&self, now_ms: f64) -> bool {
+        self.is_silent && now_ms > self.seen_at_ms + SEEN_MS
     }
 
     /// Learns from how long a first token took.
@@ -215,5 +230,6 @@
         let held = self.slowness(now_ms);
         self.slowness = ((held + seen) / 2.0).clamp(1.0, MAX_SLOWNESS);
         self.slowness_at_ms = now_ms;
+        self.seen_at_ms = now_ms;
     }
 }
--- a/clayplank-placement/src/fleet.rs
+++ b/clayplank-placement/src/fleet.rs
@@ -1,8 +1,11 @@
 //! All engines, and the placements that load them.
 
+use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
 
 use clayplank_types::UpstreamId;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 use serde::{Deserialize, Serialize};
 
 use crate::ask::{Ask, Assignment, Placed, PlacementId};
@@ -57,12 +60,31 @@
     placements: HashMap<PlacementId, Placement>,
     split_work_ms: f64,
     split_work_at_ms: f64,
+    /// The most that chance adds to an engine's cost, as a share of a prompt's weight.
+    noise: f64,
+    rng: RefCell<Option<SmallRng>>,
 }
 
+/// What chance adds to an engine's cost for a host that decides alone, as a share of a
+/// prompt's weight: as much as one stream that is harmed costs.
+const ALONE_NOISE: f64 = 0.5;
+
 /// Time, in ms, in which split prompts lose half of their weight in the load.
 const SPLIT_LOAD_HALF_LIFE_MS: f64 = 2_000.0;
 
 impl Fleet {
+    /// A fleet of a host that sees only its own placements: chance keeps hosts that
+    /// decide alike from sending all to the same engines.
+    pub fn alone(seed: u64) -> Self {
+        let rng = RefCell::new(Some(SmallRng::seed_from_u64(seed)));
+        Self { noise: ALONE_NOISE, rng, ..Self::default() }
+    }
+
+    pub(crate) fn draw_noise(&self) -> f64 {
+        let mut rng = self.rng.borrow_mut();
+        rng.as_mut().map_or(0.0, |rng| self.noise * rng.random::<f64>())
+    }
+
     fn split_work(&self, now_ms: f64) -> f64 {
         let age_ms = (now_ms - self.split_work_at_ms).max(0.0);
         self.split_work_ms * 0.5_f64.powf(age_ms / SPLIT_LOAD_HALF_LIFE_MS)
@@ -88,6 +110,13 @@
         }
     }
 
+    /// Notes whether the heartbeats of an engine are missing.
+    pub fn set_silent(&mut self, id: &UpstreamId, is_silent: bool) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.is_silent = is_silent;
+        }
+    }
+
     /// Forgets engines that are not in the list.
     pub fn retain_engines(&mut self, is_known: impl Fn(&UpstreamId) -> bool) {
         self.engines.retain(|id, _| is_known(id));
@@ -180,12 +209,13 @@
                     let expected_ms = placement.expected_ms;
                     let engine = self.engines.get_mut(&placement.engine);
                     if let Some(engine) = engine {
+                        engine.note_success(now_ms);
                         engine.note_first_token(now_ms, expected_ms, took_ms);
                     }
                     self.note_started(now_ms, id);
                 }
             }
-            Event::Ended => self.end(now_ms, id, Engine::note_success),
+            Event::Ended => self.end(now_ms, id, |_| {}),
             Event::Failed => self.end(now_ms, id, |engine| engine.note_failure(now_ms)),
         }
     }
--- a/clayplankd/src/control_door.rs
+++ b/clayplankd/src/control_door.rs
@@ -17,7 +17,7 @@
 
 use crate::contract::{ControlCall, ControlFault, SharedContract};
 use crate::fleet_keeper::FleetKeeper;
-use crate::keeper::{Inspect, Keeper};
+use crate::keeper::{Keeper, WhoLeads};
 use crate::keeper_client::KeeperClient;
 use crate::logging::part;
 use crate::spread::Spread;
@@ -99,11 +99,19 @@
     async fn take_heartbeat(&self, heartbeat: Heartbeat) -> Answer {
         let takes_work = heartbeat.standing == Standing::Ready;
         self.fleet.apply(std::slice::from_ref(&heartbeat));
-        if takes_work {
-            self.spread.push(heartbeat);
-            return json(StatusCode::OK, Bytes::from_static(b"{}"));
+        if !takes_work {
+            return self.tell_leader(&heartbeat).await;
         }
-        self.tell_leader(&heartbeat).await
+        self.spread.push(heartbeat);
+        match self.leader().await {
+            Some(_) => empty(StatusCode::OK),
+            // Cut off from the others, perhaps: the upstream should find a keeper that is not.
+            None => fault(StatusCode::SERVICE_UNAVAILABLE, "no keeper leads"),
+        }
+    }
+
+    async fn leader(&self) -> Option<HostId> {
+        self.keeper.send(WhoLeads).await.ok().flatten()
     }
 
     async fn take_leave(&self, id: &UpstreamId) -> Answer {
@@ -113,13 +121,9 @@
 
     /// Acknowledges that an upstream takes no new work once the leader knows it.
     async fn tell_leader(&self, heartbeat: &Heartbeat) -> Answer {
-        let leader = match self.keeper.send(Inspect).await {
-            Ok(Ok(_)) => Some(self.own.clone()),
-            Ok(Err(hint)) => hint,
-            Err(_) => None,
-        };
+        let leader = self.leader().await;
         if self.spread.push_urgent(heartbeat, leader.as_ref()).await {
-            json(StatusCode::OK, Bytes::from_static(b"{}"))
+            empty(StatusCode::OK)
         } else {
             fault(StatusCode::SERVICE_UNAVAILABLE, "the leading keeper does not know yet")
         }
--- a/clayplankd/src/fleet_keeper.rs
+++ b/clayplankd/src/fleet_keeper.rs
@@ -1,6 +1,7 @@
 //! A keeper's soft state: registered upstreams, and the load of the engines.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwapOption;
@@ -42,6 +43,8 @@
     keepers: KeeperClient,
     heartbeat_ms: u64,
     started_ms: u64,
+    /// Whether an entry host has told which upstreams it knows.
+    has_learned: AtomicBool,
     registry: Mutex<Registry>,
     /// The registry's newest change.
     changed: watch::Sender<Cursor>,
@@ -66,6 +69,7 @@
             keepers,
             heartbeat_ms,
             started_ms: now_ms(),
+            has_learned: AtomicBool::new(false),
             registry: Mutex::new(Registry::new(rand::random())),
             changed: watch::Sender::new(Cursor::default()),
             fleet: Mutex::default(),
@@ -128,7 +132,8 @@
     /// Chooses engines; `None` while too little is known of them.
     pub(crate) fn place(&self, ask: &Ask) -> Option<Placed> {
         // Every upstream has told of itself once, or this keeper would send all to a few.
-        let is_young = now_ms() < self.started_ms + 2 * self.heartbeat_ms;
+        let is_young = now_ms() < self.started_ms + 2 * self.heartbeat_ms
+            && !self.has_learned.load(Ordering::SeqCst);
         if is_young || self.plan.load().is_none() {
             return None;
         }
@@ -150,6 +155,11 @@
     ) -> Result<follow_reply::Result, Status> {
         let cursor: Cursor = decode(&request.cursor).map_err(malformed)?;
         let renewed: Vec<Renewed> = decode(&request.renewed).map_err(malformed)?;
+        let known: Vec<Heartbeat> = decode(&request.known).map_err(malformed)?;
+        if !known.is_empty() {
+            self.apply(&known);
+            self.has_learned.store(true, Ordering::SeqCst);
+        }
         let host = HostId::new(request.from_host);
         let revision = request.applied_revision;
         let mut changed = self.changed.subscribe();
@@ -234,8 +244,8 @@
             data_centre: heartbeat.data_centre.clone(),
             model: model.clone(),
         };
-        let is_open = heartbeat.standing == Standing::Ready && !record.is_silent;
-        fleet.set_engine(heartbeat.id.clone(), spec, is_open);
+        fleet.set_engine(heartbeat.id.clone(), spec, heartbeat.standing == Standing::Ready);
+        fleet.set_silent(&heartbeat.id, record.is_silent);
     }
     let is_known = |id: &UpstreamId| records.iter().any(|record| record.heartbeat.id == *id);
     fleet.retain_engines(is_known);
--- a/clayplankd/src/fleet_link.rs
+++ b/clayplankd/src/fleet_link.rs
@@ -66,7 +66,7 @@
             next: AtomicU64::new(0),
             peers,
             keepers,
-            local: Mutex::default(),
+            local: Mutex::new(Fleet::alone(rand::random())),
             active: Mutex::default(),
             events,
             alone_until_ms: AtomicU64::new(0),
@@ -186,11 +186,14 @@
 pub(crate) async fn run_following(following: Following) {
     let mut revision = 0;
     let mut cursor = Cursor::default();
+    // A registry of another life may lack what this host knows.
+    let mut tells_known = false;
     loop {
-        match following.ask(revision, cursor).await {
+        match following.ask(revision, cursor, tells_known).await {
             Some((followed, asked_ms)) => {
                 let applied = following.apply(&followed, asked_ms);
                 if let Some((new_revision, new_cursor)) = applied {
+                    tells_known = cursor.life != 0 && cursor.life != new_cursor.life;
                     (revision, cursor) = (new_revision, new_cursor);
                 }
             }
@@ -201,7 +204,15 @@
 
 impl Following {
     /// One exchange with the leader, and when it was asked: the lease counts from there.
-    async fn ask(&self, revision: u64, cursor: Cursor) -> Option<(Followed, u64)> {
+    async fn ask(
+        &self,
+        revision: u64,
+        cursor: Cursor,
+        tells_known: bool,
+    ) -> Option<(Followed, u64)> {
+        let records = if tells_known { self.directory.records() } else { Vec::new() };
+        let known: Vec<_> = records.into_iter().map(|record| record.heartbeat).collect();
+        let known = encode(&known).ok()?;
         let renewed = encode(&self.link.renewed()).ok()?;
         let cursor = encode(&cursor).ok()?;
         let answer = self.link.keepers.ask(FOLLOW_PATIENCE, |peers, keeper, left| {
@@ -211,6 +222,7 @@
                 applied_revision: revision,
                 cursor: cursor.clone(),
                 renewed: renewed.clone(),
+                known: known.clone(),
             };
             let asked_ms = now_ms();
             async move {
--- a/clayplankd/src/keeper.rs
+++ b/clayplankd/src/keeper.rs
@@ -565,6 +565,17 @@
     }
 }
 
+/// Who leads, as far as this keeper knows; itself, perhaps.
+pub(crate) struct WhoLeads;
+
+impl Handler<WhoLeads> for Keeper {
+    type Return = Option<HostId>;
+
+    async fn handle(&mut self, _: WhoLeads, _: &mut Context<Self>) -> Self::Return {
+        self.leader_host()
+    }
+}
+
 /// What operators see; `Err` names who may lead.
 pub(crate) struct Inspect;
 
