Take no request that a planned stop could cut off

Ruled out: the balancer; with few hosts in a zone it goes on. Change: 2.7 s after the stop the listener closes, and requests on open connections are refused as not run.

--- a/clayplank-forward/src/dispatch.rs
+++ b/clayplank-forward/src/dispatch.rs
@@ -35,6 +35,9 @@
 /// When to come back if no upstream is known, in ms: about a heartbeat of upstreams.
 const NO_UPSTREAM_RETRY_MS: u64 = 1_500;
 
+/// When to come back if this host is stopping, in ms: the balancer sends the caller to another.
+const CLOSED_RETRY_MS: u64 = 50;
+
 /// The least time, in ms, after which engines that are full are worth another try.
 const FULL_RETRY_MS: u64 = 700;
 
@@ -196,7 +199,7 @@
 /// How one attempt ended, as far as the head of its answer.
 pub(crate) enum Attempt {
     /// The upstream's own answer.
-    Answered(Response<Incoming>, Connection, LoadGuard),
+    Answered(Box<Response<Incoming>>, Connection, LoadGuard),
     /// It was not run there.
     NotRun,
     /// It may have run there.
@@ -235,6 +238,9 @@
         facts: RequestFacts,
         body: Incoming,
     ) -> Result<Call, Refusal> {
+        if self.gate.is_closed() {
+            return Err(Refusal::NotRun { retry_after_ms: CLOSED_RETRY_MS });
+        }
         let no_plan = Refusal::NoPlan { retry_after_ms: NO_PLAN_RETRY_MS };
         let limits = self.gate.plan().ok_or(no_plan)?.plan().limits.clone();
         let body = read_body(body, limits.max_body_bytes, millis(limits.read_timeout_ms)).await?;
@@ -443,7 +449,8 @@
         match judge(&head, names, &self.facts.attempt_id) {
             Verdict::Own => {
                 self.note_sent(true);
-                Attempt::Answered(Response::from_parts(head, body), connection, load)
+                let response = Box::new(Response::from_parts(head, body));
+                Attempt::Answered(response, connection, load)
             }
             Verdict::NotRun => {
                 self.note_sent(false);
--- a/clayplank-forward/src/door.rs
+++ b/clayplank-forward/src/door.rs
@@ -14,7 +14,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 
 use crate::dispatch::Entry;
 use crate::exchange::limit_silence;
@@ -34,19 +34,20 @@
 /// The least that a head may take, added to the time a connection may rest.
 const HEAD_TIME: Duration = Duration::from_secs(1);
 
-/// Serves callers until the task is dropped. When `closing` turns true, each
-/// connection ends after the request that it serves.
+/// Serves callers until `closing` turns true: then no connection is accepted any
+/// more, and each one ends after the request that it serves.
 pub async fn serve_callers(
     listener: TcpListener,
     entry: Arc<Entry>,
-    closing: watch::Receiver<bool>,
+    mut closing: watch::Receiver<bool>,
 ) {
     let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
-        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
-            return;
+        let accepted = tokio::select! {
+            accepted = accept_one(&listener, &permits) => accepted,
+            () = wait_until_closing(&mut closing) => return,
         };
-        let Some(stream) = accept(&listener).await else {
+        let Some((stream, permit)) = accepted else {
             continue;
         };
         let entry = Arc::clone(&entry);
@@ -58,6 +59,14 @@
     }
 }
 
+async fn accept_one(
+    listener: &TcpListener,
+    permits: &Arc<Semaphore>,
+) -> Option<(TcpStream, OwnedSemaphorePermit)> {
+    let permit = Arc::clone(permits).acquire_owned().await.ok()?;
+    Some((accept(listener).await?, permit))
+}
+
 async fn accept(listener: &TcpListener) -> Option<TcpStream> {
     match listener.accept().await {
         Ok((stream, _)) => {
@@ -110,10 +119,7 @@
 {
     let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
-        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
-            return;
-        };
-        let Some(stream) = accept(&listener).await else {
+        let Some((stream, permit)) = accept_one(&listener, &permits).await else {
             continue;
         };
         let answer = answer.clone();
--- a/clayplank-forward/src/gate.rs
+++ b/clayplank-forward/src/gate.rs
@@ -16,6 +16,7 @@
     confirmed_until_ms: AtomicU64,
     lease_ms: u64,
     is_leaving: AtomicBool,
+    is_closed: AtomicBool,
     in_progress: AtomicU64,
 }
 
@@ -27,6 +28,7 @@
             confirmed_until_ms: AtomicU64::new(0),
             lease_ms,
             is_leaving: AtomicBool::new(false),
+            is_closed: AtomicBool::new(false),
             in_progress: AtomicU64::new(0),
         }
     }
@@ -70,6 +72,16 @@
         self.is_leaving.load(Ordering::SeqCst)
     }
 
+    /// From now on requests are refused: they could not be served to their end.
+    pub fn close(&self) {
+        self.is_closed.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether requests are refused.
+    pub fn is_closed(&self) -> bool {
+        self.is_closed.load(Ordering::SeqCst)
+    }
+
     /// Requests between their head and the end of their answer.
     pub fn in_progress(&self) -> u64 {
         self.in_progress.load(Ordering::SeqCst)
--- a/clayplank-forward/src/stream.rs
+++ b/clayplank-forward/src/stream.rs
@@ -107,7 +107,7 @@
 }
 
 enum Opened {
-    Begun(Begun),
+    Begun(Box<Begun>),
     /// An answer that is no stream.
     Other(Response<AnswerBody>),
 }
@@ -116,7 +116,7 @@
 pub(crate) async fn run(mut call: Call, guard: ProgressGuard) -> Response<AnswerBody> {
     let opened = tokio::time::timeout_at(call.deadline, open(&mut call)).await;
     match opened {
-        Ok(Ok(Opened::Begun(begun))) => respond(call, guard, begun),
+        Ok(Ok(Opened::Begun(begun))) => respond(call, guard, *begun),
         Ok(Ok(Opened::Other(response))) => response,
         Ok(Err(refusal)) => call.give_up(refusal),
         Err(_) => {
@@ -139,7 +139,7 @@
             }
         };
         match open_at(call, chosen, call.facts.last_event_id).await {
-            Tried::Begun(begun) => return Ok(Opened::Begun(*begun)),
+            Tried::Begun(begun) => return Ok(Opened::Begun(begun)),
             Tried::Other(response, is_final) => {
                 if is_final {
                     return Ok(Opened::Other(response));
--- a/clayplankd/src/seeded.rs
+++ b/clayplankd/src/seeded.rs
@@ -47,12 +47,15 @@
 /// confirmation holds; the rest is for requests that are on their way.
 const LEASE_SHARE: f64 = 0.8;
 
-/// The balancer asks every second, and turns away after two misses: until then
-/// new connections come.
-const TURN_AWAY: Duration = Duration::from_millis(3_000);
+/// The balancer asks every second, and turns away after two misses: until then new
+/// connections come. Requests that come later could be cut off at the end of the grace.
+const TURN_AWAY: Duration = Duration::from_millis(2_700);
+
+/// Time for the last bytes to leave after the last request has ended.
+const LINGER: Duration = Duration::from_millis(150);
 
 /// Before the end of the grace, the last bytes leave.
-const GRACE_MARGIN: Duration = Duration::from_millis(400);
+const GRACE_MARGIN: Duration = Duration::from_millis(500);
 
 /// Between two looks at the requests in progress of a host that stops.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
@@ -142,11 +145,12 @@
         log::info!(target: part::DAEMON, in_progress = gate.in_progress(); "Stops");
         gate.leave();
         tokio::time::sleep(TURN_AWAY).await;
+        gate.close();
         self.closing.send_replace(true);
         while gate.in_progress() > 0 && Instant::now() < end {
             tokio::time::sleep(DRAIN_POLL).await;
         }
-        tokio::time::sleep(DRAIN_POLL).await;
+        tokio::time::sleep(LINGER).await;
         log::info!(target: part::DAEMON, cut_off = gate.in_progress(); "Stopped");
     }
 }
