Test seeded hosts over processes, under the project's own contract

Three keepers, two entry hosts and upstreams that fail as asked: answers and refusals, streams resumed inside an event, plans, keys taken away, draining, kills, a lost disk, a planned stop. 7 tests, passed.

--- a/clayplank-standin/src/lib.rs
+++ b/clayplank-standin/src/lib.rs
@@ -20,6 +20,7 @@
 mod http_util;
 mod platform;
 mod service;
+mod upstream;
 
 pub use crate::core::{
     BeginError, CacheEvent, EngineCore, EngineModel, Job, JobKind, RunningJob, StepEvent,
@@ -29,3 +30,4 @@
 pub use crate::http_util::{Body, ServeError, bind};
 pub use crate::platform::serve_platform;
 pub use crate::service::{ServiceRecord, serve_service};
+pub use crate::upstream::{Runs, SharedRuns, serve_upstream};
--- a/clayplankd/src/main.rs
+++ b/clayplankd/src/main.rs
@@ -2,10 +2,11 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use bpaf::Bpaf;
 use clayplank_settings::HostSettings;
-use clayplankd::{Daemon, StartError, start_logging};
+use clayplankd::{Daemon, NativeContract, StartError, start_logging};
 use error_stack::{Report, ResultExt};
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -19,6 +20,8 @@
 #[bpaf(options, version)]
 /// Serves prompts of very unlike lengths: an entry host, a keeper, or both
 struct Options {
+    /// The settings are those of a host that finds the others from seeds
+    seeded: bool,
     /// The host's settings, in JSON; `clayplank check FILE` checks them
     #[bpaf(argument("FILE"))]
     settings: PathBuf,
@@ -40,6 +43,9 @@
 
 #[tokio::main]
 async fn run(options: &Options) -> Result<(), Report<StartError>> {
+    if options.seeded {
+        return clayplankd::run_seeded(&options.settings, Arc::new(NativeContract)).await;
+    }
     let text = std::fs::read_to_string(&options.settings)
         .map_err(StartError::Read)
         .attach_with(|| options.settings.display().to_string())?;
--- /dev/null
+++ b/clayplankd/src/native.rs
@@ -0,0 +1,95 @@
+//! The project's own contract for seeded hosts: its calls, headers and documents.
+
+use bytes::Bytes;
+use clayplank_forward::{HeaderNames, OrderFormat};
+use clayplank_registry::Heartbeat;
+use clayplank_routes::ServingPlan;
+use clayplank_settings::Faults;
+use clayplank_types::UpstreamId;
+use http::{HeaderValue, Method, Request, Uri, header};
+use http_body_util::Full;
+use serde_json::{Value, json};
+
+use crate::contract::{Contract, ControlCall, ControlFault};
+
+const PLAN_PATH: &str = "/v1/plan";
+const UPSTREAMS_PATH: &str = "/v1/upstreams/";
+const HEALTH_PATH: &str = "/health";
+const RESERVATIONS_PATH: &str = "/v1/reservations";
+
+/// What callers, operators and upstreams of the project itself speak.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NativeContract;
+
+impl OrderFormat for NativeContract {
+    fn reserve(&self, ticket: &str, tokens: u64, hold_ms: u64) -> Request<Full<Bytes>> {
+        let body = json!({ "ticket": ticket, "tokens": tokens, "hold_ms": hold_ms });
+        order(Method::PUT, &body)
+    }
+
+    fn release(&self, ticket: &str) -> Request<Full<Bytes>> {
+        order(Method::DELETE, &json!({ "ticket": ticket }))
+    }
+}
+
+fn order(method: Method, body: &Value) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(Bytes::from(body.to_string())));
+    *request.method_mut() = method;
+    *request.uri_mut() = Uri::from_static(RESERVATIONS_PATH);
+    let headers = request.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(header::HOST, HeaderValue::from_static("engine"));
+    request
+}
+
+impl Contract for NativeContract {
+    fn header_names(&self) -> HeaderNames {
+        HeaderNames::default()
+    }
+
+    fn scan_call(
+        &self,
+        method: &Method,
+        path: &str,
+        body: &[u8],
+    ) -> Result<ControlCall, ControlFault> {
+        if let Some(id) = path.strip_prefix(UPSTREAMS_PATH).filter(|id| !id.is_empty()) {
+            return scan_upstream_call(method, id, body);
+        }
+        match (method, path) {
+            (&Method::PUT, PLAN_PATH) => {
+                let text = std::str::from_utf8(body).map_err(|error| malformed(&error))?;
+                let plan = self.parse_plan(text).map_err(ControlFault::Malformed)?;
+                Ok(ControlCall::Publish(Box::new(plan)))
+            }
+            (&Method::GET, PLAN_PATH) => Ok(ControlCall::ReadPlan),
+            _ => Err(ControlFault::NotFound),
+        }
+    }
+
+    fn parse_plan(&self, text: &str) -> Result<ServingPlan, Faults> {
+        clayplank_settings::parse(text)
+    }
+
+    fn is_readiness_call(&self, method: &Method, path: &str) -> bool {
+        method == Method::GET && path == HEALTH_PATH
+    }
+}
+
+fn scan_upstream_call(method: &Method, id: &str, body: &[u8]) -> Result<ControlCall, ControlFault> {
+    match *method {
+        Method::PUT => {
+            let heartbeat: Heartbeat =
+                serde_json::from_slice(body).map_err(|error| malformed(&error))?;
+            Ok(ControlCall::Heartbeat(Heartbeat { id: UpstreamId::new(id), ..heartbeat }))
+        }
+        Method::DELETE => Ok(ControlCall::Leave(UpstreamId::new(id))),
+        _ => Err(ControlFault::NotFound),
+    }
+}
+
+fn malformed(error: &dyn std::error::Error) -> ControlFault {
+    let mut faults = Faults::default();
+    faults.push("", format!("cannot be read: {error}"));
+    ControlFault::Malformed(faults)
+}
--- /dev/null
+++ b/clayplankd/tests/seeded.rs
@@ -0,0 +1,174 @@
+//! The promises of seeded hosts, over real processes.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod seeded_system;
+
+use seeded_system::{KEY, System, call, plan, publish, wait_for};
+use serde_json::json;
+
+#[test]
+fn answers_pass_unchanged_and_faults_are_told_truly() {
+    let system = System::start();
+    let plain = system.send(0, "a1", "/repeatable/x?y=1", &[]);
+    assert_eq!((plain.status, plain.text().as_str()), (200, "body"));
+    assert!(plain.header("x-clayplank-seal").is_some());
+    assert!(system.runs.lock().accounts.contains("timekeepers"));
+    assert!(system.runs.lock().leaked.is_empty(), "the key stays with the entry host");
+
+    assert_eq!(system.send(0, "a2", "/nowhere/", &[]).status, 404);
+    let no_key = [("x-clayplank-attempt-id", "a3")];
+    let entry = system.entries[0].callers();
+    assert_eq!(call(entry, "POST", "/once/x", &no_key, "").status, 401);
+    let wrong_key = [("authorization", "Bearer wrong"), ("x-clayplank-attempt-id", "a4")];
+    assert_eq!(call(entry, "POST", "/once/x", &wrong_key, "").status, 401);
+
+    let refused = system.send(1, "a5", "/once/x", &[("x-standin-fault", "refuse")]);
+    assert_eq!((refused.status, system.runs.count("a5")), (200, 1), "another upstream ran it");
+    let lost = system.send(0, "a6", "/once/x", &[("x-standin-fault", "lose")]);
+    assert_eq!((lost.status, system.runs.count("a6")), (502, 1), "it may have run");
+    let again = system.send(0, "a7", "/repeatable/x", &[("x-standin-fault", "lose")]);
+    assert_eq!((again.status, system.runs.count("a7")), (200, 2));
+    let foreign = system.send(0, "a8", "/once/x", &[("x-standin-fault", "foreign")]);
+    assert_eq!(foreign.status, 502, "an answer to another request is nobody's");
+    let unsealed = system.send(0, "a9", "/repeatable/x", &[("x-standin-fault", "unsealed")]);
+    assert_eq!((unsealed.status, system.runs.count("a9")), (200, 2));
+    assert!(system.entries[0].figures().contains("clayplank_entry_requests_total"));
+}
+
+#[test]
+fn a_stream_that_breaks_inside_an_event_goes_on_elsewhere() {
+    let system = System::start();
+    let answer = system.send(0, "s1", "/stream/events/12", &[("x-standin-fault", "break")]);
+    assert!(answer.is_whole);
+    let text = answer.text();
+    let ids: Vec<u64> =
+        text.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).collect();
+    assert_eq!(ids, (1..=12).collect::<Vec<_>>());
+    assert!(text.contains("data: u1") && text.contains("data: u2"), "both wrote a part");
+    assert_eq!(system.runs.count("s1"), 2);
+
+    let later = system.send(0, "s2", "/stream/events/5", &[("last-event-id", "3")]);
+    assert!(later.text().starts_with("id: 4\n"));
+}
+
+#[test]
+fn plans_are_checked_and_the_highest_version_holds() {
+    let system = System::start();
+    let mut second = plan(5);
+    second["routes"][0]["path_prefix"] = json!("/renamed/");
+    assert_eq!(publish(&system.keepers[1], &second).status, 200);
+    wait_for("the new route", || system.send(0, "p1", "/renamed/x", &[]).status == 200);
+    assert_eq!(publish(&system.keepers[2], &plan(3)).status, 200, "it was overtaken");
+    assert_eq!(publish(&system.keepers[2], &second).status, 200, "a resend");
+    assert_eq!(publish(&system.keepers[2], &plan(5)).status, 409, "another plan of this version");
+    let mut wrong = plan(6);
+    wrong["routes"][0]["targets"][0]["service"] = json!("gone");
+    wrong["accounts"][0]["keys"] = json!([]);
+    let refused = publish(&system.keepers[0], &wrong);
+    assert_eq!(refused.status, 400);
+    assert!(refused.text().contains("/routes/0/targets/0/service"), "{}", refused.text());
+    assert_eq!(publish(&system.keepers[0], &json!("no plan")).status, 400);
+    for keeper in &system.keepers {
+        let held = call(keeper.control(), "GET", "/v1/plan", &[], "");
+        assert_eq!(held.text(), second.to_string(), "as it was sent");
+    }
+}
+
+#[test]
+fn a_key_that_is_taken_away_is_refused_everywhere() {
+    let system = System::start();
+    let mut without = plan(2);
+    without["accounts"][0]["keys"] = json!(["another"]);
+    system.wait_for_plan(&without);
+    for entry in 0..system.entries.len() {
+        wait_for("the refusal", || system.send(entry, "k1", "/once/x", &[]).status == 401);
+    }
+    let other = [("authorization", "Bearer another"), ("x-clayplank-attempt-id", "k2")];
+    assert_eq!(call(system.entries[0].callers(), "POST", "/once/x", &other, "").status, 200);
+    assert_ne!(KEY, "another");
+}
+
+#[test]
+fn an_upstream_that_drains_gets_nothing_after_the_acknowledgement() {
+    let mut system = System::start();
+    wait_for("the acknowledgement", || system.beat(0, "u1", "draining").status == 200);
+    // The news is on its way to the entry hosts, which hear of it within one exchange.
+    wait_for("news at the entry hosts", || {
+        (0..40).all(|number| {
+            let attempt = format!("d{number}-{}", rand_suffix());
+            let answer = system.send(number % 2, &attempt, "/repeatable/x", &[]);
+            answer.header("x-clayplank-seal") == Some("u2")
+        })
+    });
+    assert_eq!(system.beat(1, "u1", "ready").status, 200);
+    for number in 0..20 {
+        let attempt = format!("e{number}");
+        let answer = system.send(number % 2, &attempt, "/repeatable/x", &[]);
+        assert_eq!(answer.status, 200);
+    }
+}
+
+/// Attempts are named once.
+fn rand_suffix() -> u128 {
+    std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_nanos()
+}
+
+#[test]
+fn keepers_survive_kills_and_a_lost_disk() {
+    let mut system = System::start();
+    let second = plan(2);
+    let second_text = second.to_string();
+    system.wait_for_plan(&second);
+    system.keepers[0].kill();
+    std::fs::remove_dir_all(&system.keepers[0].data).unwrap();
+    wait_for("the plan at the other two", || {
+        let held = call(system.keepers[1].control(), "GET", "/v1/plan", &[], "");
+        held.text() == second_text
+    });
+    system.keepers[0].start();
+    wait_for("the repaired keeper", || {
+        let held = call(system.keepers[0].control(), "GET", "/v1/plan", &[], "");
+        held.text() == second_text
+    });
+    // Once the repaired one votes, the loss of another one is borne.
+    let third = plan(3);
+    wait_for("a change with all three", || publish(&system.keepers[0], &third).status == 200);
+    system.keepers[1].kill();
+    let fourth = plan(4);
+    let fourth_text = fourth.to_string();
+    system.wait_for_plan(&fourth);
+    system.keepers[2].kill();
+    system.keepers[0].kill();
+    for keeper in 0..system.keepers.len() {
+        system.keepers[keeper].start();
+    }
+    wait_for("the plan after all were down", || {
+        let held = call(system.keepers[2].control(), "GET", "/v1/plan", &[], "");
+        held.text() == fourth_text
+    });
+    wait_for("readiness", || system.entries.iter().all(|entry| entry.is_ready()));
+    system.beat_until_served();
+}
+
+#[test]
+fn a_planned_stop_cuts_off_nothing() {
+    let mut system = System::start();
+    let callers = system.entries[0].callers();
+    let slow = std::thread::spawn(move || {
+        let key = format!("Bearer {KEY}");
+        let headers = [
+            ("authorization", key.as_str()),
+            ("x-clayplank-attempt-id", "slow-1"),
+            ("x-standin-fault", "slow"),
+        ];
+        call(callers, "POST", "/once/x", &headers, "body")
+    });
+    wait_for("the run", || system.runs.count("slow-1") == 1);
+    system.entries[0].terminate();
+    wait_for("the end of readiness", || !system.entries[0].is_ready());
+    let answer = slow.join().unwrap();
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    wait_for("the end of the process", || system.entries[0].has_ended());
+    assert_eq!(system.send(1, "after", "/once/x", &[]).status, 200, "the other host serves on");
+}
