--- a/clayplank-placement/src/choose.rs
+++ b/clayplank-placement/src/choose.rs
@@ -53,6 +53,13 @@
 const RETRY_MIN_MS: f64 = 700.0;
 const RETRY_MAX_MS: f64 = 5_000.0;
 
+/// What a millisecond of an engine is worth, as a share of a short request's weight, when
+/// all places are taken: 16 streams of about two seconds each run beside one another.
+const ENGINE_VALUE_PER_MS: f64 = 0.01;
+
+/// Places become scarce when less than this share of them is free.
+const PRESSURE_FREE_SHARE: f64 = 0.25;
+
 /// Memory left free on each engine, as a share: answers may be longer than expected.
 const MEMORY_MARGIN: f64 = 0.04;
 
@@ -87,7 +94,10 @@
         }
     }
     match best {
-        Some((_, assignment)) if assignment.first_token_ms < longest_wait_ms(ask) => {
+        Some((_, assignment))
+            if assignment.first_token_ms < longest_wait_ms(ask)
+                && is_worth_its_time(&open, ask, &assignment) =>
+        {
             Placed::At(assignment)
         }
         Some((_, assignment)) => Placed::Full { retry_after_ms: retry_after(&assignment, ask) },
@@ -125,6 +135,28 @@
     if ask.is_returning { ask.limit_ms } else { ask.limit_ms.min(ask.goal_ms * REFUSE_GOALS) }
 }
 
+/// Whether an answer that will be late is worth the engines' time that it takes from
+/// requests which wait for a place.
+fn is_worth_its_time(open: &[Open<'_>], ask: &Ask, assignment: &Assignment) -> bool {
+    if assignment.first_token_ms <= ask.goal_ms {
+        return true;
+    }
+    let Some(first) = open.first() else {
+        return true;
+    };
+    let work_ms = first.engine.spec.model.part_read_ms(ask.prompt_tokens, 1);
+    let value = ask.weight() * (1.0 - LATE_LOSS);
+    value >= work_ms * ENGINE_VALUE_PER_MS * pressure(open)
+}
+
+/// How scarce places are: 0 while a quarter of them is free, 1 when none is.
+fn pressure(open: &[Open<'_>]) -> f64 {
+    let places: usize = open.iter().map(|one| one.engine.spec.model.slots as usize).sum();
+    let taken: usize = open.iter().map(|one| one.engine.primaries()).sum();
+    let free = 1.0 - taken as f64 / places.max(1) as f64;
+    ((PRESSURE_FREE_SHARE - free) / PRESSURE_FREE_SHARE).clamp(0.0, 1.0)
+}
+
 /// A refusal that comes back when the wait has shrunk to what the prompt can bear.
 fn retry_after(assignment: &Assignment, ask: &Ask) -> u64 {
     (assignment.first_token_ms - ask.goal_ms / 2.0).clamp(RETRY_MIN_MS, RETRY_MAX_MS) as u64
