--- a/clayplankd/src/keeper_join.rs
+++ b/clayplankd/src/keeper_join.rs
@@ -10,13 +10,15 @@
 use tokio::sync::mpsc;
 use xtra::Address;
 
+use crate::clock::millis;
 use crate::keeper::{Begin, Keeper, Stand, Standing, Tick};
 use crate::keeper_client::KeeperClient;
 use crate::logging::part;
 use crate::peers::Peers;
 
-/// Between two ticks of the replica.
-const TICK: Duration = Duration::from_millis(50);
+/// Between two ticks of the replica, in ms, drawn anew each time: keepers that started
+/// at the same moment would else ask for elections at the same moment, and split the votes.
+const TICK_MS: std::ops::RangeInclusive<u64> = 8..=28;
 
 /// Between two introductions of a keeper that does not vote yet.
 const INTRODUCE_EVERY: Duration = Duration::from_millis(300);
@@ -35,10 +37,8 @@
 
 /// Lets time pass for the replica.
 pub(crate) async fn run_ticks(keeper: Address<Keeper>) {
-    let mut interval = tokio::time::interval(TICK);
-    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        interval.tick().await;
+        tokio::time::sleep(millis(rand::random_range(TICK_MS))).await;
         if keeper.send(Tick).await.is_err() {
             return;
         }
