Put a price on engines' time, so that the longest prompts give way

Ruled out: leadership, which was steady, and estimates, which fit. Change: a prompt is taken if its worth is at least its reading at the price of engines' time; the price rises as places get scarce and as reads wait. A test said that a late prompt that comes back is always taken: with a price it is taken while engines have time, and refused where much is to be read.

--- a/clayplank-placement/src/choose.rs
+++ b/clayplank-placement/src/choose.rs
@@ -55,7 +55,18 @@
 
 /// What a millisecond of an engine is worth, as a share of a short request's weight, when
 /// all places are taken: 16 streams of about two seconds each run beside one another.
-const ENGINE_VALUE_PER_MS: f64 = 0.01;
+const PLACE_VALUE_PER_MS: f64 = 0.01;
+
+/// The same when all engines have much to read: the weight of a prompt of usual length for
+/// its kind, by the time that it takes to read it.
+const READ_VALUE_PER_MS: f64 = 0.005;
+
+/// Reads that wait on every engine, in ms, at which time counts in full: about half of the
+/// goals of long prompts.
+const FULL_QUEUE_MS: f64 = 1_500.0;
+
+/// A prompt that comes back, and is still in time, counts this many times.
+const RETURNING_LENIENCY: f64 = 2.0;
 
 /// Places become scarce when less than this share of them is free.
 const PRESSURE_FREE_SHARE: f64 = 0.25;
@@ -135,18 +146,25 @@
     if ask.is_returning { ask.limit_ms } else { ask.limit_ms.min(ask.goal_ms * REFUSE_GOALS) }
 }
 
-/// Whether an answer that will be late is worth the engines' time that it takes from
-/// requests which wait for a place.
+/// Whether an answer is worth the engines' time that it takes from others. Reading a
+/// prompt of twice the length takes up to four times as long, so the longest give way
+/// first where time is scarce; one that comes back is let in sooner.
 fn is_worth_its_time(open: &[Open<'_>], ask: &Ask, assignment: &Assignment) -> bool {
-    if assignment.first_token_ms <= ask.goal_ms {
-        return true;
-    }
     let Some(first) = open.first() else {
         return true;
     };
+    let is_late = assignment.first_token_ms > ask.goal_ms;
+    let earned_share = if is_late { 1.0 - LATE_LOSS } else { 1.0 };
+    let leniency = if ask.is_returning && !is_late { RETURNING_LENIENCY } else { 1.0 };
     let work_ms = first.engine.spec.model.part_read_ms(ask.prompt_tokens, 1);
-    let value = ask.weight() * (1.0 - LATE_LOSS);
-    value >= work_ms * ENGINE_VALUE_PER_MS * pressure(open)
+    let price = (PLACE_VALUE_PER_MS * pressure(open)).max(READ_VALUE_PER_MS * read_pressure(open));
+    ask.weight() * earned_share * leniency >= work_ms * price
+}
+
+/// How long reads wait: 1 when every engine has this much to read.
+fn read_pressure(open: &[Open<'_>]) -> f64 {
+    let queued_ms: f64 = open.iter().map(|one| one.engine.queued_before(false).read_ms).sum();
+    (queued_ms / open.len().max(1) as f64 / FULL_QUEUE_MS).min(1.0)
 }
 
 /// How scarce places are: 0 while a quarter of them is free, 1 when none is.
