Split the dispatch of forwarded requests by its jobs

The entry host, taking a request in, the call, the choice of an upstream, one attempt and its load each have a file of their own. The time to come back to full upstreams stands once. Behaviour is the same.

--- /dev/null
+++ b/clayplank-forward/src/admit.rs
@@ -0,0 +1,121 @@
+//! Takes a caller's request in: its whole body, its route and its account.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use clayplank_routes::{PlanIndex, Route};
+use http::request::Parts;
+use http::{Request, Response};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use crate::call::Call;
+use crate::clock::{millis, now_ms};
+use crate::entry::Entry;
+use crate::facts::RequestFacts;
+use crate::refusal::{AnswerBody, Refusal};
+
+/// When to come back if the host has no confirmed plan, in ms: after a restart of all
+/// keepers, an election and the first heartbeats of upstreams. Callers come back once
+/// or twice, so an early time is worse than a late one.
+const NO_PLAN_RETRY_MS: u64 = 2_500;
+
+/// When to come back if this host is stopping, in ms: the balancer sends the caller to another.
+const CLOSED_RETRY_MS: u64 = 50;
+
+impl Entry {
+    /// Answers a request of a caller.
+    pub async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        let arrived = Instant::now();
+        let guard = self.gate.enter();
+        let (head, body) = request.into_parts();
+        let facts = RequestFacts::scan(&head, &self.names);
+        let attempt_id = facts.attempt_id.clone();
+        let call = match self.admit(arrived, head, facts, body).await {
+            Ok(call) => call,
+            Err(refusal) => {
+                log::info!(target: "forward", request = attempt_id, outcome = refusal.as_str();
+                    "Refused at the door");
+                self.figures.count("none", refusal.as_str());
+                return refusal.to_response();
+            }
+        };
+        if call.route.kind.is_stream() {
+            crate::stream::run(call, guard).await
+        } else {
+            crate::plain::run(call, guard).await
+        }
+    }
+
+    /// Finds the route and the account, and reads the body.
+    async fn admit(
+        self: &Arc<Self>,
+        arrived: Instant,
+        head: Parts,
+        facts: RequestFacts,
+        body: Incoming,
+    ) -> Result<Call, Refusal> {
+        if self.gate.is_closed() {
+            return Err(Refusal::NotRun { retry_after_ms: CLOSED_RETRY_MS });
+        }
+        let no_plan = Refusal::NoPlan { retry_after_ms: NO_PLAN_RETRY_MS };
+        let limits = self.gate.plan().ok_or(no_plan)?.plan().limits.clone();
+        let body = read_body(body, limits.max_body_bytes, millis(limits.read_timeout_ms)).await?;
+        // The plan counts that is in force once the request is whole.
+        let plan = self.gate.plan().ok_or(no_plan)?;
+        if !self.gate.is_confirmed() {
+            return Err(no_plan);
+        }
+        let path = head.uri.path();
+        let route = plan.find_route(&facts.host, path).ok_or(Refusal::NoRoute)?.clone();
+        let (account, rank) = find_account(&plan, &route, &facts)?;
+        let draw = rand::random::<f64>();
+        let service = plan.choose_target(&route, draw).ok_or(Refusal::NoRoute)?.to_owned();
+        let limit_ms = facts.deadline_ms.unwrap_or(u64::MAX).min(route.time_limit_ms);
+        let is_engine = plan.engine_model(&service).is_some();
+        self.lock_budget().note_first_try(now_ms(), &service);
+        Ok(Call {
+            entry: Arc::clone(self),
+            facts,
+            head,
+            body,
+            route,
+            service,
+            is_engine,
+            account,
+            rank,
+            arrived,
+            deadline: arrived + millis(limit_ms),
+            tried: Vec::new(),
+            sent_count: 0,
+            may_have_run: false,
+        })
+    }
+}
+
+fn find_account(
+    plan: &PlanIndex,
+    route: &Route,
+    facts: &RequestFacts,
+) -> Result<(Option<String>, u8), Refusal> {
+    if route.allows_anonymous || !plan.has_accounts() {
+        let account = facts.key.as_deref().and_then(|key| plan.find_account(key));
+        return Ok((account.map(|account| account.name.clone()), route.rank));
+    }
+    let key = facts.key.as_deref().ok_or(Refusal::NoAccount)?;
+    let account = plan.find_account(key).ok_or(Refusal::NoAccount)?;
+    Ok((Some(account.name.clone()), account.rank.unwrap_or(route.rank)))
+}
+
+/// Reads a whole body, in time and up to a limit.
+async fn read_body(body: Incoming, max_bytes: u64, patience: Duration) -> Result<Bytes, Refusal> {
+    let limited = Limited::new(body, max_bytes as usize);
+    match tokio::time::timeout(patience, limited.collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::TooLarge),
+        Ok(Err(_)) => Err(Refusal::Malformed),
+        Err(_) => Err(Refusal::TooSlow),
+    }
+}
--- /dev/null
+++ b/clayplank-forward/src/attempt.rs
@@ -0,0 +1,143 @@
+//! One attempt: sends a request to an upstream, and judges the head of its answer.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use clayplank_types::UpstreamId;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use crate::answer::{Verdict, judge, scan_load};
+use crate::call::Call;
+use crate::choice::Chosen;
+use crate::exchange::{Connection, ExchangeError, exchange};
+use crate::headers::{Told, for_upstream};
+use crate::load::LoadGuard;
+
+/// The least urgent rank that engines know.
+const MAX_RANK: u8 = 9;
+
+/// When to come back to upstreams that were full, in ms.
+pub(crate) const BUSY_RETRY_MS: u64 = 700;
+
+/// How one attempt ended, as far as the head of its answer.
+pub(crate) enum Attempt {
+    /// The upstream's own answer.
+    Answered(Box<Response<Incoming>>, Connection, LoadGuard),
+    /// It was not run there.
+    NotRun,
+    /// It may have run there.
+    Lost,
+}
+
+impl Call {
+    /// Sends the request to an upstream, and judges the head of its answer.
+    pub(crate) async fn attempt(
+        &mut self,
+        chosen: Chosen,
+        last_event_id: Option<u64>,
+        patience: Duration,
+    ) -> Attempt {
+        let Chosen { record, helpers, mut load, .. } = chosen;
+        let upstream = record.heartbeat.id.clone();
+        let request = self.request_for(&upstream, &helpers, last_event_id);
+        self.tried.push(upstream.clone());
+        let sent = exchange(record.heartbeat.address, request);
+        match tokio::time::timeout(patience, sent).await {
+            Ok(Ok((response, connection))) => self.take_head(&upstream, load, response, connection),
+            Ok(Err(ExchangeError::Connect(error))) => {
+                load.note_outcome(false);
+                self.log_attempt(&upstream, "unreached", &error.to_string());
+                Attempt::NotRun
+            }
+            Ok(Err(ExchangeError::Failed(error))) => {
+                self.note_lost(&upstream, load, "lost", &error.to_string())
+            }
+            Err(_) => self.note_lost(&upstream, load, "silent", "no answer in time"),
+        }
+    }
+
+    /// Judges the head of an answer.
+    fn take_head(
+        &mut self,
+        upstream: &UpstreamId,
+        mut load: LoadGuard,
+        response: Response<Incoming>,
+        connection: Connection,
+    ) -> Attempt {
+        let (head, body) = response.into_parts();
+        let names = &self.entry.names;
+        if let Some((running, waiting)) = scan_load(&head.headers, names) {
+            self.entry.directory.note_load(upstream, running, waiting);
+        }
+        match judge(&head, names, &self.facts.attempt_id) {
+            Verdict::Own => {
+                self.note_sent(true);
+                let response = Box::new(Response::from_parts(head, body));
+                Attempt::Answered(response, connection, load)
+            }
+            Verdict::NotRun => {
+                self.note_sent(false);
+                load.note_outcome(false);
+                self.log_attempt(upstream, "not_run", head.status.as_str());
+                Attempt::NotRun
+            }
+            Verdict::Replaced => {
+                self.note_sent(false);
+                self.entry.directory.note_replaced(upstream);
+                self.log_attempt(upstream, "replaced", head.status.as_str());
+                Attempt::NotRun
+            }
+            Verdict::Foreign => self.note_lost(upstream, load, "foreign", head.status.as_str()),
+        }
+    }
+
+    /// An attempt that may have run, without an answer of its own.
+    fn note_lost(
+        &mut self,
+        upstream: &UpstreamId,
+        mut load: LoadGuard,
+        outcome: &'static str,
+        cause: &str,
+    ) -> Attempt {
+        load.note_outcome(false);
+        self.note_sent(true);
+        self.log_attempt(upstream, outcome, cause);
+        Attempt::Lost
+    }
+
+    fn note_sent(&mut self, may_have_run: bool) {
+        self.sent_count += 1;
+        self.may_have_run |= may_have_run;
+    }
+
+    fn request_for(
+        &self,
+        upstream: &UpstreamId,
+        helpers: &str,
+        last_event_id: Option<u64>,
+    ) -> Request<Full<Bytes>> {
+        let told = Told {
+            account: self.account.as_deref(),
+            upstream: upstream.as_str(),
+            left_ms: self.left().as_millis() as u64,
+            last_event_id,
+            helpers,
+            rank: self.is_engine.then_some(self.rank.min(MAX_RANK)),
+        };
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self.head.uri.clone();
+        *request.headers_mut() = for_upstream(&self.head.headers, &self.entry.names, &told);
+        request
+    }
+
+    fn log_attempt(&self, upstream: &UpstreamId, outcome: &'static str, cause: &str) {
+        self.entry.figures.count_attempt(outcome);
+        log::info!(target: "forward",
+            request = self.facts.attempt_id, route = self.route.name, upstream = upstream.as_str(),
+            outcome = outcome, cause = cause, waited_ms = self.waited_ms();
+            "An attempt ended without an answer");
+    }
+}
--- /dev/null
+++ b/clayplank-forward/src/call.rs
@@ -0,0 +1,85 @@
+//! A request that was taken in whole: what it is, and what became of it so far.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use clayplank_routes::{RequestKind, Route};
+use clayplank_types::UpstreamId;
+use http::Response;
+use http::request::Parts;
+use tokio::time::Instant;
+
+use crate::clock::now_ms;
+use crate::entry::Entry;
+use crate::facts::RequestFacts;
+use crate::refusal::{AnswerBody, Refusal};
+
+/// Connections that may fail, beyond the first, before a request is given up.
+const MAX_UNREACHED: usize = 3;
+
+/// A request that was taken in whole, on its way to upstreams.
+pub(crate) struct Call {
+    pub(crate) entry: Arc<Entry>,
+    pub(crate) facts: RequestFacts,
+    pub(crate) head: Parts,
+    pub(crate) body: Bytes,
+    pub(crate) route: Route,
+    pub(crate) service: String,
+    pub(crate) is_engine: bool,
+    pub(crate) account: Option<String>,
+    pub(crate) rank: u8,
+    pub(crate) arrived: Instant,
+    pub(crate) deadline: Instant,
+    /// Upstreams that it was sent to, or that could not be reached.
+    pub(crate) tried: Vec<UpstreamId>,
+    /// How often it was written to an upstream.
+    pub(crate) sent_count: u32,
+    /// Whether one of them may have run it.
+    pub(crate) may_have_run: bool,
+}
+
+impl Call {
+    /// Whether another attempt may be made, and pays for it.
+    pub(crate) fn may_try(&self) -> bool {
+        if self.sent_count == 0 {
+            // Nothing was written yet, but each connection that failed took time.
+            return self.tried.len() <= MAX_UNREACHED;
+        }
+        let is_allowed = !self.may_have_run || self.route.kind.may_repeat();
+        is_allowed
+            && self.sent_count < self.route.max_attempts
+            && Instant::now() < self.deadline
+            && self.entry.lock_budget().take_retry(now_ms(), &self.service)
+    }
+
+    pub(crate) fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    pub(crate) fn waited_ms(&self) -> u64 {
+        self.arrived.elapsed().as_millis() as u64
+    }
+
+    /// The answer to a caller whose request got none.
+    pub(crate) fn give_up(&self, refusal: Refusal) -> Response<AnswerBody> {
+        let is_over = Instant::now() >= self.deadline;
+        let may_have_run = self.may_have_run;
+        let told = match refusal {
+            _ if may_have_run && is_over => Refusal::TimedOut,
+            _ if may_have_run => Refusal::Failed,
+            _ if is_over => Refusal::TimedOut,
+            other => other,
+        };
+        log::info!(target: "forward",
+            request = self.facts.attempt_id, route = self.route.name, outcome = told.as_str(),
+            tried = self.tried.len(), sent = self.sent_count, waited_ms = self.waited_ms();
+            "Gave a request up");
+        self.entry.figures.count(&self.route.name, told.as_str());
+        told.to_response()
+    }
+
+    pub(crate) fn kind(&self) -> RequestKind {
+        self.route.kind
+    }
+}
--- a/clayplank-forward/src/door.rs
+++ b/clayplank-forward/src/door.rs
@@ -16,7 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 
-use crate::dispatch::Entry;
+use crate::entry::Entry;
 use crate::exchange::limit_silence;
 
 /// Connections of callers that are open at once; each holds a descriptor and some memory.
--- /dev/null
+++ b/clayplank-forward/src/entry.rs
@@ -0,0 +1,111 @@
+//! What an entry host needs to forward requests, and how it is put together.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use clayplank_types::DataCentre;
+
+use crate::budget::RetryBudget;
+use crate::directory::Directory;
+use crate::figures::Figures;
+use crate::gate::Gate;
+use crate::names::HeaderNames;
+use crate::placer::Placer;
+use crate::reserve::OrderFormat;
+
+/// What an entry host needs to forward requests.
+pub struct Entry {
+    pub(crate) names: HeaderNames,
+    pub(crate) gate: Arc<Gate>,
+    pub(crate) directory: Arc<Directory>,
+    pub(crate) placer: Arc<dyn Placer>,
+    /// How engines are told to hold memory; `None` where no engine can.
+    pub(crate) orders: Option<Arc<dyn OrderFormat>>,
+    pub(crate) budget: Mutex<RetryBudget>,
+    pub(crate) figures: Arc<Figures>,
+    pub(crate) data_centre: DataCentre,
+}
+
+impl std::fmt::Debug for Entry {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Entry").field("data_centre", &self.data_centre).finish_non_exhaustive()
+    }
+}
+
+/// Builds an [`Entry`].
+#[derive(Default)]
+pub struct EntryBuilder {
+    names: HeaderNames,
+    budget: Option<RetryBudget>,
+    orders: Option<Arc<dyn OrderFormat>>,
+    figures: Arc<Figures>,
+    data_centre: DataCentre,
+}
+
+impl std::fmt::Debug for EntryBuilder {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("EntryBuilder").finish_non_exhaustive()
+    }
+}
+
+impl EntryBuilder {
+    /// Sets the names of headers.
+    pub fn names(mut self, names: HeaderNames) -> Self {
+        self.names = names;
+        self
+    }
+
+    /// Sets the retry budget.
+    pub fn budget(mut self, budget: RetryBudget) -> Self {
+        self.budget = Some(budget);
+        self
+    }
+
+    /// Sets how engines are told to hold memory.
+    pub fn orders(mut self, orders: Arc<dyn OrderFormat>) -> Self {
+        self.orders = Some(orders);
+        self
+    }
+
+    /// Sets where figures go.
+    pub fn figures(mut self, figures: Arc<Figures>) -> Self {
+        self.figures = figures;
+        self
+    }
+
+    /// Sets where the host stands.
+    pub fn data_centre(mut self, data_centre: DataCentre) -> Self {
+        self.data_centre = data_centre;
+        self
+    }
+
+    /// Builds it.
+    pub fn build(
+        self,
+        gate: Arc<Gate>,
+        directory: Arc<Directory>,
+        placer: Arc<dyn Placer>,
+    ) -> Entry {
+        let budget = self.budget.unwrap_or_else(|| RetryBudget::new(Default::default()));
+        Entry {
+            names: self.names,
+            gate,
+            directory,
+            placer,
+            orders: self.orders,
+            budget: Mutex::new(budget),
+            figures: self.figures,
+            data_centre: self.data_centre,
+        }
+    }
+}
+
+impl Entry {
+    pub(crate) fn lock_budget(&self) -> MutexGuard<'_, RetryBudget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in how many hosts share the retry budget.
+    pub fn set_hosts(&self, hosts: u64) {
+        self.lock_budget().set_hosts(hosts);
+    }
+}
--- a/clayplank-forward/src/lib.rs
+++ b/clayplank-forward/src/lib.rs
@@ -14,18 +14,23 @@
 //! assert_eq!(HeaderNames::default().attempt_id.as_str(), "x-clayplank-attempt-id");
 //! ```
 
+mod admit;
 mod answer;
+mod attempt;
 mod budget;
+mod call;
+mod choice;
 mod clock;
 mod directory;
-mod dispatch;
 mod door;
+mod entry;
 mod events;
 mod exchange;
 mod facts;
 mod figures;
 mod gate;
 mod headers;
+mod load;
 mod names;
 mod placer;
 mod plain;
@@ -36,8 +41,8 @@
 pub use budget::{BudgetLimits, RetryBudget};
 pub use clock::{millis, now_ms};
 pub use directory::Directory;
-pub use dispatch::{Entry, EntryBuilder};
 pub use door::{serve_callers, serve_simple};
+pub use entry::{Entry, EntryBuilder};
 pub use events::{EventSplitter, StreamEvent};
 pub use exchange::connect;
 pub use facts::RequestFacts;
--- /dev/null
+++ b/clayplank-forward/src/load.rs
@@ -0,0 +1,72 @@
+//! What an attempt takes of an upstream, until it ends.
+
+use std::sync::Arc;
+
+use clayplank_placement::{Event, PlacementId};
+use clayplank_types::UpstreamId;
+use tokio::time::Instant;
+
+use crate::entry::Entry;
+use crate::reserve::Reservation;
+
+/// Gives back what an attempt takes of an upstream, however it ends.
+pub(crate) struct LoadGuard {
+    entry: Arc<Entry>,
+    upstream: UpstreamId,
+    placement: Option<PlacementId>,
+    sent: Instant,
+    outcome: Option<bool>,
+    /// Memory that other engines hold for the prompt.
+    _reservation: Option<Reservation>,
+}
+
+impl LoadGuard {
+    /// An attempt that starts now; `placement` if it was placed on an engine.
+    pub(crate) fn new(
+        entry: &Arc<Entry>,
+        upstream: &UpstreamId,
+        placement: Option<PlacementId>,
+    ) -> Self {
+        Self {
+            entry: Arc::clone(entry),
+            upstream: upstream.clone(),
+            placement,
+            sent: Instant::now(),
+            outcome: None,
+            _reservation: None,
+        }
+    }
+
+    /// Keeps memory of other engines reserved for as long as the attempt.
+    pub(crate) fn hold(&mut self, reservation: Reservation) {
+        self._reservation = Some(reservation);
+    }
+
+    /// The first event came.
+    pub(crate) fn note_started(&self) {
+        if let Some(id) = self.placement {
+            let took_ms = self.sent.elapsed().as_secs_f64() * 1e3;
+            self.entry.placer.note(id, Event::Started { took_ms });
+        }
+    }
+
+    /// Notes whether the upstream did its work.
+    pub(crate) fn note_outcome(&mut self, is_good: bool) {
+        self.outcome = Some(is_good);
+    }
+}
+
+impl Drop for LoadGuard {
+    fn drop(&mut self) {
+        let is_good = self.outcome.unwrap_or(true);
+        match self.placement {
+            Some(id) => {
+                self.entry.placer.note(id, if is_good { Event::Ended } else { Event::Failed });
+            }
+            None => {
+                let took_ms = self.sent.elapsed().as_millis() as u64;
+                self.entry.directory.note_end(&self.upstream, took_ms, is_good);
+            }
+        }
+    }
+}
--- a/clayplank-forward/src/plain.rs
+++ b/clayplank-forward/src/plain.rs
@@ -9,8 +9,9 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use crate::attempt::{Attempt, BUSY_RETRY_MS};
+use crate::call::Call;
 use crate::clock::millis;
-use crate::dispatch::{Attempt, Call};
 use crate::gate::ProgressGuard;
 use crate::headers::strip_hop_by_hop;
 use crate::refusal::{AnswerBody, Refusal, full};
@@ -80,9 +81,6 @@
     }
 }
 
-/// When to come back to upstreams that were full, in ms.
-const BUSY_RETRY_MS: u64 = 700;
-
 /// How long one upstream may take while another could be asked.
 fn patience(call: &Call) -> Duration {
     let is_last = !call.kind().may_repeat() || call.sent_count + 1 >= call.route.max_attempts;
--- a/clayplank-forward/src/stream.rs
+++ b/clayplank-forward/src/stream.rs
@@ -13,12 +13,15 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use crate::attempt::{Attempt, BUSY_RETRY_MS};
+use crate::call::Call;
+use crate::choice::Chosen;
 use crate::clock::millis;
-use crate::dispatch::{Attempt, Call, Chosen, LoadGuard};
 use crate::events::{EventSplitter, StreamEvent};
 use crate::exchange::Connection;
 use crate::gate::ProgressGuard;
 use crate::headers::strip_hop_by_hop;
+use crate::load::LoadGuard;
 use crate::refusal::{AnswerBody, BrokenOff, Refusal, full};
 
 /// Events that wait for a caller that reads slowly; more hold the upstream up.
@@ -39,9 +42,6 @@
 /// but not less than this, in ms: engines cut streams themselves after a stall of 1.5 s.
 const MIN_SILENCE_MS: u64 = 1_000;
 
-/// When to come back to engines that were full, in ms.
-const BUSY_RETRY_MS: u64 = 700;
-
 /// What an upstream's stream brings next.
 enum Next {
     Event(StreamEvent),
