--- a/clayplank-forward/src/lib.rs
+++ b/clayplank-forward/src/lib.rs
@@ -32,10 +32,13 @@
 mod headers;
 mod load;
 mod names;
+mod opening;
 mod placer;
 mod plain;
+mod pump;
 mod refusal;
 mod reserve;
+mod source;
 mod stream;
 
 pub use budget::{BudgetLimits, RetryBudget};
--- /dev/null
+++ b/clayplank-forward/src/source.rs
@@ -0,0 +1,73 @@
+//! One upstream's stream: its events as they come, and how it ends.
+
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use crate::events::{EventSplitter, StreamEvent};
+use crate::exchange::Connection;
+use crate::load::LoadGuard;
+
+/// What an upstream's stream brings next.
+pub(crate) enum Next {
+    Event(StreamEvent),
+    /// It ended as a whole answer does.
+    End,
+    /// It broke off.
+    Broken(&'static str),
+    /// It said nothing for too long.
+    Silent,
+}
+
+/// One upstream's stream.
+pub(crate) struct Source {
+    pub(crate) load: LoadGuard,
+    pub(crate) upstream: String,
+    body: Incoming,
+    splitter: EventSplitter,
+    /// Held until the stream is dropped, which ends the connection.
+    _connection: Connection,
+}
+
+impl Source {
+    /// The events of an answer.
+    pub(crate) fn new(
+        upstream: String,
+        body: Incoming,
+        connection: Connection,
+        load: LoadGuard,
+    ) -> Self {
+        let splitter = EventSplitter::default();
+        Self { load, upstream, body, splitter, _connection: connection }
+    }
+
+    /// The next event, or why there is none.
+    pub(crate) async fn next(&mut self, patience: Duration) -> Next {
+        let until = Instant::now() + patience;
+        loop {
+            if let Some(event) = self.splitter.next_event() {
+                return Next::Event(event);
+            }
+            match tokio::time::timeout_at(until, self.body.frame()).await {
+                Ok(Some(Ok(frame))) => {
+                    if let Some(bytes) = frame.data_ref() {
+                        self.splitter.push(bytes);
+                    }
+                }
+                Ok(None) if self.splitter.is_mid_event() => {
+                    return Next::Broken("ended inside an event");
+                }
+                Ok(None) => return Next::End,
+                Ok(Some(Err(_))) => return Next::Broken("the connection failed"),
+                Err(_) => return Next::Silent,
+            }
+        }
+    }
+
+    /// Notes that the upstream did not do its work.
+    pub(crate) fn note_failed(&mut self) {
+        self.load.note_outcome(false);
+    }
+}
