--- a/clayplank-placement/src/ask.rs
+++ b/clayplank-placement/src/ask.rs
@@ -45,6 +45,9 @@
 /// First tokens later than this many goals are given up by most clients.
 const LIMIT_GOALS: f64 = 4.0;
 
+/// So many tokens weigh as much as one more request.
+const TOKENS_PER_WEIGHT: f64 = 10_000.0;
+
 impl Ask {
     /// A prompt with a goal for its first token, and nothing else set.
     pub fn new(id: PlacementId, pool: &str, prompt_tokens: u64, goal_ms: f64) -> Self {
@@ -68,10 +71,9 @@
     }
 
     /// What it counts when it competes with others: long prompts take more of
-    /// the fleet, and their callers value them accordingly. Ten thousand tokens
-    /// weigh as much as one more request.
+    /// the fleet, and their callers value them accordingly.
     pub fn weight(&self) -> f64 {
-        1.0 + self.prompt_tokens as f64 / 10_000.0
+        1.0 + self.prompt_tokens as f64 / TOKENS_PER_WEIGHT
     }
 }
 
--- /dev/null
+++ b/clayplank-placement/src/candidate.rs
@@ -0,0 +1,109 @@
+//! Engines that may take a part of a prompt, and what that costs at each.
+
+use clayplank_types::UpstreamId;
+
+use crate::ask::Ask;
+use crate::costs::{delay_harm, exposure_loss, pause_harm};
+use crate::engine::{Engine, Queued};
+use crate::fleet::Fleet;
+
+/// Loss for an engine in another data centre: bytes between them cost.
+const REMOTE_LOSS: f64 = 0.004;
+
+/// Loss for an engine that failed lately; it still serves if nothing else can.
+const AVOID_LOSS: f64 = 3.0;
+
+/// Loss for an engine of which nothing was heard lately, as a share of the weight: it may
+/// be down, or only unable to reach the keepers.
+const DOUBT_LOSS: f64 = 0.2;
+
+/// Memory left free on each engine, as a share: answers may be longer than expected.
+const MEMORY_MARGIN: f64 = 0.04;
+
+/// An engine that takes new work.
+pub(crate) struct Open<'a> {
+    pub(crate) id: &'a UpstreamId,
+    pub(crate) engine: &'a Engine,
+    /// What chance adds to its cost.
+    pub(crate) noise: f64,
+}
+
+/// Engines that take the prompt, each with what chance adds to its cost.
+pub(crate) fn open_engines<'a>(fleet: &'a Fleet, ask: &Ask) -> Vec<Open<'a>> {
+    let engines = fleet.engines.iter().filter(|(id, engine)| {
+        engine.is_open && engine.spec.pool == ask.pool && !ask.avoid.contains(id)
+    });
+    engines
+        .map(|(id, engine)| Open { id, engine, noise: fleet.draw_noise() * ask.weight() })
+        .collect()
+}
+
+/// One engine as a candidate for a part of a prompt.
+pub(crate) struct Candidate<'a> {
+    pub(crate) id: &'a UpstreamId,
+    pub(crate) engine: &'a Engine,
+    /// What it costs to read a part here.
+    pub(crate) harm: f64,
+    /// What it risks to write the answer here.
+    pub(crate) exposure: f64,
+    /// When the part is read, from now.
+    pub(crate) read_ms: f64,
+    pub(crate) has_slot: bool,
+    pub(crate) memory_free: u64,
+}
+
+impl Candidate<'_> {
+    /// Helpers' parts that the engine takes at once: as many as it has slots.
+    pub(crate) fn max_helped(&self) -> usize {
+        self.engine.spec.model.slots as usize
+    }
+
+    /// Memory that may be promised, in tokens.
+    pub(crate) fn memory_usable(&self) -> u64 {
+        let margin = (self.engine.spec.model.memory_tokens as f64 * MEMORY_MARGIN) as u64;
+        self.memory_free.saturating_sub(margin)
+    }
+
+    pub(crate) fn fits(&self, ask: &Ask) -> bool {
+        self.memory_usable() >= ask.memory_tokens()
+    }
+}
+
+/// What a part of a prompt costs at an engine, if it has so many parts.
+pub(crate) fn weigh<'a>(
+    fleet: &Fleet,
+    open: &Open<'a>,
+    now_ms: f64,
+    ask: &Ask,
+    parts: usize,
+) -> Candidate<'a> {
+    let (id, engine) = (open.id, open.engine);
+    let read_ms =
+        engine.spec.model.part_read_ms(ask.prompt_tokens, parts) * engine.slowness(now_ms);
+    let part = Queued { tokens: ask.prompt_tokens as f64 / parts as f64, read_ms };
+    let before = engine.queued_before(parts > 1);
+    let until_read =
+        Queued { tokens: before.tokens + part.tokens, read_ms: before.read_ms + part.read_ms };
+    let mut harm = pause_harm(engine, part) + open.noise;
+    if parts > 1 {
+        harm += delay_harm(engine, now_ms, read_ms);
+    }
+    if engine.is_doubtful(now_ms) {
+        harm += DOUBT_LOSS * ask.weight();
+    }
+    if engine.is_avoided(now_ms) {
+        harm += AVOID_LOSS * ask.weight();
+    }
+    if engine.spec.data_centre != ask.data_centre {
+        harm += REMOTE_LOSS;
+    }
+    Candidate {
+        id,
+        engine,
+        harm,
+        exposure: exposure_loss(fleet, engine, now_ms, ask),
+        read_ms: engine.time_to_read_ms(until_read),
+        has_slot: engine.primaries() < engine.spec.model.slots as usize,
+        memory_free: engine.memory_free(),
+    }
+}
--- /dev/null
+++ b/clayplank-placement/src/costs.rs
@@ -0,0 +1,73 @@
+//! What requests lose: a prompt by its own wait, and others by what it does to them.
+
+use crate::ask::Ask;
+use crate::engine::{Engine, JobKind, Queued};
+use crate::fleet::Fleet;
+
+/// What a late answer loses of its weight. Most callers still take it, for about a quarter.
+pub(crate) const LATE_LOSS: f64 = 0.75;
+
+/// Up to this share of its goal, an expected first token is safely in time.
+const SAFE_SHARE: f64 = 0.4;
+
+/// An expected pause up to this share of its goal is safely in time.
+const SAFE_PAUSE_SHARE: f64 = 0.95;
+
+/// Loss, as a share of the weight, for each goal of waiting: prefers the quicker of two good ways.
+const WAIT_LOSS: f64 = 0.02;
+
+/// Waiting beyond this many goals loses nothing more.
+const MAX_WAIT_GOALS: f64 = 10.0;
+
+/// What a stream among no others of its kind loses, as a share of its weight, where
+/// the whole fleet reads split prompts: the next one pauses it. Among others that a
+/// pause would harm too, it is spared with them.
+const EXPOSURE_LOSS: f64 = 0.5;
+
+/// What streams on the engine lose by the pause while it reads.
+pub(crate) fn pause_harm(engine: &Engine, part: Queued) -> f64 {
+    let queued = engine.queued_before(false);
+    let pass_ms = engine.pass_ms();
+    let pause = |tokens: f64, read_ms: f64| {
+        let share = engine.spec.model.pass_read_tokens() as f64 / tokens.max(1.0);
+        pass_ms + read_ms * share.min(1.0)
+    };
+    let before_ms = pause(queued.tokens, queued.read_ms);
+    let after_ms = pause(queued.tokens + part.tokens, queued.read_ms + part.read_ms);
+    let written = engine.jobs.iter().filter(|job| job.kind == JobKind::Primary);
+    let harmed = written.filter(|job| {
+        let safe_ms = job.pause_goal_ms * SAFE_PAUSE_SHARE;
+        before_ms <= safe_ms && after_ms > safe_ms
+    });
+    harmed.map(|job| job.weight * LATE_LOSS).sum()
+}
+
+/// What prompts that wait on the engine lose: a part of a split prompt is read before them.
+pub(crate) fn delay_harm(engine: &Engine, now_ms: f64, read_ms: f64) -> f64 {
+    let mut until_ms = now_ms + engine.time_to_read_ms(engine.queued_before(true));
+    let mut harm = 0.0;
+    for job in engine.jobs.iter().filter(|job| job.is_queued() && !job.is_split) {
+        until_ms += job.left_ms;
+        let is_in_time = until_ms <= job.first_token_due_ms;
+        if is_in_time && until_ms + read_ms > job.first_token_due_ms {
+            harm += job.weight * LATE_LOSS;
+        }
+    }
+    harm
+}
+
+/// What a stream risks on an engine where few others keep split prompts away.
+pub(crate) fn exposure_loss(fleet: &Fleet, engine: &Engine, now_ms: f64, ask: &Ask) -> f64 {
+    let written = engine.jobs.iter().filter(|job| job.kind == JobKind::Primary);
+    let as_tight = written.filter(|job| job.pause_goal_ms <= ask.pause_goal_ms);
+    let kept_by: f64 = as_tight.map(|job| job.weight).sum();
+    EXPOSURE_LOSS * fleet.split_load(now_ms) * ask.weight() / (1.0 + kept_by)
+}
+
+/// What the prompt itself loses by a first token after this time.
+pub(crate) fn own_loss(ask: &Ask, first_token_ms: f64) -> f64 {
+    let goals = first_token_ms / ask.goal_ms.max(1.0);
+    let late = ((goals - SAFE_SHARE) / (1.0 - SAFE_SHARE)).clamp(0.0, 1.0) * LATE_LOSS;
+    let very_late = ((first_token_ms - ask.goal_ms) / ask.limit_ms.max(1.0)).clamp(0.0, 1.0);
+    ask.weight() * (late + very_late * (1.0 - LATE_LOSS) + WAIT_LOSS * goals.min(MAX_WAIT_GOALS))
+}
--- a/clayplank-placement/src/engine.rs
+++ b/clayplank-placement/src/engine.rs
@@ -61,6 +61,9 @@
 /// And never longer than this, in ms, so that one that has recovered is found out.
 const AVOID_MAX_MS: f64 = 8_000.0;
 
+/// Failures in a row that are counted; the longest time is reached before.
+const MAX_FAILURES: u32 = 8;
+
 /// A first token that took this many times what was expected speaks of a slow engine.
 const SLOW_RATIO: f64 = 2.0;
 
@@ -208,7 +211,7 @@
     }
 
     pub(crate) fn note_failure(&mut self, now_ms: f64) {
-        self.failures = (self.failures + 1).min(8);
+        self.failures = (self.failures + 1).min(MAX_FAILURES);
         let pause_ms = AVOID_BASE_MS * f64::from(1_u32 << (self.failures - 1));
         self.avoid_until_ms = now_ms + pause_ms.min(AVOID_MAX_MS);
     }
--- a/clayplank-placement/src/fleet.rs
+++ b/clayplank-placement/src/fleet.rs
@@ -18,6 +18,13 @@
 /// A placement that its host does not list is kept this long, in ms: the list may be older.
 const SETTLE_MS: f64 = 1_000.0;
 
+/// What chance adds to an engine's cost for a host that decides alone, as a share of a
+/// prompt's weight: as much as one stream that is harmed costs.
+const ALONE_NOISE: f64 = 0.5;
+
+/// Time, in ms, in which split prompts lose half of their weight in the load.
+const SPLIT_LOAD_HALF_LIFE_MS: f64 = 2_000.0;
+
 /// What a host tells of a placement.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Event {
@@ -65,13 +72,6 @@
     rng: RefCell<Option<SmallRng>>,
 }
 
-/// What chance adds to an engine's cost for a host that decides alone, as a share of a
-/// prompt's weight: as much as one stream that is harmed costs.
-const ALONE_NOISE: f64 = 0.5;
-
-/// Time, in ms, in which split prompts lose half of their weight in the load.
-const SPLIT_LOAD_HALF_LIFE_MS: f64 = 2_000.0;
-
 impl Fleet {
     /// A fleet of a host that sees only its own placements: chance keeps hosts that
     /// decide alike from sending all to the same engines.
--- a/clayplank-placement/src/lib.rs
+++ b/clayplank-placement/src/lib.rs
@@ -20,10 +20,13 @@
 //! ```
 
 mod ask;
+mod candidate;
 mod choose;
+mod costs;
 mod engine;
 mod fleet;
 mod model;
+mod parts;
 
 pub use ask::{Ask, Assignment, Part, Placed, PlacementId};
 pub use engine::EngineSpec;
--- /dev/null
+++ b/clayplank-placement/src/parts.rs
@@ -0,0 +1,92 @@
+//! The best engines for a number of parts of one prompt.
+
+use crate::ask::{Ask, Assignment, Part};
+use crate::candidate::{Candidate, Open, weigh};
+use crate::costs::own_loss;
+use crate::fleet::Fleet;
+
+/// Loss for each further engine that reads, so that small gains take no more engines.
+const PART_LOSS: f64 = 0.01;
+
+/// The best way with a number of parts, and what it loses in all.
+pub(crate) fn choose_parts(
+    fleet: &Fleet,
+    open: &[Open<'_>],
+    now_ms: f64,
+    ask: &Ask,
+    parts: usize,
+) -> Option<(f64, Assignment)> {
+    let mut candidates: Vec<_> =
+        open.iter().map(|one| weigh(fleet, one, now_ms, ask, parts)).collect();
+    candidates.retain(|one| one.has_slot || one.engine.helped() < one.max_helped());
+    let is_whole = parts == 1;
+    let score = |one: &Candidate<'_>| {
+        let exposure = if is_whole { one.exposure } else { 0.0 };
+        one.harm + exposure + own_loss(ask, one.read_ms)
+    };
+    candidates.sort_by(|left, right| score(left).total_cmp(&score(right)));
+    let first = candidates.iter().position(|one| one.has_slot && one.fits(ask));
+    let first = match first {
+        Some(first) => first,
+        None => return choose_with_memory(candidates, ask, parts),
+    };
+    let primary = candidates.remove(first);
+    let chosen: Vec<_> = candidates.into_iter().take(parts - 1).collect();
+    let helpers = chosen.iter().map(|one| Part { engine: one.id.clone(), reserve_tokens: 0 });
+    let helpers = helpers.collect();
+    Some(assemble(ask, &primary, &chosen, helpers))
+}
+
+/// No single engine has the memory: helpers hold what does not fit at the first.
+fn choose_with_memory(
+    mut candidates: Vec<Candidate<'_>>,
+    ask: &Ask,
+    parts: usize,
+) -> Option<(f64, Assignment)> {
+    if parts < 2 {
+        return None;
+    }
+    let first = candidates
+        .iter()
+        .enumerate()
+        .filter(|(_, one)| one.has_slot)
+        .max_by_key(|(_, one)| one.memory_free)
+        .map(|(position, _)| position)?;
+    let primary = candidates.remove(first);
+    let spread = ask.memory_tokens().div_ceil(parts as u64);
+    let own_tokens = spread.max(ask.output_tokens).min(primary.memory_usable());
+    let mut missing = ask.memory_tokens().saturating_sub(own_tokens);
+    // Most memory first among those that cost about the same.
+    candidates.retain(|one| one.engine.helped() < one.max_helped());
+    let mut chosen = Vec::new();
+    let mut helpers = Vec::new();
+    let share = missing.div_ceil(parts as u64 - 1);
+    for candidate in candidates {
+        if chosen.len() + 1 == parts {
+            break;
+        }
+        let tokens = share.min(missing);
+        if candidate.memory_usable() < tokens {
+            continue;
+        }
+        missing -= tokens;
+        helpers.push(Part { engine: candidate.id.clone(), reserve_tokens: tokens });
+        chosen.push(candidate);
+    }
+    (missing == 0).then(|| assemble(ask, &primary, &chosen, helpers))
+}
+
+fn assemble(
+    ask: &Ask,
+    primary: &Candidate<'_>,
+    chosen: &[Candidate<'_>],
+    helpers: Vec<Part>,
+) -> (f64, Assignment) {
+    let read_ms = chosen.iter().fold(primary.read_ms, |longest, one| longest.max(one.read_ms));
+    let first_token_ms = read_ms + primary.engine.pass_ms();
+    let harm: f64 = primary.harm + chosen.iter().map(|one| one.harm).sum::<f64>();
+    let loss =
+        own_loss(ask, first_token_ms) + harm + primary.exposure + PART_LOSS * chosen.len() as f64;
+    let assignment = Assignment { engine: primary.id.clone(), helpers, first_token_ms };
+    (loss, assignment)
+}
