--- a/clayplankd/src/lib.rs
+++ b/clayplankd/src/lib.rs
@@ -43,6 +43,8 @@
 mod reserve;
 mod run_seeded;
 mod seeded;
+mod seeded_entry;
+mod seeded_keeper;
 mod serve;
 mod services;
 mod settings_watch;
--- /dev/null
+++ b/clayplankd/src/seeded_entry.rs
@@ -0,0 +1,89 @@
+//! Starts the parts of an entry host that finds the others from seeds.
+
+use std::sync::Arc;
+
+use clayplank_forward::{
+    BudgetLimits, Directory, EntryBuilder, Figures, Gate, OrderFormat, RetryBudget, serve_callers,
+    serve_simple,
+};
+use clayplank_settings::Bounds;
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::contract::SharedContract;
+use crate::daemon::{StartError, bind};
+use crate::fleet_link::{FleetLink, Following, run_following, run_reports};
+use crate::seeded::{Parts, plain_text, serve_metrics};
+
+/// Share of the time until a revoked key must be without effect for which a
+/// confirmation holds; the rest is for requests that are on their way.
+const LEASE_SHARE: f64 = 0.8;
+
+impl Parts<'_> {
+    /// Starts an entry host; returns what says whether it takes requests.
+    pub(crate) async fn start_entry(
+        self,
+        closing: watch::Receiver<bool>,
+    ) -> Result<Arc<Gate>, StartError> {
+        let listen = &self.settings.listen;
+        let callers = bind(listen.callers.ok_or(StartError::NoListen("callers"))?).await?;
+        let readiness = bind(listen.readiness.ok_or(StartError::NoListen("readiness"))?).await?;
+        let metrics = bind(listen.metrics).await?;
+        let bounds = &self.settings.bounds;
+        let gate = Arc::new(Gate::new((bounds.revoke_ms as f64 * LEASE_SHARE) as u64));
+        let directory = Arc::new(Directory::default());
+        let figures = Arc::new(Figures::default());
+        let (link, events) = FleetLink::new(self.peers, self.keepers);
+        let link = Arc::new(link);
+        let entry = EntryBuilder::default()
+            .names(self.contract.header_names())
+            .budget(RetryBudget::new(budget_limits(bounds)))
+            .orders(Arc::clone(&self.contract) as Arc<dyn OrderFormat>)
+            .figures(Arc::clone(&figures))
+            .data_centre(self.settings.data_centre.clone())
+            .build(Arc::clone(&gate), Arc::clone(&directory), link.clone());
+        let entry = Arc::new(entry);
+        tokio::spawn(run_reports(Arc::clone(&link), events));
+        tokio::spawn(run_following(Following {
+            host: self.own,
+            contract: Arc::clone(&self.contract),
+            link,
+            gate: Arc::clone(&gate),
+            directory,
+            entry: Arc::clone(&entry),
+        }));
+        tokio::spawn(serve_callers(callers, entry, closing));
+        serve_readiness(readiness, self.contract, Arc::clone(&gate));
+        serve_metrics(metrics, move || figures.to_text());
+        Ok(gate)
+    }
+}
+
+fn budget_limits(bounds: &Bounds) -> BudgetLimits {
+    BudgetLimits {
+        ratio: bounds.retry_ratio,
+        extra: bounds.retry_extra,
+        window_ms: (bounds.retry_window_s * 1e3) as u64,
+    }
+}
+
+/// Answers the balancer, which asks whether new connections should come here.
+fn serve_readiness(listener: TcpListener, contract: SharedContract, gate: Arc<Gate>) {
+    tokio::spawn(serve_simple(listener, move |request| {
+        let status = readiness_status(&contract, &gate, &request);
+        async move { plain_text(status, String::new()) }
+    }));
+}
+
+fn readiness_status(
+    contract: &SharedContract,
+    gate: &Gate,
+    request: &Request<Incoming>,
+) -> StatusCode {
+    if !contract.is_readiness_call(request.method(), request.uri().path()) {
+        return StatusCode::NOT_FOUND;
+    }
+    if gate.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
+}
