--- a/clayplankd/src/fleet_keeper.rs
+++ b/clayplankd/src/fleet_keeper.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwapOption;
 use clayplank_placement::{Ask, EngineSpec, Event, Fleet, Placed, PlacementId, Renewed};
@@ -19,6 +19,7 @@
 use crate::contract::SharedContract;
 use crate::keeper::{Keeper, Watch, Watched};
 use crate::keeper_client::KeeperClient;
+use crate::lock::lock;
 use crate::logging::part;
 
 /// A follower without news is confirmed after this time, in ms. A host whose
@@ -53,10 +54,6 @@
     entry_hosts: Mutex<HashMap<HostId, u64>>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// The fleet's time: milliseconds of the runtime's clock.
 pub(crate) fn fleet_now_ms() -> f64 {
     now_ms() as f64
--- a/clayplankd/src/fleet_link.rs
+++ b/clayplankd/src/fleet_link.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use clayplank_forward::{BoxFuture, Directory, Entry, Gate, Placer};
@@ -18,6 +18,7 @@
 use crate::contract::SharedContract;
 use crate::fleet_keeper::{fleet_now_ms, set_engines};
 use crate::keeper_client::{Asked, KeeperClient};
+use crate::lock::lock;
 use crate::logging::part;
 use crate::peers::Peers;
 
@@ -51,10 +52,6 @@
     alone_until_ms: AtomicU64,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl FleetLink {
     pub(crate) fn new(
         peers: Peers,
--- a/clayplankd/src/keeper_client.rs
+++ b/clayplankd/src/keeper_client.rs
@@ -1,6 +1,6 @@
 //! Finds the leading keeper and asks it.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use clayplank_settings::HostSettings;
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::clock::{millis, now_ms};
+use crate::lock::lock;
 use crate::logging::part;
 use crate::peers::{PeerError, Peers};
 
@@ -65,13 +66,9 @@
         Self { peers, known: Arc::new(Mutex::new(known)) }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Known> {
-        self.known.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Learns of keepers; none is forgotten, since the newest list may come from one that is cut off.
     pub(crate) fn learn(&self, hosts: impl IntoIterator<Item = HostId>) {
-        let mut known = self.lock();
+        let mut known = lock(&self.known);
         for host in hosts {
             if !known.hosts.contains(&host) {
                 known.hosts.push(host);
@@ -81,12 +78,12 @@
 
     /// All keepers that are known.
     pub(crate) fn hosts(&self) -> Vec<HostId> {
-        self.lock().hosts.clone()
+        lock(&self.known).hosts.clone()
     }
 
     /// Who led when it was last heard.
     pub(crate) fn leader(&self) -> Option<HostId> {
-        self.lock().leader.clone()
+        lock(&self.known).leader.clone()
     }
 
     /// Has a command applied. A resend of it must be harmless.
@@ -173,7 +170,7 @@
             let asked = call(self.peers.clone(), keeper.clone(), left.min(CALL_PATIENCE)).await;
             let hint = match asked {
                 Ok(Asked::Answer(answer)) => {
-                    self.lock().leader = Some(keeper);
+                    lock(&self.known).leader = Some(keeper);
                     return Ok(answer);
                 }
                 Ok(Asked::NotLeader(hint)) => self.find(&hint),
@@ -204,7 +201,7 @@
     }
 
     fn after(&self, host: Option<&HostId>) -> Option<HostId> {
-        let known = self.lock();
+        let known = lock(&self.known);
         let position = known.hosts.iter().position(|one| Some(one) == host);
         let next = position.map_or(0, |position| position + 1) % known.hosts.len().max(1);
         known.hosts.get(next).cloned()
--- a/clayplankd/src/lib.rs
+++ b/clayplankd/src/lib.rs
@@ -30,6 +30,7 @@
 mod keeper;
 mod keeper_client;
 mod keeper_join;
+mod lock;
 mod logging;
 mod membership;
 mod metrics;
--- a/clayplankd/src/spread.rs
+++ b/clayplankd/src/spread.rs
@@ -1,6 +1,6 @@
 //! Passes heartbeats of upstreams from the keeper that heard them to the others.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use clayplank_registry::Heartbeat;
@@ -9,6 +9,7 @@
 use clayplank_wire::SpreadRequest;
 
 use crate::keeper_client::KeeperClient;
+use crate::lock::lock;
 use crate::logging::part;
 use crate::peers::Peers;
 
@@ -43,7 +44,7 @@
 
     /// Passes a heartbeat on with the next call.
     pub(crate) fn push(&self, heartbeat: Heartbeat) {
-        self.waiting.lock().unwrap_or_else(PoisonError::into_inner).push(heartbeat);
+        lock(&self.waiting).push(heartbeat);
     }
 
     /// Passes on at once that an upstream takes no new work; returns whether the
@@ -86,8 +87,7 @@
 pub(crate) async fn run_spread(spread: Spread) {
     loop {
         tokio::time::sleep(COLLECT).await;
-        let collected =
-            std::mem::take(&mut *spread.waiting.lock().unwrap_or_else(PoisonError::into_inner));
+        let collected = std::mem::take(&mut *lock(&spread.waiting));
         if collected.is_empty() {
             continue;
         }
