--- a/clayplankd/src/control_door.rs
+++ b/clayplankd/src/control_door.rs
@@ -17,8 +17,9 @@
 
 use crate::contract::{ControlCall, ControlFault, SharedContract};
 use crate::fleet_keeper::FleetKeeper;
-use crate::keeper::{Keeper, WhoLeads};
+use crate::keeper::Keeper;
 use crate::keeper_client::KeeperClient;
+use crate::keeper_messages::WhoLeads;
 use crate::logging::part;
 use crate::spread::Spread;
 
--- a/clayplankd/src/fleet_keeper.rs
+++ b/clayplankd/src/fleet_keeper.rs
@@ -17,8 +17,9 @@
 
 use crate::clock::{millis, now_ms};
 use crate::contract::SharedContract;
-use crate::keeper::{Keeper, Watch, Watched};
+use crate::keeper::Keeper;
 use crate::keeper_client::KeeperClient;
+use crate::keeper_messages::{Watch, Watched};
 use crate::lock::lock;
 use crate::logging::part;
 
--- a/clayplankd/src/inner.rs
+++ b/clayplankd/src/inner.rs
@@ -25,9 +25,9 @@
 
 use crate::clock::now_ms;
 use crate::fleet_keeper::FleetKeeper;
-use crate::keeper::{
-    Execute, Executed, Inspect, Introduce, Keeper, KeeperAddress, Step, WATCH_WAIT_MS, Watch,
-    Watched,
+use crate::keeper::{Keeper, KeeperAddress};
+use crate::keeper_messages::{
+    Execute, Executed, Inspect, Introduce, Step, WATCH_WAIT_MS, Watch, Watched,
 };
 use crate::membership::{Gossip, Membership};
 use crate::owner::{Finish, FirstToken, Owner, Renew, Reserve, ReserveAnswer, Reserved};
--- a/clayplankd/src/keeper.rs
+++ b/clayplankd/src/keeper.rs
@@ -6,16 +6,15 @@
 use std::collections::{BTreeMap, HashMap};
 
 use clayplank_agreement::{
-    Configuration, Entry, Envelope, Introduction, Options, Payload, ReadId, Ready, Replica,
-    ReplicaId, Store, StoreError, StoredState,
+    Entry, Envelope, Options, Payload, ReadId, Ready, Replica, Store, StoreError, StoredState,
 };
-use clayplank_state::{Body, Command, Counts, Delta, Machine, PlanDocument, Reply, decode, encode};
+use clayplank_state::{Command, Machine, PlanDocument, decode};
 use clayplank_types::HostId;
-use serde::Serialize;
 use tokio::sync::{mpsc, oneshot, watch};
-use xtra::{Context, Handler};
+use xtra::Context;
 
-use crate::clock::{now_ms, wall_ms};
+use crate::clock::now_ms;
+use crate::keeper_messages::{Executed, Watched};
 use crate::logging::part;
 
 /// Messages that are handled before a write, though more are waiting.
@@ -30,72 +29,36 @@
 /// Limits of a keeper whose entries are whole plans: a few hundred kilobytes each, in 128 MB of disk.
 const COMPACT_PLANS_BYTES: u64 = 8 << 20;
 
-/// A watch without news is confirmed after this time.
-pub(crate) const WATCH_WAIT_MS: u64 = 1_000;
-
 /// How long a new leader waits for enough voters before it takes a plan with fewer.
 const VOTERS_GRACE_MS: u64 = 4_000;
 
-/// What became of a command.
-#[derive(Clone, Debug)]
-pub(crate) enum Executed {
-    /// It was applied.
-    Reply(Reply),
-    /// It was not and will not be applied; who may lead.
-    NotLeader(Option<HostId>),
-    /// It may or may not be applied later.
-    Unknown,
-}
-
-/// What a watch brought.
-#[derive(Clone, Debug)]
-pub(crate) enum Watched {
-    /// What changed; all that was committed when the watch was asked for is in it.
-    Delta(Delta),
-    /// Who may lead.
-    NotLeader(Option<HostId>),
+/// A watch that has no reply yet.
+pub(crate) struct PendingWatch {
+    pub(crate) host: HostId,
+    pub(crate) applied_revision: u64,
+    pub(crate) due_ms: u64,
+    pub(crate) reply: oneshot::Sender<Watched>,
 }
 
-/// What operators see of the keepers.
-#[derive(Clone, Debug, Serialize)]
-pub(crate) struct KeeperStatus {
-    pub(crate) leader: String,
+/// A command that is not applied yet.
+pub(crate) struct PendingCommand {
     pub(crate) term: u64,
-    pub(crate) commit_index: u64,
-    pub(crate) voters: Vec<String>,
-    pub(crate) learners: Vec<String>,
-    /// While this is false, or there are learners, the loss of one more disk may stop the keepers.
-    pub(crate) members_committed: bool,
-    pub(crate) counts: Counts,
-    /// Revision in force on each host that watches.
-    pub(crate) in_force: BTreeMap<HostId, u64>,
-}
-
-struct PendingWatch {
-    host: HostId,
-    applied_revision: u64,
-    due_ms: u64,
-    reply: oneshot::Sender<Watched>,
-}
-
-struct PendingCommand {
-    term: u64,
-    reply: oneshot::Sender<Executed>,
+    pub(crate) reply: oneshot::Sender<Executed>,
 }
 
 /// The actor.
 #[derive(xtra::Actor)]
 pub(crate) struct Keeper {
-    store: Option<Store>,
-    options: Options,
+    pub(crate) store: Option<Store>,
+    pub(crate) options: Options,
     /// `None` until the log was begun or is received.
-    replica: Option<Replica>,
-    machine: Machine,
+    pub(crate) replica: Option<Replica>,
+    pub(crate) machine: Machine,
     applied_index: u64,
-    commands: BTreeMap<u64, PendingCommand>,
-    watches: Vec<PendingWatch>,
+    pub(crate) commands: BTreeMap<u64, PendingCommand>,
+    pub(crate) watches: Vec<PendingWatch>,
     reads: HashMap<ReadId, Vec<PendingWatch>>,
-    in_force: BTreeMap<HostId, u64>,
+    pub(crate) in_force: BTreeMap<HostId, u64>,
     outbox: mpsc::UnboundedSender<Envelope>,
     failed: mpsc::Sender<StoreError>,
     batched: usize,
@@ -161,7 +124,8 @@
         keeper
     }
 
-    fn load(&mut self, state: &StoredState) {
+    /// Takes the state over that a log begins with.
+    pub(crate) fn load(&mut self, state: &StoredState) {
         self.machine = load_machine(&state.snapshot.data);
         self.applied_index = state.snapshot.last.index;
         self.publish_plan();
@@ -184,7 +148,7 @@
     }
 
     /// Writes, sends and applies, unless more messages wait.
-    async fn flush(&mut self, context: &Context<Self>) {
+    pub(crate) async fn flush(&mut self, context: &Context<Self>) {
         self.batched += 1;
         let more_waits = !context.mailbox().address().is_empty();
         if more_waits && self.batched < MAX_BATCH {
@@ -253,7 +217,8 @@
         }
     }
 
-    fn fail(&mut self, error: StoreError) {
+    /// Stops for good: nothing can be written any more.
+    pub(crate) fn fail(&mut self, error: StoreError) {
         log::error!(target: part::KEEPER, "The disk failed: {error}.");
         self.replica = None;
         self.failed.try_send(error).ok();
@@ -295,7 +260,7 @@
     }
 
     /// Whether a plan has to wait for more voters: those lost at once must not be a quorum.
-    fn lacks_voters(&self) -> bool {
+    pub(crate) fn lacks_voters(&self) -> bool {
         let Some(replica) = &self.replica else {
             return true;
         };
@@ -304,7 +269,8 @@
         is_young && replica.configuration().voters.len() < self.sizing.wanted_voters
     }
 
-    fn leader_host(&self) -> Option<HostId> {
+    /// Who leads, as far as this keeper knows.
+    pub(crate) fn leader_host(&self) -> Option<HostId> {
         let leader = self.replica.as_ref()?.leader()?;
         Some(HostId::new(leader.host.clone()))
     }
@@ -394,212 +360,5 @@
     }
 }
 
-/// Lets time pass.
-pub(crate) struct Tick;
-
-impl Handler<Tick> for Keeper {
-    type Return = ();
-
-    async fn handle(&mut self, _: Tick, context: &mut Context<Self>) {
-        if let Some(replica) = &mut self.replica {
-            replica.tick(now_ms());
-        }
-        self.flush(context).await;
-    }
-}
-
-/// Messages of other replicas.
-pub(crate) struct Step(pub(crate) Vec<Envelope>);
-
-impl Handler<Step> for Keeper {
-    type Return = ();
-
-    async fn handle(&mut self, step: Step, context: &mut Context<Self>) {
-        if let Some(replica) = &mut self.replica {
-            step.0.into_iter().for_each(|envelope| replica.receive(now_ms(), envelope));
-        }
-        self.flush(context).await;
-    }
-}
-
-/// A command for the state; the reply comes once it is applied.
-pub(crate) struct Execute(pub(crate) Body);
-
-impl Handler<Execute> for Keeper {
-    type Return = oneshot::Receiver<Executed>;
-
-    async fn handle(&mut self, execute: Execute, context: &mut Context<Self>) -> Self::Return {
-        let (reply, receiver) = oneshot::channel();
-        let is_plan = matches!(execute.0, Body::Publish(_));
-        if is_plan && self.replica.as_ref().is_some_and(Replica::is_leader) && self.lacks_voters() {
-            reply.send(Executed::Unknown).ok();
-            return receiver;
-        }
-        let command = Command { at_ms: wall_ms(), body: execute.0 };
-        let proposed = match (&mut self.replica, encode(&command)) {
-            (Some(replica), Ok(bytes)) => replica.propose(bytes).ok(),
-            _ => None,
-        };
-        match proposed {
-            Some(id) => {
-                self.commands.insert(id.index, PendingCommand { term: id.term, reply });
-            }
-            None => {
-                reply.send(Executed::NotLeader(self.leader_host())).ok();
-            }
-        }
-        self.flush(context).await;
-        receiver
-    }
-}
-
-/// A host asks for settings that it does not have yet.
-pub(crate) struct Watch {
-    pub(crate) host: HostId,
-    pub(crate) applied_revision: u64,
-    /// How long to wait for news.
-    pub(crate) wait_ms: u64,
-}
-
-impl Handler<Watch> for Keeper {
-    type Return = oneshot::Receiver<Watched>;
-
-    async fn handle(&mut self, watch: Watch, context: &mut Context<Self>) -> Self::Return {
-        let (reply, receiver) = oneshot::channel();
-        let Watch { host, applied_revision, wait_ms } = watch;
-        if self.replica.as_ref().is_some_and(Replica::is_leader) {
-            // A host without settings does not wait for news.
-            let wait_ms = if applied_revision == 0 { 0 } else { wait_ms };
-            self.in_force.insert(host.clone(), applied_revision);
-            self.watches.push(PendingWatch {
-                host,
-                applied_revision,
-                due_ms: now_ms() + wait_ms,
-                reply,
-            });
-        } else {
-            reply.send(Watched::NotLeader(self.leader_host())).ok();
-        }
-        self.flush(context).await;
-        receiver
-    }
-}
-
-/// Another keeper tells of itself.
-pub(crate) struct Introduce(pub(crate) ReplicaId);
-
-impl Handler<Introduce> for Keeper {
-    type Return = Option<Introduction>;
-
-    async fn handle(&mut self, introduce: Introduce, context: &mut Context<Self>) -> Self::Return {
-        let identity = self.store.as_ref()?.identity().clone();
-        let Some(replica) = &mut self.replica else {
-            return Some(Introduction::Blank(identity.id));
-        };
-        let members = replica.configuration().clone();
-        if replica.is_leader() && replica.admit(now_ms(), &introduce.0) {
-            log::info!(target: part::KEEPER, "Takes in keeper {}.", introduce.0);
-            self.flush(context).await;
-        }
-        Some(Introduction::Member { genesis: identity.genesis.unwrap_or_default(), members })
-    }
-}
-
-/// Starts the log, or starts to receive it.
-pub(crate) struct Begin(pub(crate) Option<Configuration>);
-
-impl Handler<Begin> for Keeper {
-    type Return = ();
-
-    async fn handle(&mut self, begin: Begin, _: &mut Context<Self>) {
-        if self.replica.is_some() {
-            return;
-        }
-        let (state, genesis) = match begin.0 {
-            Some(genesis) => (StoredState::genesis(genesis.clone(), Vec::new()), genesis),
-            None => (StoredState::blank(), Configuration::default()),
-        };
-        let Some(store) = &mut self.store else {
-            return;
-        };
-        match store.begin(&state, genesis) {
-            Ok(()) => {
-                let id = store.identity().id.clone();
-                log::info!(target: part::KEEPER, "Keeps the log as {id}.");
-                self.load(&state);
-                self.replica = Some(Replica::new(id, state, self.options, now_ms()));
-            }
-            Err(error) => self.fail(error),
-        }
-    }
-}
-
-/// Whether the keeper has a log, and votes.
-pub(crate) struct Standing;
-
-/// How far a keeper is in joining.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Stand {
-    pub(crate) id: ReplicaId,
-    pub(crate) has_log: bool,
-    /// Whether it votes, and hears a leader: one that was taken out hears none.
-    pub(crate) votes: bool,
-    /// All keepers that it knows from the log.
-    pub(crate) members: Vec<HostId>,
-}
-
-impl Handler<Standing> for Keeper {
-    type Return = Option<Stand>;
-
-    async fn handle(&mut self, _: Standing, _: &mut Context<Self>) -> Self::Return {
-        let id = self.store.as_ref()?.identity().id.clone();
-        let replica = self.replica.as_ref();
-        let votes = replica.is_some_and(|replica| {
-            let is_heard = replica.is_leader() || replica.hears_leader(now_ms());
-            is_heard && replica.configuration().voters.contains(&id)
-        });
-        let members = replica.map_or_else(Vec::new, |replica| {
-            replica.configuration().members().map(|id| HostId::new(id.host.clone())).collect()
-        });
-        Some(Stand { id, has_log: replica.is_some(), votes, members })
-    }
-}
-
-/// Who leads, as far as this keeper knows; itself, perhaps.
-pub(crate) struct WhoLeads;
-
-impl Handler<WhoLeads> for Keeper {
-    type Return = Option<HostId>;
-
-    async fn handle(&mut self, _: WhoLeads, _: &mut Context<Self>) -> Self::Return {
-        self.leader_host()
-    }
-}
-
-/// What operators see; `Err` names who may lead.
-pub(crate) struct Inspect;
-
-impl Handler<Inspect> for Keeper {
-    type Return = Result<KeeperStatus, Option<HostId>>;
-
-    async fn handle(&mut self, _: Inspect, _: &mut Context<Self>) -> Self::Return {
-        let hint = self.leader_host();
-        let Some(replica) = self.replica.as_ref().filter(|replica| replica.is_leader()) else {
-            return Err(hint);
-        };
-        let configuration = replica.configuration();
-        Ok(KeeperStatus {
-            leader: replica.id().to_string(),
-            term: replica.term(),
-            commit_index: replica.commit_index(),
-            voters: configuration.voters.iter().map(ToString::to_string).collect(),
-            learners: configuration.learners.iter().map(ToString::to_string).collect(),
-            members_committed: replica.is_configuration_committed(),
-            counts: self.machine.counts(),
-            in_force: self.in_force.clone(),
-        })
-    }
-}
-
 /// A keeper's address, where this host is one.
 pub(crate) type KeeperAddress = Option<xtra::Address<Keeper>>;
--- a/clayplankd/src/keeper_join.rs
+++ b/clayplankd/src/keeper_join.rs
@@ -10,8 +10,9 @@
 use tokio::sync::mpsc;
 use xtra::Address;
 
-use crate::keeper::{Begin, Keeper, Stand, Standing, Tick};
+use crate::keeper::Keeper;
 use crate::keeper_client::KeeperClient;
+use crate::keeper_messages::{Begin, Stand, Standing, Tick};
 use crate::logging::part;
 use crate::peers::Peers;
 
--- a/clayplankd/src/lib.rs
+++ b/clayplankd/src/lib.rs
@@ -30,6 +30,7 @@
 mod keeper;
 mod keeper_client;
 mod keeper_join;
+mod keeper_messages;
 mod lock;
 mod logging;
 mod membership;
--- a/clayplankd/src/settings_watch.rs
+++ b/clayplankd/src/settings_watch.rs
@@ -8,8 +8,8 @@
 use clayplank_types::HostId;
 
 use crate::clock::{millis, now_ms};
-use crate::keeper::WATCH_WAIT_MS;
 use crate::keeper_client::KeeperClient;
+use crate::keeper_messages::WATCH_WAIT_MS;
 use crate::logging::part;
 
 /// The newest settings, and when they were confirmed.
