--- a/clayplankd/src/keeper_join.rs
+++ b/clayplankd/src/keeper_join.rs
@@ -11,8 +11,9 @@
 use xtra::Address;
 
 use crate::clock::millis;
-use crate::keeper::{Begin, Keeper, Stand, Standing, Tick};
+use crate::keeper::Keeper;
 use crate::keeper_client::KeeperClient;
+use crate::keeper_messages::{Begin, Stand, Standing, Tick};
 use crate::logging::part;
 use crate::peers::Peers;
 
