--- a/clayplank-forward/src/budget.rs
+++ b/clayplank-forward/src/budget.rs
@@ -20,6 +20,9 @@
     }
 }
 
+/// Hosts that are assumed to share the budget before any is known: more than a small site has.
+const DEFAULT_HOSTS: u64 = 20;
+
 /// Share of the budget that is used: hosts count in windows of their own.
 const SAFE_SHARE: f64 = 0.8;
 
@@ -78,6 +81,3 @@
         is_allowed
     }
 }
-
-/// Hosts that are assumed to share the budget before any is known: more than a small site has.
-const DEFAULT_HOSTS: u64 = 20;
--- a/clayplankd/src/keeper.rs
+++ b/clayplankd/src/keeper.rs
@@ -20,16 +20,17 @@
 /// Messages that are handled before a write, though more are waiting.
 const MAX_BATCH: usize = 512;
 
-/// The log file is replaced by a snapshot when it is larger than this.
+/// The log file is replaced by a snapshot when it is larger than this, in bytes.
 const COMPACT_BYTES: u64 = 32 << 20;
 
-/// And the log in memory when it has more entries than this.
+/// The log in memory is replaced by one when it has more entries than this.
 const COMPACT_ENTRIES: usize = 20_000;
 
-/// Limits of a keeper whose entries are whole plans: a few hundred kilobytes each, in 128 MB of disk.
+/// The same limit, in bytes, of a keeper whose entries are whole plans: a few hundred
+/// kilobytes each, in 128 MB of disk.
 const COMPACT_PLANS_BYTES: u64 = 8 << 20;
 
-/// How long a new leader waits for enough voters before it takes a plan with fewer.
+/// How long, in ms, a new leader waits for enough voters before it takes a plan with fewer.
 const VOTERS_GRACE_MS: u64 = 4_000;
 
 /// A watch that has no reply yet.
--- a/clayplankd/src/keeper_messages.rs
+++ b/clayplankd/src/keeper_messages.rs
@@ -13,7 +13,7 @@
 use crate::keeper::{Keeper, PendingCommand, PendingWatch};
 use crate::logging::part;
 
-/// A watch without news is confirmed after this time.
+/// A watch without news is confirmed after this time, in ms.
 pub(crate) const WATCH_WAIT_MS: u64 = 1_000;
 
 /// What became of a command.
--- a/clayplankd/src/seeded_keeper.rs
+++ b/clayplankd/src/seeded_keeper.rs
@@ -16,14 +16,14 @@
 use crate::seeded::{Parts, seed_hosts, serve_metrics};
 use crate::spread::{Spread, run_spread};
 
-/// An election follows after a leader was silent for this long, up to twice: a change
-/// that waits for one is still acknowledged within about a second.
+/// An election follows after a leader was silent for this long, in ms, up to twice: a
+/// change that waits for one is still acknowledged within about a second.
 const ELECTION_MS: u64 = 450;
 
-/// Between two heartbeats of the leader: several fit into the shortest election time.
+/// Between two heartbeats of the leader, in ms: several fit into the shortest election time.
 const LEADER_HEARTBEAT_MS: u64 = 90;
 
-/// A voter that is silent for this long gives its place to a newcomer that has caught up.
+/// A voter that is silent for this long, in ms, gives its place to a newcomer that has caught up.
 const REPLACE_SILENT_MS: u64 = 1_500;
 
 /// Entries kept in memory for slow followers: each may be a whole plan.
