--- a/clayplank-forward/src/plain.rs
+++ b/clayplank-forward/src/plain.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use clayplank_types::UpstreamId;
 use http::Response;
 use http::response::Parts;
 use http_body_util::{BodyExt, Limited};
@@ -11,6 +12,7 @@
 
 use crate::attempt::{Attempt, BUSY_RETRY_MS};
 use crate::call::Call;
+use crate::choice::Chosen;
 use crate::clock::millis;
 use crate::gate::ProgressGuard;
 use crate::headers::strip_hop_by_hop;
@@ -39,6 +41,23 @@
     }
 }
 
+/// An upstream's answer that was read to its end.
+struct Whole {
+    upstream: UpstreamId,
+    head: Parts,
+    bytes: Bytes,
+}
+
+/// What one attempt brought.
+enum Tried {
+    Good(Whole),
+    /// The upstream's own failure; another may do better.
+    Bad(Whole),
+    NotRun,
+    Lost,
+}
+
+/// Tries upstreams until one answers well, or no other may be tried.
 async fn try_upstreams(call: &mut Call) -> Result<Response<AnswerBody>, Refusal> {
     let mut failed_answer = None;
     let mut refusal = Refusal::Failed;
@@ -50,25 +69,11 @@
                 break;
             }
         };
-        let upstream = chosen.record.heartbeat.id.clone();
-        let patience = patience(call);
-        match call.attempt(chosen, call.facts.last_event_id, patience).await {
-            Attempt::Answered(response, connection, mut load) => {
-                let (head, body) = response.into_parts();
-                let read = tokio::time::timeout(patience, read_whole(body)).await;
-                drop(connection);
-                let is_good = matches!(read, Ok(Some(_))) && !head.status.is_server_error();
-                load.note_outcome(is_good);
-                drop(load);
-                if let Ok(Some(bytes)) = read {
-                    if is_good {
-                        return Ok(finish(call, upstream.as_str(), head, bytes));
-                    }
-                    failed_answer = Some((upstream, head, bytes));
-                }
-            }
-            Attempt::NotRun => refusal = Refusal::NotRun { retry_after_ms: BUSY_RETRY_MS },
-            Attempt::Lost => {}
+        match try_one(call, chosen).await {
+            Tried::Good(answer) => return Ok(finish(call, answer)),
+            Tried::Bad(answer) => failed_answer = Some(answer),
+            Tried::NotRun => refusal = Refusal::NotRun { retry_after_ms: BUSY_RETRY_MS },
+            Tried::Lost => {}
         }
         if !call.may_try() {
             break;
@@ -76,11 +81,34 @@
     }
     match failed_answer {
         // The upstream's own failure is its answer if no other does better.
-        Some((upstream, head, bytes)) => Ok(finish(call, upstream.as_str(), head, bytes)),
+        Some(answer) => Ok(finish(call, answer)),
         None => Err(refusal),
     }
 }
 
+/// One attempt, up to the end of its answer.
+async fn try_one(call: &mut Call, chosen: Chosen) -> Tried {
+    let upstream = chosen.record.heartbeat.id.clone();
+    let patience = patience(call);
+    let (response, connection, mut load) =
+        match call.attempt(chosen, call.facts.last_event_id, patience).await {
+            Attempt::Answered(response, connection, load) => (response, connection, load),
+            Attempt::NotRun => return Tried::NotRun,
+            Attempt::Lost => return Tried::Lost,
+        };
+    let (head, body) = response.into_parts();
+    let read = tokio::time::timeout(patience, read_whole(body)).await;
+    drop(connection);
+    let is_good = matches!(read, Ok(Some(_))) && !head.status.is_server_error();
+    load.note_outcome(is_good);
+    drop(load);
+    match read {
+        Ok(Some(bytes)) if is_good => Tried::Good(Whole { upstream, head, bytes }),
+        Ok(Some(bytes)) => Tried::Bad(Whole { upstream, head, bytes }),
+        Ok(None) | Err(_) => Tried::Lost,
+    }
+}
+
 /// How long one upstream may take while another could be asked.
 fn patience(call: &Call) -> Duration {
     let is_last = !call.kind().may_repeat() || call.sent_count + 1 >= call.route.max_attempts;
@@ -99,10 +127,11 @@
     }
 }
 
-fn finish(call: &Call, upstream: &str, mut head: Parts, bytes: Bytes) -> Response<AnswerBody> {
+fn finish(call: &Call, answer: Whole) -> Response<AnswerBody> {
+    let Whole { upstream, mut head, bytes } = answer;
     strip_hop_by_hop(&mut head.headers);
     log::info!(target: "forward",
-        request = call.facts.attempt_id, route = call.route.name, upstream = upstream,
+        request = call.facts.attempt_id, route = call.route.name, upstream = upstream.as_str(),
         status = head.status.as_u16(), sent = call.sent_count, waited_ms = call.waited_ms();
         "Answered");
     call.entry.figures.count(&call.route.name, "answered");
