--- a/clayplank-forward/src/load.rs
+++ b/clayplank-forward/src/load.rs
@@ -14,9 +14,10 @@
     entry: Arc<Entry>,
     upstream: UpstreamId,
     placement: Option<PlacementId>,
-    sent: Instant,
-    outcome: Option<bool>,
-    /// Memory that other engines hold for the prompt.
+    started_at: Instant,
+    /// Whether the upstream did its work; `None` until that is known.
+    is_good: Option<bool>,
+    /// Memory that other engines hold for the prompt; released when this is dropped.
     _reservation: Option<Reservation>,
 }
 
@@ -31,8 +32,8 @@
             entry: Arc::clone(entry),
             upstream: upstream.clone(),
             placement,
-            sent: Instant::now(),
-            outcome: None,
+            started_at: Instant::now(),
+            is_good: None,
             _reservation: None,
         }
     }
@@ -45,26 +46,26 @@
     /// The first event came.
     pub(crate) fn note_started(&self) {
         if let Some(id) = self.placement {
-            let took_ms = self.sent.elapsed().as_secs_f64() * 1e3;
+            let took_ms = self.started_at.elapsed().as_secs_f64() * 1e3;
             self.entry.placer.note(id, Event::Started { took_ms });
         }
     }
 
     /// Notes whether the upstream did its work.
     pub(crate) fn note_outcome(&mut self, is_good: bool) {
-        self.outcome = Some(is_good);
+        self.is_good = Some(is_good);
     }
 }
 
 impl Drop for LoadGuard {
     fn drop(&mut self) {
-        let is_good = self.outcome.unwrap_or(true);
+        let is_good = self.is_good.unwrap_or(true);
         match self.placement {
             Some(id) => {
                 self.entry.placer.note(id, if is_good { Event::Ended } else { Event::Failed });
             }
             None => {
-                let took_ms = self.sent.elapsed().as_millis() as u64;
+                let took_ms = self.started_at.elapsed().as_millis() as u64;
                 self.entry.directory.note_end(&self.upstream, took_ms, is_good);
             }
         }
