Give the stand-ins an engine of the pass model that registers by heartbeat

The policy bench had the model alone; tests and the quickstart could show neither reading in parts nor reservations. The pass engine moves to clayplank-standin, which puts it behind HTTP with reservations, parts read for other engines, and a report; the bench uses it from there. A test reads a prompt that only three engines can hold and sees all memory come back.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -7,7 +7,6 @@
 mod log;
 mod members;
 mod mix;
-mod pass_engine;
 mod path;
 mod placement;
 mod policy;
--- a/bench/src/placement.rs
+++ b/bench/src/placement.rs
@@ -8,12 +8,11 @@
 use std::collections::BinaryHeap;
 
 use clayplank_placement::{Ask, EngineModel, EngineSpec, Event, Fleet, Placed, PlacementId};
+use clayplank_standin::{PassEngine, Reading, Writing};
 use clayplank_types::{DataCentre, UpstreamId};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::pass_engine::{PassEngine, Reading, Writing};
-
 /// Engines of the fleet.
 const ENGINES: usize = 18;
 
@@ -232,19 +231,14 @@
         let engines: Vec<_> =
             (0..ENGINES).filter(|&engine| names.contains(&engine_name(engine))).collect();
         let first = (0..ENGINES).find(|&engine| engine_name(engine) == names[0]);
-        let model = EngineModel::default();
         let request = &mut self.requests[number];
-        let million_pairs = request.tokens * request.tokens / 2.0 / 1e6;
-        let pairs_ms = million_pairs * model.per_million_pairs_ms;
-        let ms_per_token = 1e3 / model.read_tokens_per_s + pairs_ms / request.tokens;
         request.engine = first.unwrap_or_default();
         request.sent_ms = now_ms;
         request.parts_left = engines.len();
         request.events_left = request.events;
-        let left_tokens = request.tokens / engines.len() as f64;
-        let is_split = engines.len() > 1;
+        let (tokens, parts) = (request.tokens, engines.len());
         for engine in engines {
-            let reading = Reading { request: number, left_tokens, ms_per_token, is_split };
+            let reading = Reading::part(&EngineModel::default(), number, tokens, parts);
             self.engines[engine].read(reading);
             self.start_pass(now_ms, engine);
         }
@@ -300,7 +294,7 @@
         if request.events_left == 0 {
             request.is_done = true;
             let engine = request.engine;
-            self.engines[engine].end_writing(number);
+            self.engines[engine].end(number);
             self.plan(now_ms + NEWS_MS, Happening::News(number, Event::Ended));
         }
     }
--- /dev/null
+++ b/clayplank-standin/src/bin/standin-upstream.rs
@@ -0,0 +1,63 @@
+//! A stand-in that registers with keepers: an engine of the pass model, or a plain service.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use clayplank_placement::EngineModel;
+use clayplank_standin::{
+    Registration, ServeError, SharedRuns, bind, send_heartbeats, serve_pass_engine, serve_upstream,
+};
+
+/// Requests that a plain service runs at once.
+const SERVICE_SLOTS: u32 = 6;
+
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options)]
+/// A stand-in for an upstream that registers with keepers
+struct Options {
+    /// Where to listen
+    listen: SocketAddr,
+    /// Names this life of the upstream
+    #[bpaf(argument("ID"))]
+    id: String,
+    /// The service that it belongs to
+    #[bpaf(argument("NAME"))]
+    service: String,
+    /// Where it stands
+    #[bpaf(argument("NAME"), fallback("hall".to_owned()))]
+    data_centre: String,
+    /// Control addresses of keepers
+    #[bpaf(long("keeper"), argument("ADDRESS"), some("at least one --keeper"))]
+    keepers: Vec<SocketAddr>,
+    /// Milliseconds between two heartbeats
+    #[bpaf(fallback(300))]
+    heartbeat_ms: u64,
+    /// Be an engine
+    engine: bool,
+    /// Tokens of KV cache of an engine
+    #[bpaf(fallback(450_000))]
+    memory_tokens: u64,
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> Result<(), ServeError> {
+    let options = options().run();
+    let listener = bind(options.listen).await?;
+    let model = EngineModel { memory_tokens: options.memory_tokens, ..EngineModel::default() };
+    let registration = Registration {
+        id: options.id.clone(),
+        service: options.service,
+        address: options.listen,
+        data_centre: options.data_centre,
+        slots: if options.engine { model.slots } else { SERVICE_SLOTS },
+    };
+    let every = Duration::from_millis(options.heartbeat_ms);
+    tokio::spawn(send_heartbeats(registration, options.keepers, every));
+    if options.engine {
+        serve_pass_engine(listener, options.id, model).await;
+    } else {
+        serve_upstream(listener, options.id, SharedRuns::default()).await;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/clayplank-standin/src/call.rs
@@ -0,0 +1,50 @@
+//! Small calls of stand-ins: among engines, and heartbeats to keepers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use tokio::net::TcpStream;
+
+/// Posts a value; the status of the answer once that has come whole, or `None`.
+pub(crate) async fn post_json<T: Serialize>(
+    address: SocketAddr,
+    path: &str,
+    value: T,
+    patience: Duration,
+) -> Option<StatusCode> {
+    send_json(address, Method::POST, path, &value, patience).await
+}
+
+/// Sends a value; the status of the answer once that has come whole, or `None`.
+pub(crate) async fn send_json<T: Serialize>(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    value: &T,
+    patience: Duration,
+) -> Option<StatusCode> {
+    let body = Full::new(Bytes::from(serde_json::to_vec(value).ok()?));
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(header::HOST, address.to_string())
+        .body(body)
+        .ok()?;
+    tokio::time::timeout(patience, exchange(address, request)).await.ok()?
+}
+
+async fn exchange(address: SocketAddr, request: Request<Full<Bytes>>) -> Option<StatusCode> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = handshake.ok()?;
+    tokio::spawn(connection);
+    let response = sender.send_request(request).await.ok()?;
+    let status = response.status();
+    response.into_body().collect().await.ok()?;
+    Some(status)
+}
--- a/clayplank-standin/src/lib.rs
+++ b/clayplank-standin/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! [`EngineCore`] is the engine without a network: steps of a batch whose
 //! lengths follow from what they hold. The servers put it behind HTTP, as
-//! `docs/ENGINES.md` states the interface.
+//! `docs/ENGINES.md` states the interface. [`PassEngine`] is an engine of the cost
+//! model that serving plans publish; it registers with keepers by heartbeat.
 //!
 //! ```
 //! use clayplank_standin::{EngineCore, EngineModel, Job};
@@ -14,10 +15,16 @@
 //! assert!(step_ms > EngineModel::default().step_base_ms);
 //! ```
 
+mod call;
 mod core;
 mod engine;
 mod fault;
+mod heartbeats;
 mod http_util;
+mod pass;
+mod pass_memory;
+mod pass_run;
+mod pass_server;
 mod platform;
 mod service;
 mod upstream;
@@ -27,7 +34,10 @@
 };
 pub use crate::engine::{EngineServer, serve_engine};
 pub use crate::fault::{Fault, FaultKind};
+pub use crate::heartbeats::{Registration, send_heartbeats};
 pub use crate::http_util::{Body, ServeError, bind};
+pub use crate::pass::{PassEnd, PassEngine, Reading, Writing};
+pub use crate::pass_server::serve_pass_engine;
 pub use crate::platform::serve_platform;
 pub use crate::service::{ServiceRecord, serve_service};
 pub use crate::upstream::{Runs, SharedRuns, serve_upstream};
--- a/clayplank-standin/src/upstream.rs
+++ b/clayplank-standin/src/upstream.rs
@@ -17,8 +17,8 @@
 /// Names the fault that a request asks for.
 const FAULT_HEADER: &str = "x-standin-fault";
 
-const ATTEMPT_HEADER: &str = "x-clayplank-attempt-id";
-const EXPECT_HEADER: &str = "x-clayplank-expect-upstream";
+pub(crate) const ATTEMPT_HEADER: &str = "x-clayplank-attempt-id";
+pub(crate) const EXPECT_HEADER: &str = "x-clayplank-expect-upstream";
 const SEAL_HEADER: &str = "x-clayplank-seal";
 const NOT_RUN_HEADER: &str = "x-clayplank-not-run";
 const ACCOUNT_HEADER: &str = "x-clayplank-account";
@@ -96,10 +96,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, ServeError> {
     let (head, body) = request.into_parts();
-    let text = |name: &str| {
-        let value = head.headers.get(name).and_then(|value| value.to_str().ok());
-        value.unwrap_or_default().to_owned()
-    };
+    let text = |name: &str| header_text(&head.headers, name);
     let attempt = text(ATTEMPT_HEADER);
     if text(EXPECT_HEADER) != id {
         return Ok(whole(StatusCode::MISDIRECTED_REQUEST, &attempt, Bytes::new(), None));
@@ -107,9 +104,7 @@
     let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
     let wish = take_wish(&runs, &attempt, scan_wish(&head.headers));
     if wish == Wish::Refuse {
-        let mut response = whole(StatusCode::SERVICE_UNAVAILABLE, &attempt, Bytes::new(), None);
-        response.headers_mut().insert(NOT_RUN_HEADER, HeaderValue::from_static("1"));
-        return Ok(response);
+        return Ok(not_run(&attempt));
     }
     note_run(&runs, &id, &attempt, &head.headers);
     match wish {
@@ -150,7 +145,25 @@
     marked(status, attempt, body, seal)
 }
 
-fn marked(status: StatusCode, attempt: &str, body: Body, seal: Option<&str>) -> Response<Body> {
+/// The answer to an attempt that was not run.
+pub(crate) fn not_run(attempt: &str) -> Response<Body> {
+    let mut response = whole(StatusCode::SERVICE_UNAVAILABLE, attempt, Bytes::new(), None);
+    response.headers_mut().insert(NOT_RUN_HEADER, HeaderValue::from_static("1"));
+    response
+}
+
+/// A header's text; empty if it is missing or no text.
+pub(crate) fn header_text(headers: &HeaderMap, name: &str) -> String {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
+
+pub(crate) fn marked(
+    status: StatusCode,
+    attempt: &str,
+    body: Body,
+    seal: Option<&str>,
+) -> Response<Body> {
     let mut response = Response::new(body);
     *response.status_mut() = status;
     let headers = response.headers_mut();
--- a/clayplankd/tests/seeded.rs
+++ b/clayplankd/tests/seeded.rs
@@ -4,8 +4,11 @@
 
 mod seeded_system;
 
+use std::net::SocketAddr;
+
+use clayplank_placement::EngineModel;
 use seeded_system::{KEY, System, call, plan, publish, wait_for};
-use serde_json::json;
+use serde_json::{Value, json};
 
 #[test]
 fn answers_pass_unchanged_and_faults_are_told_truly() {
@@ -177,3 +180,81 @@
     wait_for("the end of the process", || system.entries[0].has_ended());
     assert_eq!(system.send(1, "after", "/once/x", &[]).status, 200, "the other host serves on");
 }
+
+/// An engine too small for the prompts below; three of them hold one together.
+fn small_engine() -> EngineModel {
+    EngineModel { memory_tokens: 40_000, ..EngineModel::default() }
+}
+
+/// A plan with a route to a pool of engines.
+fn plan_with_pool(version: u64) -> Value {
+    let mut plan = plan(version);
+    plan["services"].as_array_mut().unwrap().push(json!({
+        "name": "pool", "engine": small_engine(),
+    }));
+    plan["routes"].as_array_mut().unwrap().push(json!({
+        "name": "prompt", "host": "dala.example", "path_prefix": "/prompt/",
+        "kind": "resumable_stream", "time_limit_ms": 9000, "goal_ms": 3000,
+        "pause_goal_ms": 800, "max_attempts": 2, "targets": [{ "service": "pool", "weight": 1 }],
+    }));
+    plan
+}
+
+fn memory_in_use(engine: SocketAddr) -> u64 {
+    let answer = call(engine, "GET", "/v1/report", &[], "");
+    let report: Value = serde_json::from_str(&answer.text()).unwrap();
+    report["used_tokens"].as_u64().unwrap() + report["reserved_tokens"].as_u64().unwrap()
+}
+
+#[test]
+fn a_prompt_beyond_one_engine_is_read_by_several_and_its_memory_comes_back() {
+    let system = System::start();
+    let engines: Vec<_> = (1..=3_u8)
+        .map(|number| system.start_engine(&format!("e{number}"), 30 + number, small_engine()))
+        .collect();
+    system.wait_for_plan(&plan_with_pool(2));
+    let short = [("x-clayplank-tokens", "2000,90")];
+    wait_for("an answer to a short prompt", || {
+        system.send(0, "short", "/prompt/x", &short).status == 200
+    });
+    let long = [("x-clayplank-tokens", "90000,138")];
+    let mut answer = seeded_system::Answer::default();
+    let mut number = 0;
+    // Engines that have not registered yet are missing: nothing runs until all three have.
+    wait_for("an answer to the long prompt", || {
+        number += 1;
+        answer = system.send(1, &format!("long-{number}"), "/prompt/x", &long);
+        answer.status == 200
+    });
+    assert!(answer.is_whole);
+    assert_eq!(answer.text().matches("id: ").count(), 3, "{}", answer.text());
+    wait_for("the return of all memory", || {
+        engines.iter().all(|&engine| memory_in_use(engine) == 0)
+    });
+}
+
+#[test]
+fn changed_settings_are_taken_without_a_restart() {
+    let system = System::start();
+    let entry = &system.entries[0];
+    entry.change_settings(|settings| {
+        settings["bounds"]["retry_ratio"] = json!(0.0);
+        settings["bounds"]["retry_extra"] = json!(0);
+        settings["data_centre"] = json!("another");
+        settings["log"] = json!({ "level": "debug" });
+    });
+    let line = "\"message\":\"Took in changed settings\"";
+    wait_for("the line that tells of it", || entry.log().contains(line));
+    assert!(entry.log().contains("\"for_next_start\":\"data_centre\""));
+    // One retry in a window is always allowed; the second shows that the budget is empty.
+    for (attempt, status) in [("h1", 200), ("h2", 502)] {
+        let lost = system.send(0, attempt, "/repeatable/x", &[("x-standin-fault", "lose")]);
+        assert_eq!(lost.status, status, "{attempt}");
+    }
+    entry.change_settings(|settings| settings["bounds"]["grace_s"] = json!("soon"));
+    wait_for("the refusal of wrong settings", || {
+        entry.log().contains("Changed settings were not taken")
+    });
+    assert!(entry.log().contains("/bounds/grace_s"));
+    assert_eq!(system.send(0, "h3", "/once/x", &[]).status, 200, "the former ones are in force");
+}
--- a/clayplankd/tests/seeded_system/mod.rs
+++ b/clayplankd/tests/seeded_system/mod.rs
@@ -8,7 +8,10 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
-use clayplank_standin::{SharedRuns, serve_upstream};
+use clayplank_placement::EngineModel;
+use clayplank_standin::{
+    Registration, SharedRuns, send_heartbeats, serve_pass_engine, serve_upstream,
+};
 use serde_json::{Value, json};
 use tokio::runtime::Runtime;
 
@@ -171,10 +174,27 @@
         }
     }
 
-    /// Sends SIGTERM, through the tool that every Debian machine has.
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Sends a signal, through the tool that every Debian machine has.
+    fn signal(&self, signal: &str) {
         let id = self.child.as_ref().unwrap().id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+    }
+
+    /// Changes its settings file, and tells it so by SIGHUP.
+    pub fn change_settings(&self, change: impl FnOnce(&mut Value)) {
+        let text = std::fs::read_to_string(&self.settings).unwrap();
+        let mut settings: Value = serde_json::from_str(&text).unwrap();
+        change(&mut settings);
+        std::fs::write(&self.settings, settings.to_string()).unwrap();
+        self.signal("-HUP");
+    }
+
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.settings.with_extension("log")).unwrap_or_default()
     }
 
     pub fn has_ended(&mut self) -> bool {
@@ -271,6 +291,23 @@
         self.runtime.spawn(serve_upstream(listener, id, runs));
     }
 
+    /// Starts an engine of the pass model, which registers with all keepers.
+    pub fn start_engine(&self, id: &str, last: u8, model: EngineModel) -> SocketAddr {
+        let address = self.upstream_address(last);
+        let registration = Registration {
+            id: id.to_owned(),
+            service: "pool".to_owned(),
+            address,
+            data_centre: "hall".to_owned(),
+            slots: model.slots,
+        };
+        let keepers = self.keepers.iter().map(Host::control).collect();
+        let listener = self.runtime.block_on(clayplank_standin::bind(address)).unwrap();
+        self.runtime.spawn(serve_pass_engine(listener, id.to_owned(), model));
+        self.runtime.spawn(send_heartbeats(registration, keepers, Duration::from_millis(300)));
+        address
+    }
+
     fn upstream_address(&self, last: u8) -> SocketAddr {
         let ip = Ipv4Addr::new(127, self.net[0], self.net[1], last);
         SocketAddr::new(IpAddr::V4(ip), UPSTREAM)
