Let the tool check and publish serving plans; end the quickstart on seeded hosts

Operators of seeded hosts had curl only. 'clayplank plan get|put' asks one keeper after the other; 'check' knows plans and settings of seeded hosts. scripts/quickstart ran to its end with both paths.

--- a/clayplank-ctl/src/client.rs
+++ b/clayplank-ctl/src/client.rs
@@ -33,7 +33,7 @@
 /// Sends one request.
 pub(crate) async fn send(
     host: SocketAddr,
-    key: &str,
+    key: Option<&str>,
     method: Method,
     path: &str,
     body: Option<&Value>,
@@ -45,13 +45,12 @@
     let (mut sender, connection) = handshake.map_err(|_| no_answer())?;
     tokio::spawn(connection);
     let text = body.map(ToString::to_string).unwrap_or_default();
-    let request = Request::builder()
-        .method(method)
-        .uri(path)
-        .header(http::header::HOST, host.to_string())
-        .header(http::header::AUTHORIZATION, format!("Bearer {key}"))
-        .body(Full::new(Bytes::from(text)))
-        .map_err(|_| no_answer())?;
+    let mut request =
+        Request::builder().method(method).uri(path).header(http::header::HOST, host.to_string());
+    if let Some(key) = key {
+        request = request.header(http::header::AUTHORIZATION, format!("Bearer {key}"));
+    }
+    let request = request.body(Full::new(Bytes::from(text))).map_err(|_| no_answer())?;
     let exchange = async {
         let response = sender.send_request(request).await.map_err(|_| no_answer())?;
         let status = response.status();
--- a/clayplank-ctl/src/commands.rs
+++ b/clayplank-ctl/src/commands.rs
@@ -4,7 +4,10 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use clayplank_settings::{ClientAccount, Faults, HostSettings, KeyDigest, Template, parse};
+use clayplank_routes::ServingPlan;
+use clayplank_settings::{
+    ClientAccount, Faults, HostSettings, KeyDigest, SeededSettings, Template, parse,
+};
 use error_stack::{Report, ResultExt};
 use http::{Method, StatusCode};
 use serde_json::{Value, json};
@@ -13,6 +16,7 @@
 use crate::latency::{LatencyError, merge};
 use crate::options::{Command, FileKind, Guard, Options, SettingCommand};
 use crate::output::{print, print_latency};
+use crate::plan::run_plan;
 
 /// The variable that may hold the operator's key.
 const KEY_VARIABLE: &str = "CLAYPLANK_KEY";
@@ -58,7 +62,7 @@
     }
 }
 
-type Done<T> = Result<T, Report<CommandError>>;
+pub(crate) type Done<T> = Result<T, Report<CommandError>>;
 
 /// A host and a key.
 struct HostClient {
@@ -68,13 +72,14 @@
 
 impl HostClient {
     async fn ask(&self, method: Method, path: &str, body: Option<&Value>) -> Done<Value> {
-        let answer =
-            send(self.host, &self.key, method, path, body).await.map_err(CommandError::Client)?;
+        let answer = send(self.host, Some(&self.key), method, path, body)
+            .await
+            .map_err(CommandError::Client)?;
         Ok(check(answer)?)
     }
 }
 
-fn check(Answer { status, value }: Answer) -> Result<Value, CommandError> {
+pub(crate) fn check(Answer { status, value }: Answer) -> Result<Value, CommandError> {
     match status {
         StatusCode::OK => Ok(value),
         StatusCode::CONFLICT => Err(CommandError::Conflict(value["current"].clone())),
@@ -93,6 +98,7 @@
         Command::Digest => print_digest(),
         Command::Template(command) => run_setting(options, "templates", command).await,
         Command::Account(command) => run_setting(options, "accounts", command).await,
+        Command::Plan(command) => run_plan(options, command).await,
         Command::Upstreams => show(options, "/upstreams").await,
         Command::Hosts => show(options, "/hosts").await,
         Command::Keepers => show(options, "/keepers").await,
@@ -101,7 +107,7 @@
     }
 }
 
-fn read(file: &Path) -> Done<String> {
+pub(crate) fn read(file: &Path) -> Done<String> {
     Ok(std::fs::read_to_string(file)
         .map_err(|source| CommandError::Read(file.to_owned(), source))?)
 }
@@ -110,6 +116,8 @@
     let text = read(file)?;
     let checked = match kind {
         FileKind::Host => parse::<HostSettings>(&text).map(drop),
+        FileKind::Seeded => parse::<SeededSettings>(&text).map(drop),
+        FileKind::Plan => parse::<ServingPlan>(&text).map(drop),
         FileKind::Template => parse::<Template>(&text).map(drop),
         FileKind::Account => parse::<ClientAccount>(&text).map(drop),
     };
--- a/clayplank-ctl/src/main.rs
+++ b/clayplank-ctl/src/main.rs
@@ -9,6 +9,7 @@
 mod latency;
 mod options;
 mod output;
+mod plan;
 
 use std::process::ExitCode;
 
--- a/clayplank-ctl/src/options.rs
+++ b/clayplank-ctl/src/options.rs
@@ -28,7 +28,8 @@
     /// Check a file of settings, and print all faults
     #[bpaf(command)]
     Check {
-        /// What the file holds: host (the default), template or account
+        /// What the file holds: host (the default), seeded (a host that finds the others from
+        /// seeds), template, account or plan
         #[bpaf(argument::<FileKind>("KIND"), fallback(FileKind::Host))]
         kind: FileKind,
         /// The file
@@ -44,6 +45,9 @@
     /// Client accounts of the operator's partner
     #[bpaf(command)]
     Account(#[bpaf(external(setting_command))] SettingCommand),
+    /// The serving plan of seeded hosts; --host names control addresses of keepers
+    #[bpaf(command)]
+    Plan(#[bpaf(external(plan_command))] PlanCommand),
     /// Engines and services, and the pools that the host owns
     #[bpaf(command)]
     Upstreams,
@@ -97,6 +101,21 @@
     },
 }
 
+/// What to do with the serving plan.
+#[derive(Bpaf, Clone, Debug)]
+pub(crate) enum PlanCommand {
+    /// Print the plan that a quorum of keepers confirms
+    #[bpaf(command)]
+    Get,
+    /// Put a plan in force, if its version is higher than that of the one in force
+    #[bpaf(command)]
+    Put {
+        /// The plan
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+}
+
 /// What makes a change safe to send twice, and safe beside others.
 #[derive(Bpaf, Clone, Debug)]
 pub(crate) struct Guard {
@@ -112,13 +131,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum FileKind {
     Host,
+    Seeded,
     Template,
     Account,
+    Plan,
 }
 
 /// A word that is no kind of file.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("must be `host`, `template` or `account`")]
+#[error("must be `host`, `seeded`, `template`, `account` or `plan`")]
 pub(crate) struct UnknownKind;
 
 impl std::str::FromStr for FileKind {
@@ -127,8 +148,10 @@
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         match text {
             "host" => Ok(Self::Host),
+            "seeded" => Ok(Self::Seeded),
             "template" => Ok(Self::Template),
             "account" => Ok(Self::Account),
+            "plan" => Ok(Self::Plan),
             _ => Err(UnknownKind),
         }
     }
--- /dev/null
+++ b/clayplank-ctl/src/plan.rs
@@ -0,0 +1,56 @@
+//! The serving plan of seeded hosts: reads it, and puts a new one in force.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use clayplank_routes::ServingPlan;
+use clayplank_settings::parse;
+use http::{Method, StatusCode};
+use serde_json::{Value, json};
+
+use crate::client::{Answer, ClientError, send};
+use crate::commands::{CommandError, Done, check, read};
+use crate::options::{Options, PlanCommand};
+use crate::output::print;
+
+const PLAN_PATH: &str = "/v1/plan";
+
+/// Carries out a task on the plan.
+pub(crate) async fn run_plan(options: &Options, command: &PlanCommand) -> Done<()> {
+    let value = match command {
+        PlanCommand::Get => ask(&options.hosts, Method::GET, None).await?,
+        PlanCommand::Put { file } => put(options, file).await?,
+    };
+    print(&value, options.json);
+    Ok(())
+}
+
+async fn put(options: &Options, file: &Path) -> Done<Value> {
+    let text = read(file)?;
+    let plan = parse::<ServingPlan>(&text)
+        .map_err(|faults| CommandError::Faults(file.to_owned(), faults))?;
+    let body = serde_json::from_str(&text).map_err(CommandError::NotJson)?;
+    ask(&options.hosts, Method::PUT, Some(&body)).await?;
+    Ok(json!({ "version": plan.version }))
+}
+
+/// Asks one keeper after the other until one gives a clear answer. The same plan may
+/// be sent twice: the second time it changes nothing.
+async fn ask(keepers: &[SocketAddr], method: Method, body: Option<&Value>) -> Done<Value> {
+    let mut last = CommandError::NoHost;
+    for &keeper in keepers {
+        match send(keeper, None, method.clone(), PLAN_PATH, body).await {
+            Ok(answer) if is_clear(&answer) => return Ok(check(answer)?),
+            Ok(Answer { status, value }) => last = CommandError::Refused { status, value },
+            Err(error @ (ClientError::Connect(..) | ClientError::NoAnswer(_))) => {
+                last = CommandError::Client(error);
+            }
+            Err(error @ ClientError::NotJson(_)) => return Err(CommandError::Client(error).into()),
+        }
+    }
+    Err(last.into())
+}
+
+fn is_clear(answer: &Answer) -> bool {
+    answer.status != StatusCode::SERVICE_UNAVAILABLE
+}
