Take bounds and the level of logs from changed settings without a restart

Of a changed settings file only the seeds were taken. Bounds (lease, retry budget, grace) and the log's level are taken too; what needs a restart is named in the log, and wrong settings leave the former ones in force.

--- a/clayplank-forward/src/budget.rs
+++ b/clayplank-forward/src/budget.rs
@@ -56,6 +56,11 @@
         Self { limits, hosts: DEFAULT_HOSTS, windows: HashMap::new() }
     }
 
+    /// Takes in changed limits; what was counted stays counted.
+    pub fn set_limits(&mut self, limits: BudgetLimits) {
+        self.limits = limits;
+    }
+
     /// Takes in how many hosts share the budget.
     pub fn set_hosts(&mut self, hosts: u64) {
         self.hosts = hosts.max(1);
--- a/clayplank-forward/src/entry.rs
+++ b/clayplank-forward/src/entry.rs
@@ -4,7 +4,7 @@
 
 use clayplank_types::DataCentre;
 
-use crate::budget::RetryBudget;
+use crate::budget::{BudgetLimits, RetryBudget};
 use crate::directory::Directory;
 use crate::figures::Figures;
 use crate::gate::Gate;
@@ -104,6 +104,11 @@
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Takes in changed limits of the retry budget.
+    pub fn set_budget_limits(&self, limits: BudgetLimits) {
+        self.lock_budget().set_limits(limits);
+    }
+
     /// Takes in how many hosts share the retry budget.
     pub fn set_hosts(&self, hosts: u64) {
         self.lock_budget().set_hosts(hosts);
--- a/clayplank-forward/src/gate.rs
+++ b/clayplank-forward/src/gate.rs
@@ -14,7 +14,7 @@
     plan: ArcSwapOption<PlanIndex>,
     /// Until when accounts may be admitted under the plan; counted from when a keeper was asked.
     confirmed_until_ms: AtomicU64,
-    lease_ms: u64,
+    lease_ms: AtomicU64,
     is_leaving: AtomicBool,
     is_closed: AtomicBool,
     in_progress: AtomicU64,
@@ -26,7 +26,7 @@
         Self {
             plan: ArcSwapOption::empty(),
             confirmed_until_ms: AtomicU64::new(0),
-            lease_ms,
+            lease_ms: AtomicU64::new(lease_ms),
             is_leaving: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
             in_progress: AtomicU64::new(0),
@@ -43,7 +43,13 @@
 
     /// Notes that a keeper, asked at this time, confirmed the plan.
     pub fn confirm(&self, asked_ms: u64) {
-        self.confirmed_until_ms.fetch_max(asked_ms + self.lease_ms, Ordering::SeqCst);
+        let lease_ms = self.lease_ms.load(Ordering::SeqCst);
+        self.confirmed_until_ms.fetch_max(asked_ms + lease_ms, Ordering::SeqCst);
+    }
+
+    /// Takes in a changed lease; it counts from the next confirmation on.
+    pub fn set_lease_ms(&self, lease_ms: u64) {
+        self.lease_ms.store(lease_ms, Ordering::SeqCst);
     }
 
     /// The plan in force.
--- a/clayplankd/src/logging.rs
+++ b/clayplankd/src/logging.rs
@@ -26,10 +26,17 @@
     };
     fern::Dispatch::new()
         .format(format)
-        .level(filter_of(level))
+        .level(log::LevelFilter::Debug)
         .filter(is_own)
         .chain(std::io::stdout())
-        .apply()
+        .apply()?;
+    set_log_level(level);
+    Ok(())
+}
+
+/// Changes the level of logs that run already.
+pub(crate) fn set_log_level(level: LogLevel) {
+    log::set_max_level(filter_of(level));
 }
 
 /// Collects the fields of a log line.
--- a/clayplankd/src/run_seeded.rs
+++ b/clayplankd/src/run_seeded.rs
@@ -36,7 +36,7 @@
         }
         match read_settings(path) {
             Ok((settings, new_text)) if new_text != text => {
-                daemon.reload(&settings);
+                daemon.reload(settings);
                 text = new_text;
             }
             Ok(_) => {}
--- a/clayplankd/src/seeded.rs
+++ b/clayplankd/src/seeded.rs
@@ -1,11 +1,10 @@
 //! A host that finds the others from seeds: starts the parts of its role, and stops in order.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use clayplank_agreement::StoreError;
-use clayplank_forward::{Gate, serve_simple};
+use clayplank_forward::serve_simple;
 use clayplank_settings::{Role, SeededSettings};
 use clayplank_types::HostId;
 use http::{Response, StatusCode};
@@ -17,8 +16,9 @@
 use crate::contract::SharedContract;
 use crate::daemon::StartError;
 use crate::keeper_client::KeeperClient;
-use crate::logging::part;
+use crate::logging::{part, set_log_level};
 use crate::peers::Peers;
+use crate::seeded_entry::EntryHost;
 
 /// The balancer asks every second, and turns away after two misses: until then new
 /// connections come. Requests that come later could be cut off at the end of the grace.
@@ -37,7 +37,8 @@
 pub struct SeededDaemon {
     settings: SeededSettings,
     keepers: KeeperClient,
-    gate: Option<Arc<Gate>>,
+    /// `None` on a keeper.
+    entry: Option<EntryHost>,
     closing: watch::Sender<bool>,
     /// Closed on an entry host, which has no disk that could fail.
     failed: mpsc::Receiver<StoreError>,
@@ -69,7 +70,7 @@
             peers,
             keepers: keepers.clone(),
         };
-        let gate = match settings.role {
+        let entry = match settings.role {
             Role::Entry => Some(parts.start_entry(closing_receiver).await?),
             Role::Keeper => {
                 parts.start_keeper(failed_sender).await?;
@@ -79,7 +80,7 @@
         log::info!(target: part::DAEMON,
             name = settings.name, role:? = settings.role, is_first_start = settings.is_first_start;
             "Started");
-        Ok(Self { settings, keepers, gate, closing, failed })
+        Ok(Self { settings, keepers, entry, closing, failed })
     }
 
     /// Waits until the daemon cannot go on.
@@ -90,15 +91,41 @@
         }
     }
 
-    /// Takes in seeds of settings that were changed.
-    pub fn reload(&self, settings: &SeededSettings) {
-        self.keepers.learn(seed_hosts(settings));
-        log::info!(target: part::DAEMON, seeds = settings.seeds.len(); "Took in changed settings");
+    /// Takes in changed settings: seeds, bounds and the level of logs. What else has
+    /// changed is named in the log, and counts from the next start on.
+    pub fn reload(&mut self, settings: SeededSettings) {
+        self.keepers.learn(seed_hosts(&settings));
+        set_log_level(settings.log.level);
+        if let Some(entry) = &self.entry {
+            entry.set_bounds(&settings.bounds);
+        }
+        let waiting = self.fields_for_next_start(&settings);
+        self.settings.seeds = settings.seeds;
+        self.settings.bounds = settings.bounds;
+        self.settings.log = settings.log;
+        log::info!(target: part::DAEMON,
+            seeds = self.settings.seeds.len(), for_next_start = waiting.join(",");
+            "Took in changed settings");
+    }
+
+    /// Names of changed fields that a running host does not take in.
+    fn fields_for_next_start(&self, changed: &SeededSettings) -> Vec<&'static str> {
+        let held = &self.settings;
+        let fields = [
+            ("name", held.name != changed.name),
+            ("role", held.role != changed.role),
+            ("ip", held.ip != changed.ip),
+            ("data_centre", held.data_centre != changed.data_centre),
+            ("listen", held.listen != changed.listen),
+            ("data_dir", held.data_dir != changed.data_dir),
+            ("tolerated_losses", held.tolerated_losses != changed.tolerated_losses),
+        ];
+        fields.into_iter().filter(|(_, is_changed)| *is_changed).map(|(name, _)| name).collect()
     }
 
     /// A planned stop: turns new callers away, and waits for those that are served.
     pub async fn leave_and_drain(&self) {
-        let Some(gate) = &self.gate else {
+        let Some(EntryHost { gate, .. }) = &self.entry else {
             log::info!(target: part::DAEMON, "Stopped");
             return;
         };
--- a/clayplankd/src/seeded_entry.rs
+++ b/clayplankd/src/seeded_entry.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use clayplank_forward::{
-    BudgetLimits, Directory, EntryBuilder, Figures, Gate, OrderFormat, RetryBudget, serve_callers,
-    serve_simple,
+    BudgetLimits, Directory, Entry, EntryBuilder, Figures, Gate, OrderFormat, RetryBudget,
+    serve_callers, serve_simple,
 };
 use clayplank_settings::Bounds;
 use http::{Request, StatusCode};
@@ -21,18 +21,33 @@
 /// confirmation holds; the rest is for requests that are on their way.
 const LEASE_SHARE: f64 = 0.8;
 
+/// What a running entry host is told later.
+pub(crate) struct EntryHost {
+    /// Whether it takes requests.
+    pub(crate) gate: Arc<Gate>,
+    entry: Arc<Entry>,
+}
+
+impl EntryHost {
+    /// Takes in bounds that were changed.
+    pub(crate) fn set_bounds(&self, bounds: &Bounds) {
+        self.gate.set_lease_ms(lease_ms(bounds));
+        self.entry.set_budget_limits(budget_limits(bounds));
+    }
+}
+
 impl Parts<'_> {
-    /// Starts an entry host; returns what says whether it takes requests.
+    /// Starts an entry host.
     pub(crate) async fn start_entry(
         self,
         closing: watch::Receiver<bool>,
-    ) -> Result<Arc<Gate>, StartError> {
+    ) -> Result<EntryHost, StartError> {
         let listen = &self.settings.listen;
         let callers = bind(listen.callers.ok_or(StartError::NoListen("callers"))?).await?;
         let readiness = bind(listen.readiness.ok_or(StartError::NoListen("readiness"))?).await?;
         let metrics = bind(listen.metrics).await?;
         let bounds = &self.settings.bounds;
-        let gate = Arc::new(Gate::new((bounds.revoke_ms as f64 * LEASE_SHARE) as u64));
+        let gate = Arc::new(Gate::new(lease_ms(bounds)));
         let directory = Arc::new(Directory::default());
         let figures = Arc::new(Figures::default());
         let (link, events) = FleetLink::new(self.peers, self.keepers);
@@ -54,13 +69,17 @@
             directory,
             entry: Arc::clone(&entry),
         }));
-        tokio::spawn(serve_callers(callers, entry, closing));
+        tokio::spawn(serve_callers(callers, Arc::clone(&entry), closing));
         serve_readiness(readiness, self.contract, Arc::clone(&gate));
         serve_metrics(metrics, move || figures.to_text());
-        Ok(gate)
+        Ok(EntryHost { gate, entry })
     }
 }
 
+fn lease_ms(bounds: &Bounds) -> u64 {
+    (bounds.revoke_ms as f64 * LEASE_SHARE) as u64
+}
+
 fn budget_limits(bounds: &Bounds) -> BudgetLimits {
     BudgetLimits {
         ratio: bounds.retry_ratio,
