Write logs by a thread of their own, bounded, with the count of dropped lines

A full pipe held up every request of a host: the test that fills one waited for a minute and failed. Lines now go through a bounded queue (setting 'buffered_lines'); what does not fit is dropped as whole lines and counted. The test passes.

--- a/clayplank-settings/src/host.rs
+++ b/clayplank-settings/src/host.rs
@@ -275,11 +275,21 @@
 }
 
 /// What is logged.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct LogSettings {
     /// The least severe lines that are written.
     pub level: LogLevel,
+    /// Lines that wait for a reader that is slow; more are dropped, and their count is told.
+    #[schemars(range(min = 1))]
+    pub buffered_lines: usize,
+}
+
+impl Default for LogSettings {
+    /// About a megabyte of lines: some seconds of a busy host.
+    fn default() -> Self {
+        Self { level: LogLevel::default(), buffered_lines: 4_096 }
+    }
 }
 
 /// Severity of log lines.
--- a/clayplankd/src/lib.rs
+++ b/clayplankd/src/lib.rs
@@ -55,7 +55,7 @@
 
 pub use contract::{Contract, ControlCall, ControlFault};
 pub use daemon::{Daemon, StartError};
-pub use logging::start_logging;
+pub use logging::{LogFormat, Logging, start_logging};
 pub use native::NativeContract;
 pub use run_seeded::run_seeded;
 pub use seeded::SeededDaemon;
--- a/clayplankd/src/logging.rs
+++ b/clayplankd/src/logging.rs
@@ -1,6 +1,10 @@
 //! Log lines: time, level, the part that speaks, a short sentence.
 
-use clayplank_settings::LogLevel;
+use std::io::Write;
+use std::time::Duration;
+
+use clayplank_settings::{LogLevel, LogSettings};
+use tracing_appender::non_blocking::{ErrorCounter, NonBlocking, NonBlockingBuilder, WorkerGuard};
 
 /// Parts of the daemon, as log lines name them.
 pub(crate) mod part {
@@ -14,24 +18,79 @@
     pub(crate) const SETTINGS: &str = "settings";
 }
 
-/// Writes log lines as JSON objects, one a line, to standard output from now on.
+/// How log lines look.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogFormat {
+    /// Short sentences, for people.
+    Plain,
+    /// JSON objects, one a line.
+    Json,
+}
+
+/// Between two looks at whether lines were dropped.
+const DROPPED_EVERY: Duration = Duration::from_secs(1);
+
+/// Logs that run; lines that wait are written when this is dropped.
+#[must_use = "logs end when this is dropped"]
+#[derive(Debug)]
+pub struct Logging {
+    dropped: ErrorCounter,
+    _writer: WorkerGuard,
+}
+
+/// Writes log lines from now on, by a thread of its own: whoever logs never waits for
+/// a reader that is slow. Lines beyond those that may wait are dropped and counted.
 ///
 /// # Errors
 /// Logging was started before.
-pub fn start_json_logging(level: LogLevel) -> Result<(), log::SetLoggerError> {
-    let format = |out: fern::FormatCallback<'_>,
-                  message: &std::fmt::Arguments<'_>,
-                  record: &log::Record<'_>| {
-        out.finish(format_args!("{}", json_line(message, record)));
-    };
+pub fn start_logging<W>(
+    settings: &LogSettings,
+    format: LogFormat,
+    output: W,
+) -> Result<Logging, log::SetLoggerError>
+where
+    W: Write + Send + 'static,
+{
+    let (writer, guard) =
+        NonBlockingBuilder::default().buffered_lines_limit(settings.buffered_lines).finish(output);
+    let logging = Logging { dropped: writer.error_counter(), _writer: guard };
     fern::Dispatch::new()
-        .format(format)
+        .format(move |out, message, record| match format {
+            LogFormat::Plain => out.finish(format_args!("{}", plain_line(message, record))),
+            LogFormat::Json => out.finish(format_args!("{}", json_line(message, record))),
+        })
         .level(log::LevelFilter::Debug)
         .filter(is_own)
-        .chain(std::io::stdout())
+        .chain(fern::Output::call(move |record| write_line(&writer, record)))
         .apply()?;
-    set_log_level(level);
-    Ok(())
+    set_log_level(settings.level);
+    Ok(logging)
+}
+
+/// Queues a line in one piece, so that it is dropped as a whole or not at all.
+fn write_line(writer: &NonBlocking, record: &log::Record<'_>) {
+    let line = format!("{}\n", record.args());
+    // What does not fit is dropped and counted by the writer.
+    writer.clone().write_all(line.as_bytes()).ok();
+}
+
+impl Logging {
+    /// Tells of dropped lines, again and again.
+    pub async fn tell_dropped(&self) {
+        let mut told = 0;
+        loop {
+            tokio::time::sleep(DROPPED_EVERY).await;
+            told = self.tell_dropped_after(told);
+        }
+    }
+
+    fn tell_dropped_after(&self, told: usize) -> usize {
+        let dropped = self.dropped.dropped_lines();
+        if dropped > told {
+            log::warn!(target: part::DAEMON, lines = dropped - told; "Log lines were dropped");
+        }
+        dropped
+    }
 }
 
 /// Changes the level of logs that run already.
@@ -86,21 +145,7 @@
     }
 }
 
-/// Writes log lines to standard error from now on.
-///
-/// # Errors
-/// Logging was started before.
-pub fn start_logging(level: LogLevel) -> Result<(), log::SetLoggerError> {
-    let format = |out: fern::FormatCallback<'_>,
-                  message: &std::fmt::Arguments<'_>,
-                  record: &log::Record<'_>| {
-        let time = humantime::format_rfc3339_millis(std::time::SystemTime::now());
-        out.finish(format_args!("{time} {:<5} {}: {message}", record.level(), record.target()));
-    };
-    fern::Dispatch::new()
-        .format(format)
-        .level(filter_of(level))
-        .filter(is_own)
-        .chain(std::io::stderr())
-        .apply()
+fn plain_line(message: &std::fmt::Arguments<'_>, record: &log::Record<'_>) -> String {
+    let time = humantime::format_rfc3339_millis(std::time::SystemTime::now());
+    format!("{time} {:<5} {}: {message}", record.level(), record.target())
 }
--- a/clayplankd/src/main.rs
+++ b/clayplankd/src/main.rs
@@ -6,7 +6,7 @@
 
 use bpaf::Bpaf;
 use clayplank_settings::HostSettings;
-use clayplankd::{Daemon, NativeContract, StartError, start_logging};
+use clayplankd::{Daemon, LogFormat, NativeContract, StartError, start_logging};
 use error_stack::{Report, ResultExt};
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -52,7 +52,8 @@
     let settings: HostSettings = clayplank_settings::parse(&text)
         .map_err(StartError::Settings)
         .attach_with(|| options.settings.display().to_string())?;
-    start_logging(settings.log.level).map_err(StartError::Logging)?;
+    let _logging = start_logging(&settings.log, LogFormat::Plain, std::io::stderr())
+        .map_err(StartError::Logging)?;
     let mut stop = signal(SignalKind::terminate()).map_err(StartError::Signal)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(StartError::Signal)?;
     let mut daemon = Daemon::start(settings).await?;
--- a/clayplankd/src/run_seeded.rs
+++ b/clayplankd/src/run_seeded.rs
@@ -9,7 +9,7 @@
 
 use crate::contract::SharedContract;
 use crate::daemon::StartError;
-use crate::logging::{part, start_json_logging};
+use crate::logging::{LogFormat, part, start_logging};
 use crate::seeded::SeededDaemon;
 
 /// Between two looks at the settings file, which may change without a signal.
@@ -21,13 +21,16 @@
 /// The settings are wrong, the host could not start, or its disk failed.
 pub async fn run_seeded(path: &Path, contract: SharedContract) -> Result<(), Report<StartError>> {
     let (settings, mut text) = read_settings(path)?;
-    start_json_logging(settings.log.level).map_err(StartError::Logging)?;
+    let logging = start_logging(&settings.log, LogFormat::Json, std::io::stdout())
+        .map_err(StartError::Logging)?;
     let mut stop = catch(SignalKind::terminate())?;
     let mut interrupt = catch(SignalKind::interrupt())?;
     let mut reload = catch(SignalKind::hangup())?;
     let mut daemon = SeededDaemon::start(settings, contract).await?;
+    let mut dropped = std::pin::pin!(logging.tell_dropped());
     loop {
         tokio::select! {
+            () = &mut dropped => {}
             _ = stop.recv() => break,
             _ = interrupt.recv() => break,
             _ = reload.recv() => {}
@@ -46,7 +49,10 @@
             }
         }
     }
-    daemon.leave_and_drain().await;
+    tokio::select! {
+        () = &mut dropped => {}
+        () = daemon.leave_and_drain() => {}
+    }
     Ok(())
 }
 
--- a/clayplankd/tests/seeded.rs
+++ b/clayplankd/tests/seeded.rs
@@ -4,6 +4,7 @@
 
 mod seeded_system;
 
+use std::io::BufRead;
 use std::net::SocketAddr;
 
 use clayplank_placement::EngineModel;
@@ -258,3 +259,27 @@
     assert!(entry.log().contains("/bounds/grace_s"));
     assert_eq!(system.send(0, "h3", "/once/x", &[]).status, 200, "the former ones are in force");
 }
+
+#[test]
+fn logs_that_nobody_reads_hold_up_no_request() {
+    let mut system = System::start();
+    let entry = &mut system.entries[0];
+    entry.kill();
+    entry.write_changed_settings(|settings| settings["log"] = json!({ "buffered_lines": 16 }));
+    let pipe = entry.start_with_pipe();
+    wait_for("readiness", || system.entries[0].is_ready());
+    // A refusal at the door is always named: these lines are more than a pipe takes.
+    for number in 0..1_000 {
+        let attempt = format!("full-{number}");
+        assert_eq!(system.send(0, &attempt, "/nowhere/", &[]).status, 404);
+    }
+    system.entries[0].terminate();
+    let lines: Vec<Value> = std::io::BufReader::new(pipe)
+        .lines()
+        .map(|line| serde_json::from_str(&line.unwrap()).unwrap())
+        .collect();
+    let told = |message: &str| lines.iter().find(|line| line["message"] == message);
+    let dropped = told("Log lines were dropped").expect("the count of dropped lines");
+    assert!(dropped["lines"].as_u64().unwrap() > 0);
+    assert!(told("Stopped").is_some(), "the last line is written before the end");
+}
--- a/clayplankd/tests/seeded_system/mod.rs
+++ b/clayplankd/tests/seeded_system/mod.rs
@@ -4,7 +4,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdout, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
@@ -156,10 +156,8 @@
 
     pub fn start(&mut self) {
         let log = std::fs::File::create(self.settings.with_extension("log")).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_clayplankd"))
-            .arg("--seeded")
-            .arg("--settings")
-            .arg(&self.settings)
+        let child = self
+            .command()
             .stdout(Stdio::from(log.try_clone().unwrap()))
             .stderr(Stdio::from(log))
             .spawn()
@@ -167,6 +165,20 @@
         self.child = Some(child);
     }
 
+    fn command(&self) -> Command {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_clayplankd"));
+        command.arg("--seeded").arg("--settings").arg(&self.settings);
+        command
+    }
+
+    /// Starts with a pipe for the logs, which nobody reads until the caller does.
+    pub fn start_with_pipe(&mut self) -> ChildStdout {
+        let mut child = self.command().stdout(Stdio::piped()).spawn().unwrap();
+        let pipe = child.stdout.take().unwrap();
+        self.child = Some(child);
+        pipe
+    }
+
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             child.kill().unwrap();
@@ -186,11 +198,15 @@
 
     /// Changes its settings file, and tells it so by SIGHUP.
     pub fn change_settings(&self, change: impl FnOnce(&mut Value)) {
+        self.write_changed_settings(change);
+        self.signal("-HUP");
+    }
+
+    pub fn write_changed_settings(&self, change: impl FnOnce(&mut Value)) {
         let text = std::fs::read_to_string(&self.settings).unwrap();
         let mut settings: Value = serde_json::from_str(&text).unwrap();
         change(&mut settings);
         std::fs::write(&self.settings, settings.to_string()).unwrap();
-        self.signal("-HUP");
     }
 
     pub fn log(&self) -> String {
