Probe silent followers without entries

Each heartbeat to a follower that is probed carried a whole batch of entries. With plans of some hundred kilobytes, and messages that wait two seconds for a keeper that is down, that is tens of megabytes in the leader. A probe asks only where the logs agree now; entries follow with the answer.

--- a/clayplank-agreement/src/leader.rs
+++ b/clayplank-agreement/src/leader.rs
@@ -220,15 +220,16 @@
             }
             return;
         };
+        // A probe only asks where the logs agree. With entries, each one to a follower that is
+        // silent would wait with all of them to be sent.
         let is_flooded = progress.next_index > progress.matched_index + MAX_ENTRIES_UNDER_WAY;
-        let max = if is_flooded { 0 } else { self.options.max_batch_entries };
+        let sends_none = is_flooded || progress.is_probing;
+        let max = if sends_none { 0 } else { self.options.max_batch_entries };
         let entries = self.log.entries_from(progress.next_index, max).to_vec();
         if entries.is_empty() && !is_heartbeat {
             return;
         }
-        if !progress.is_probing {
-            progress.next_index += entries.len() as u64;
-        }
+        progress.next_index += entries.len() as u64;
         let previous = EntryId { term: previous_term, index: previous_index };
         let commit_index = self.commit_index;
         self.send(to, Message::Append { term, previous, entries, commit_index, read_round });
--- a/clayplank-agreement/tests/rules.rs
+++ b/clayplank-agreement/tests/rules.rs
@@ -131,3 +131,23 @@
     assert!(replica.admit(11_604, &id("d")), "the newcomer votes");
     assert_eq!(replica.configuration().voters, [id("a"), id("b"), id("d")].into());
 }
+
+#[test]
+fn a_silent_follower_is_probed_without_entries() {
+    let mut replica = with_former_entry();
+    lead(&mut replica, 10_000);
+    replica.propose(vec![0; 1_000]).unwrap();
+    // Follower c never answers: each heartbeat asks it where the logs agree, and no more.
+    for now_ms in (10_100..10_600).step_by(100) {
+        tell(&mut replica, now_ms, matched(2));
+        replica.tick(now_ms + 1);
+        let ready = replica.take_ready(now_ms + 1);
+        let to_silent = ready.messages.iter().filter(|envelope| envelope.to == id("c"));
+        for envelope in to_silent {
+            let Message::Append { entries, .. } = &envelope.message else {
+                panic!("a heartbeat is an append: {envelope:?}");
+            };
+            assert!(entries.is_empty(), "{} entries", entries.len());
+        }
+    }
+}
