Send hosts the edit between two plans, not the whole plan

Changes came seconds late (CONFIG, DENIED), and keepers ended by themselves over the memory limit. A keeper now sends what leads from the plan that the host holds, pieces of the former text and what is new; one that knows the former plan no more sends it whole. A checksum guards the text.

--- a/clayplank-state/src/lib.rs
+++ b/clayplank-state/src/lib.rs
@@ -29,6 +29,7 @@
 mod command;
 mod machine;
 mod plan;
+mod plan_edit;
 mod settings;
 mod view;
 
@@ -38,5 +39,6 @@
     encode,
 };
 pub use machine::{Counts, Machine};
+pub use plan_edit::{EditError, PlanEdit};
 pub use settings::{Delta, SettingKey, SettingValue, Versioned};
 pub use view::{SettingsView, StaleDelta};
--- /dev/null
+++ b/clayplank-state/tests/plan_edit.rs
@@ -0,0 +1,50 @@
+//! Edits of serving plans.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use clayplank_state::{EditError, PlanDocument, PlanEdit, encode};
+use proptest::prelude::*;
+
+/// A plan of so many routes, without the one that is left out.
+fn plan(version: u64, routes: u64, without: Option<u64>) -> PlanDocument {
+    let numbers = (0..routes).filter(|number| Some(*number) != without);
+    let routes: Vec<_> = numbers
+        .map(|number| {
+            let path = format!("/r{number}/");
+            serde_json::json!({
+                "name": format!("route-{number}"), "host": "dala.example", "path_prefix": path,
+                "kind": "repeatable", "time_limit_ms": 4000, "goal_ms": 300,
+                "targets": [{ "service": "app", "weight": 1 }],
+            })
+        })
+        .collect();
+    let plan = serde_json::json!({ "version": version, "services": [], "routes": routes });
+    PlanDocument { version, text: plan.to_string().into() }
+}
+
+#[test]
+fn a_change_of_a_large_plan_is_a_small_edit() {
+    let (base, next) = (plan(7, 1_000, None), plan(9, 1_000, Some(500)));
+    let edit = PlanEdit::between(&base, &next);
+    assert_eq!(edit.apply(&base).unwrap(), next);
+    let (edit_bytes, text_bytes) = (encode(&edit).unwrap().len(), next.text.len());
+    assert!(edit_bytes * 500 < text_bytes, "{edit_bytes} bytes for {text_bytes}");
+}
+
+#[test]
+fn an_edit_of_another_plan_is_refused() {
+    let (base, next) = (plan(1, 3, None), plan(2, 4, None));
+    let edit = PlanEdit::between(&base, &next);
+    assert_eq!(edit.apply(&next), Err(EditError::OtherBase { base: 1, held: 2 }));
+    let other = PlanDocument { version: 1, ..plan(5, 2, None) };
+    assert_eq!(edit.apply(&other), Err(EditError::OtherText { version: 2 }));
+}
+
+proptest! {
+    #[test]
+    fn every_text_is_reached(old in "[ab{}]{0,40}", new in "[ab{}é]{0,40}") {
+        let base = PlanDocument { version: 1, text: old.into() };
+        let next = PlanDocument { version: 2, text: new.into() };
+        prop_assert_eq!(PlanEdit::between(&base, &next).apply(&base).unwrap(), next);
+    }
+}
--- a/clayplankd/src/fleet_keeper.rs
+++ b/clayplankd/src/fleet_keeper.rs
@@ -22,6 +22,7 @@
 use crate::keeper_messages::{Watch, Watched};
 use crate::lock::lock;
 use crate::logging::part;
+use crate::plan_edits::PlanEdits;
 
 /// A follower without news is confirmed after this time, in ms. A host whose
 /// keeper has died finds the next one after about as long.
@@ -52,6 +53,7 @@
     changed: watch::Sender<Cursor>,
     fleet: Mutex<Fleet>,
     plan: ArcSwapOption<PlanIndex>,
+    edits: Mutex<PlanEdits>,
     entry_hosts: Mutex<HashMap<HostId, u64>>,
 }
 
@@ -72,6 +74,7 @@
             changed: watch::Sender::new(Cursor::default()),
             fleet: Mutex::default(),
             plan: ArcSwapOption::empty(),
+            edits: Mutex::default(),
             entry_hosts: Mutex::default(),
         }
     }
@@ -116,6 +119,7 @@
     }
 
     fn set_plan(&self, document: &PlanDocument) {
+        lock(&self.edits).note(document);
         match self.contract.parse_plan(&document.text) {
             Ok(plan) => {
                 self.plan.store(Some(Arc::new(PlanIndex::new(plan))));
@@ -159,7 +163,7 @@
             self.has_learned.store(true, Ordering::SeqCst);
         }
         let host = HostId::new(request.from_host);
-        let revision = request.applied_revision;
+        let (revision, plan_version) = (request.applied_revision, request.plan_version);
         let mut changed = self.changed.subscribe();
         let has_news = *changed.borrow_and_update() != cursor;
         let wait_ms = if has_news { 0 } else { FOLLOW_WAIT_MS };
@@ -172,7 +176,7 @@
         match answer.map_err(|_| Status::unavailable("the keeper is stopping"))? {
             Watched::Delta(delta) => {
                 lock(&self.entry_hosts).insert(host, now_ms());
-                Ok(follow_reply::Result::Followed(self.followed(&delta, cursor)?))
+                Ok(follow_reply::Result::Followed(self.followed(delta, plan_version, cursor)?))
             }
             Watched::NotLeader(hint) => {
                 let hint = hint.map_or_else(String::new, |host| host.to_string());
@@ -181,16 +185,37 @@
         }
     }
 
-    fn followed(&self, delta: &Delta, cursor: Cursor) -> Result<Followed, Status> {
+    fn followed(
+        &self,
+        mut delta: Delta,
+        plan_version: u64,
+        cursor: Cursor,
+    ) -> Result<Followed, Status> {
         let changes: Changes = lock(&self.registry).changes_after(cursor);
+        let plan_edit = self.take_edit(&mut delta, plan_version);
         Ok(Followed {
-            delta: encode(delta).map_err(malformed)?,
+            delta: encode(&delta).map_err(malformed)?,
+            plan_edit,
             changes: encode(&changes).map_err(malformed)?,
             entry_hosts: self.count_entry_hosts(),
             keepers: self.keepers.hosts().iter().map(ToString::to_string).collect(),
         })
     }
 
+    /// Takes the plan out of a delta if an edit says it in less; empty if none does.
+    fn take_edit(&self, delta: &mut Delta, plan_version: u64) -> Vec<u8> {
+        let Some(document) = &delta.plan else {
+            return Vec::new();
+        };
+        let mut edits = lock(&self.edits);
+        edits.note(document);
+        let edit = edits.edit(plan_version, document);
+        if edit.is_some() {
+            delta.plan = None;
+        }
+        edit.unwrap_or_default()
+    }
+
     fn count_entry_hosts(&self) -> u64 {
         let now_ms = now_ms();
         let mut hosts = lock(&self.entry_hosts);
--- a/clayplankd/src/fleet_link.rs
+++ b/clayplankd/src/fleet_link.rs
@@ -9,7 +9,7 @@
 use clayplank_placement::{Ask, Event, Fleet, Placed, PlacementId, Renewed};
 use clayplank_registry::{Changes, Cursor};
 use clayplank_routes::PlanIndex;
-use clayplank_state::{Delta, decode, encode};
+use clayplank_state::{CodecError, Delta, EditError, PlanDocument, PlanEdit, decode, encode};
 use clayplank_types::HostId;
 use clayplank_wire::{FollowRequest, Followed, PlaceRequest, ReportRequest, follow_reply};
 use tokio::sync::mpsc;
@@ -179,21 +179,23 @@
     pub(crate) entry: Arc<Entry>,
 }
 
+/// Up to where a host follows the keepers.
+#[derive(Clone, Debug, Default)]
+struct Position {
+    revision: u64,
+    cursor: Cursor,
+    /// The plan in force here; version 0 before the first.
+    plan: PlanDocument,
+    /// A registry of another life may lack what this host knows.
+    tells_known: bool,
+}
+
 /// Follows the leading keeper until the task is dropped.
 pub(crate) async fn run_following(following: Following) {
-    let mut revision = 0;
-    let mut cursor = Cursor::default();
-    // A registry of another life may lack what this host knows.
-    let mut tells_known = false;
+    let mut position = Position::default();
     loop {
-        match following.ask(revision, cursor, tells_known).await {
-            Some((followed, asked_ms)) => {
-                let applied = following.apply(&followed, asked_ms);
-                if let Some((new_revision, new_cursor)) = applied {
-                    tells_known = cursor.life != 0 && cursor.life != new_cursor.life;
-                    (revision, cursor) = (new_revision, new_cursor);
-                }
-            }
+        match following.ask(&position).await {
+            Some((followed, asked_ms)) => following.apply(&mut position, &followed, asked_ms),
             None => tokio::time::sleep(FOLLOW_PAUSE).await,
         }
     }
@@ -201,22 +203,18 @@
 
 impl Following {
     /// One exchange with the leader, and when it was asked: the lease counts from there.
-    async fn ask(
-        &self,
-        revision: u64,
-        cursor: Cursor,
-        tells_known: bool,
-    ) -> Option<(Followed, u64)> {
-        let records = if tells_known { self.directory.records() } else { Vec::new() };
+    async fn ask(&self, position: &Position) -> Option<(Followed, u64)> {
+        let records = if position.tells_known { self.directory.records() } else { Vec::new() };
         let known: Vec<_> = records.into_iter().map(|record| record.heartbeat).collect();
         let known = encode(&known).ok()?;
         let renewed = encode(&self.link.renewed()).ok()?;
-        let cursor = encode(&cursor).ok()?;
+        let cursor = encode(&position.cursor).ok()?;
         let answer = self.link.keepers.ask(FOLLOW_PATIENCE, |peers, keeper, left| {
             let request = FollowRequest {
                 from_host: self.host.to_string(),
                 life: self.link.life,
-                applied_revision: revision,
+                applied_revision: position.revision,
+                plan_version: position.plan.version,
                 cursor: cursor.clone(),
                 renewed: renewed.clone(),
                 known: known.clone(),
@@ -243,16 +241,27 @@
         }
     }
 
-    fn apply(&self, followed: &Followed, asked_ms: u64) -> Option<(u64, Cursor)> {
+    fn apply(&self, position: &mut Position, followed: &Followed, asked_ms: u64) {
         let (Ok(delta), Ok(changes)) =
             (decode::<Delta>(&followed.delta), decode::<Changes>(&followed.changes))
         else {
             log::error!(target: part::SETTINGS, "The leader's answer cannot be read.");
-            return None;
+            return;
+        };
+        let plan = match new_plan(position, &delta, &followed.plan_edit) {
+            Ok(plan) => plan,
+            Err(error) => {
+                log::warn!(target: part::SETTINGS, cause:% = error; "Asks for the whole plan");
+                position.plan = PlanDocument::default();
+                return;
+            }
         };
-        let has_news = delta.plan.is_some() || !changes.records.is_empty();
-        if let Some(document) = &delta.plan {
-            self.apply_plan(document.version, &document.text)?;
+        let has_news = plan.is_some() || !changes.records.is_empty();
+        if let Some(plan) = plan {
+            if !self.put_in_force(&plan) {
+                return;
+            }
+            position.plan = plan;
         }
         self.directory.apply(changes.records);
         if has_news {
@@ -261,19 +270,24 @@
         self.gate.confirm(asked_ms);
         self.entry.set_hosts(followed.entry_hosts);
         self.link.keepers.learn(followed.keepers.iter().map(HostId::new));
-        Some((delta.revision, changes.cursor))
+        position.tells_known =
+            position.cursor.life != 0 && position.cursor.life != changes.cursor.life;
+        position.cursor = changes.cursor;
+        position.revision = delta.revision;
     }
 
-    fn apply_plan(&self, version: u64, text: &str) -> Option<()> {
-        match self.contract.parse_plan(text) {
+    /// Puts a plan in force; whether it could be read.
+    fn put_in_force(&self, document: &PlanDocument) -> bool {
+        let version = document.version;
+        match self.contract.parse_plan(&document.text) {
             Ok(plan) => {
                 log::info!(target: part::SETTINGS, version = version; "A plan is in force");
                 self.gate.set_plan(PlanIndex::new(plan));
-                Some(())
+                true
             }
             Err(faults) => {
                 log::error!(target: part::SETTINGS, "Plan {version} cannot be read: {faults}");
-                None
+                false
             }
         }
     }
@@ -284,3 +298,25 @@
         }
     }
 }
+
+/// The plan that an answer brings, whole or as an edit of the one that is held.
+fn new_plan(
+    position: &Position,
+    delta: &Delta,
+    plan_edit: &[u8],
+) -> Result<Option<PlanDocument>, EditFault> {
+    if plan_edit.is_empty() {
+        return Ok(delta.plan.clone());
+    }
+    let edit: PlanEdit = decode(plan_edit)?;
+    Ok(Some(edit.apply(&position.plan)?))
+}
+
+/// Why an edit of the plan is of no use.
+#[derive(Debug, thiserror::Error)]
+enum EditFault {
+    #[error(transparent)]
+    Unreadable(#[from] CodecError),
+    #[error(transparent)]
+    Unfit(#[from] EditError),
+}
--- a/clayplankd/src/lib.rs
+++ b/clayplankd/src/lib.rs
@@ -40,6 +40,7 @@
 mod orders;
 mod owner;
 mod peers;
+mod plan_edits;
 mod pools;
 mod replies;
 mod reserve;
