Tell a request's story, and timelines of upstreams and plans, from logs

'clayplank explain' puts a request's lines in order and, before them, what its host believed when the request came and how old that was; 'clayplank timeline' does so for an upstream or a plan. Lines name their host; refusals name the plan, its confirmation and the time to come back; a lost and a regained confirmation have one line each.

--- a/clayplank-ctl/src/commands.rs
+++ b/clayplank-ctl/src/commands.rs
@@ -13,9 +13,11 @@
 use serde_json::{Value, json};
 
 use crate::client::{Answer, ClientError, send};
+use crate::explain::{Event, explain, timeline};
 use crate::latency::{LatencyError, merge};
+use crate::log_line::read_logs;
 use crate::options::{Command, FileKind, Guard, Options, SettingCommand};
-use crate::output::{print, print_latency};
+use crate::output::{print, print_latency, print_story};
 use crate::plan::run_plan;
 
 /// The variable that may hold the operator's key.
@@ -99,6 +101,12 @@
         Command::Template(command) => run_setting(options, "templates", command).await,
         Command::Account(command) => run_setting(options, "accounts", command).await,
         Command::Plan(command) => run_plan(options, command).await,
+        Command::Explain { request, files } => {
+            tell(&explain(request, &read_logs(files)?), request, options.json)
+        }
+        Command::Timeline { subject, files } => {
+            tell(&timeline(subject, &read_logs(files)?), &subject.to_string(), options.json)
+        }
         Command::Upstreams => show(options, "/upstreams").await,
         Command::Hosts => show(options, "/hosts").await,
         Command::Keepers => show(options, "/keepers").await,
@@ -112,6 +120,15 @@
         .map_err(|source| CommandError::Read(file.to_owned(), source))?)
 }
 
+/// Prints a story; one that no log tells is not found.
+fn tell(events: &[Event], subject: &str, as_json: bool) -> Done<()> {
+    if events.is_empty() {
+        return Err(CommandError::NotFound(Value::from(subject)).into());
+    }
+    print_story(events, as_json);
+    Ok(())
+}
+
 fn check_file(kind: FileKind, file: &Path) -> Done<()> {
     let text = read(file)?;
     let checked = match kind {
--- /dev/null
+++ b/clayplank-ctl/src/explain.rs
@@ -0,0 +1,91 @@
+//! Stories from logs: what happened to a request, and what hosts believed meanwhile.
+
+use std::collections::BTreeSet;
+
+use serde::Serialize;
+use serde_json::{Map, Value};
+
+use crate::log_line::LogLine;
+use crate::options::Subject;
+
+/// Lines that say what a host believes of the keepers and of the plan.
+const BELIEFS: [&str; 5] = [
+    "A plan is in force",
+    "The plan is not confirmed",
+    "The plan is confirmed again",
+    "Chooses engines by itself",
+    "Took in changed settings",
+];
+
+/// Says what an upstream told, or what was concluded from its silence.
+const STANDING: &str = "An upstream's standing changed";
+
+/// Fields that are printed by themselves, or say nothing to a reader.
+const OWN_FIELDS: [&str; 2] = ["level", "part"];
+
+/// One thing that happened, or that a host believed when it did.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub(crate) struct Event {
+    pub(crate) time: String,
+    pub(crate) host: String,
+    pub(crate) message: String,
+    /// For what a host believed: how old that was when the request's first line was written.
+    pub(crate) age_ms: Option<u64>,
+    pub(crate) fields: Map<String, Value>,
+}
+
+impl Event {
+    fn of(line: &LogLine, age_ms: Option<u64>) -> Self {
+        let mut fields = line.fields.clone();
+        OWN_FIELDS.iter().for_each(|field| {
+            fields.remove(*field);
+        });
+        let (time, host, message) = (line.time.clone(), line.host.clone(), line.message.clone());
+        Self { time, host, message, age_ms, fields }
+    }
+}
+
+/// A request's lines in order, before them what its host believed, and what was known of
+/// the upstreams that it was sent to.
+pub(crate) fn explain(request: &str, lines: &[LogLine]) -> Vec<Event> {
+    let own: Vec<_> = lines.iter().filter(|line| line.says("request", request)).collect();
+    let (Some(first), Some(last)) = (own.first(), own.last()) else {
+        return Vec::new();
+    };
+    let hosts: BTreeSet<_> = own.iter().map(|line| line.host.as_str()).collect();
+    let upstreams: BTreeSet<_> =
+        own.iter().filter_map(|line| line.fields.get("upstream").and_then(Value::as_str)).collect();
+    // A request's line is written at its end: what was believed counts when it came.
+    let waited_ms = first.fields.get("waited_ms").and_then(Value::as_u64).unwrap_or(0);
+    let came_ms = first.at_ms().saturating_sub(waited_ms);
+    let mut beliefs = Vec::new();
+    for host in hosts {
+        let of_host = |line: &&LogLine| line.host == host && line.at_ms() <= came_ms;
+        for message in BELIEFS {
+            let known = lines.iter().filter(of_host).rfind(|line| line.message == message);
+            beliefs.extend(known);
+        }
+    }
+    for upstream in upstreams {
+        let told = lines.iter().rfind(|line| {
+            let is_of = line.message == STANDING && line.says("upstream", upstream);
+            is_of && line.at_ms() <= last.at_ms()
+        });
+        beliefs.extend(told);
+    }
+    beliefs.sort_by_key(|line| line.at_ms());
+    let aged =
+        beliefs.into_iter().map(|line| Event::of(line, Some(came_ms.saturating_sub(line.at_ms()))));
+    aged.chain(own.iter().map(|line| Event::of(line, None))).collect()
+}
+
+/// All lines of an upstream, or of plans up to a version and what held them up.
+pub(crate) fn timeline(subject: &Subject, lines: &[LogLine]) -> Vec<Event> {
+    let is_of = |line: &&LogLine| match subject {
+        Subject::Upstream { upstream } => {
+            line.says("upstream", upstream) && !line.fields.contains_key("request")
+        }
+        Subject::Plan { plan } => line.says("version", &plan.to_string()),
+    };
+    lines.iter().filter(is_of).map(|line| Event::of(line, None)).collect()
+}
--- a/clayplank-ctl/src/main.rs
+++ b/clayplank-ctl/src/main.rs
@@ -6,7 +6,9 @@
 
 mod client;
 mod commands;
+mod explain;
 mod latency;
+mod log_line;
 mod options;
 mod output;
 mod plan;
--- a/clayplank-ctl/src/options.rs
+++ b/clayplank-ctl/src/options.rs
@@ -48,6 +48,25 @@
     /// The serving plan of seeded hosts; --host names control addresses of keepers
     #[bpaf(command)]
     Plan(#[bpaf(external(plan_command))] PlanCommand),
+    /// Tell a request's story from the logs of several hosts
+    #[bpaf(command)]
+    Explain {
+        /// The caller's id of the attempt
+        #[bpaf(positional("REQUEST"))]
+        request: String,
+        /// Log files
+        #[bpaf(positional("FILE"), some("at least one FILE"))]
+        files: Vec<PathBuf>,
+    },
+    /// Tell what hosts believed of an upstream, or of plans, from their logs
+    #[bpaf(command)]
+    Timeline {
+        #[bpaf(external(subject))]
+        subject: Subject,
+        /// Log files
+        #[bpaf(positional("FILE"), some("at least one FILE"))]
+        files: Vec<PathBuf>,
+    },
     /// Engines and services, and the pools that the host owns
     #[bpaf(command)]
     Upstreams,
@@ -101,6 +120,30 @@
     },
 }
 
+/// What a timeline is of.
+#[derive(Bpaf, Clone, Debug)]
+pub(crate) enum Subject {
+    Upstream {
+        /// An upstream, by its id
+        #[bpaf(argument("ID"))]
+        upstream: String,
+    },
+    Plan {
+        /// A plan, by its version
+        #[bpaf(argument("VERSION"))]
+        plan: u64,
+    },
+}
+
+impl std::fmt::Display for Subject {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Upstream { upstream } => write!(f, "upstream {upstream}"),
+            Self::Plan { plan } => write!(f, "plan {plan}"),
+        }
+    }
+}
+
 /// What to do with the serving plan.
 #[derive(Bpaf, Clone, Debug)]
 pub(crate) enum PlanCommand {
--- a/clayplank-ctl/src/output.rs
+++ b/clayplank-ctl/src/output.rs
@@ -4,6 +4,7 @@
 
 use serde_json::Value;
 
+use crate::explain::Event;
 use crate::latency::Row;
 
 /// Prints a value: JSON in one line, or a line for each leaf.
@@ -38,6 +39,20 @@
     }
 }
 
+/// Prints what happened, in order; the age is that of what a host believed then.
+pub(crate) fn print_story(events: &[Event], as_json: bool) {
+    if as_json {
+        println!("{}", serde_json::json!(events));
+        return;
+    }
+    for event in events {
+        let age = event.age_ms.map(|age_ms| format!(" (known for {age_ms} ms)"));
+        let fields = to_line(&Value::Object(event.fields.clone()));
+        let age = age.unwrap_or_default();
+        println!("{} {} {}{age} {fields}", event.time, event.host, event.message);
+    }
+}
+
 /// Prints percentiles as a table.
 pub(crate) fn print_latency(rows: &[Row], as_json: bool) {
     if as_json {
--- a/clayplank-ctl/tests/tool.rs
+++ b/clayplank-ctl/tests/tool.rs
@@ -57,3 +57,37 @@
 fn exit_codes_tell_what_went_wrong(#[case] arguments: &[&str], #[case] code: i32) {
     assert_eq!(run(arguments, "").status.code(), Some(code));
 }
+
+/// Lines of two hosts, as a collector might put them: one file has a prefix before each line.
+const ENTRY_LOG: &str = r#"
+1.0 edge-1 {"time":"2026-12-02T10:00:00.000Z","host":"edge-1","level":"INFO","part":"settings","message":"A plan is in force","version":7}
+1.2 edge-1 {"time":"2026-12-02T10:00:01.200Z","host":"edge-1","level":"INFO","part":"members","message":"Chooses engines by itself","cause":"host `10.0.0.2` did not answer in time"}
+1.5 edge-1 {"time":"2026-12-02T10:00:01.900Z","host":"edge-1","level":"INFO","part":"forward","message":"An attempt ended without an answer","request":"a1","upstream":"i-7","outcome":"unreached","cause":"no connection","waited_ms":400}
+1.6 edge-1 {"time":"2026-12-02T10:00:01.950Z","host":"edge-1","level":"INFO","part":"forward","message":"Gave a request up","request":"a1","outcome":"not_run","tried":1,"sent":0,"waited_ms":450}
+1.7 edge-1 {"time":"2026-12-02T10:00:02.000Z","host":"edge-1","level":"INFO","part":"forward","message":"Answered","request":"a2","upstream":"i-8","waited_ms":10}
+a line of something else
+"#;
+
+const KEEPER_LOG: &str = r#"
+{"time":"2026-12-02T10:00:00.500Z","level":"INFO","part":"keeper","message":"An upstream's standing changed","upstream":"i-7","standing":"Ready","sequence":4}
+{"time":"2026-12-02T10:00:03.000Z","level":"INFO","part":"keeper","message":"An upstream's standing changed","upstream":"i-7","standing":"Gone","sequence":5}
+{"time":"2026-12-02T09:59:59.900Z","level":"INFO","part":"keeper","message":"An operator sent a plan","version":7,"outcome":"published"}
+"#;
+
+#[rstest]
+#[case::request("explain", &["explain", "a1"])]
+#[case::upstream("upstream", &["timeline", "--upstream", "i-7"])]
+#[case::plan("plan", &["timeline", "--plan", "7"])]
+#[case::unknown("unknown", &["explain", "a9"])]
+fn logs_tell_stories(#[case] name: &str, #[case] arguments: &[&str]) {
+    let dir = tempfile::tempdir().unwrap();
+    let paths = [("edge-1.log", ENTRY_LOG), ("core-1.log", KEEPER_LOG)].map(|(name, text)| {
+        let path = dir.path().join(name);
+        std::fs::write(&path, text).unwrap();
+        path.to_str().unwrap().to_owned()
+    });
+    let files = paths.iter().map(String::as_str);
+    let output = run(&arguments.iter().copied().chain(files).collect::<Vec<_>>(), "");
+    let text = String::from_utf8(output.stdout).unwrap();
+    insta::assert_snapshot!(name, format!("exit code {:?}\n{text}", output.status.code()));
+}
--- a/clayplank-forward/src/admit.rs
+++ b/clayplank-forward/src/admit.rs
@@ -36,7 +36,12 @@
         let call = match self.admit(arrived, head, facts, body).await {
             Ok(call) => call,
             Err(refusal) => {
-                log::info!(target: "forward", request = attempt_id, outcome = refusal.as_str();
+                log::info!(target: "forward",
+                    request = attempt_id, outcome = refusal.as_str(),
+                    retry_after_ms = refusal.retry_after_ms().unwrap_or_default(),
+                    plan = self.gate.plan_version(), confirmed = self.gate.is_confirmed(),
+                    closed = self.gate.is_closed(),
+                    waited_ms = arrived.elapsed().as_millis() as u64;
                     "Refused at the door");
                 self.figures.count("none", refusal.as_str());
                 return refusal.to_response();
--- a/clayplank-forward/src/call.rs
+++ b/clayplank-forward/src/call.rs
@@ -73,7 +73,10 @@
         };
         log::info!(target: "forward",
             request = self.facts.attempt_id, route = self.route.name, outcome = told.as_str(),
-            tried = self.tried.len(), sent = self.sent_count, waited_ms = self.waited_ms();
+            tried = self.tried.len(), sent = self.sent_count, waited_ms = self.waited_ms(),
+            retry_after_ms = told.retry_after_ms().unwrap_or_default(),
+            prompt_tokens = self.facts.prompt_tokens, plan = self.entry.gate.plan_version(),
+            left_ms = self.left().as_millis() as u64;
             "Gave a request up");
         self.entry.figures.count(&self.route.name, told.as_str());
         told.to_response()
--- a/clayplank-forward/src/gate.rs
+++ b/clayplank-forward/src/gate.rs
@@ -57,6 +57,11 @@
         self.plan.load_full()
     }
 
+    /// The version of the plan in force; 0 for none.
+    pub(crate) fn plan_version(&self) -> u64 {
+        self.plan.load().as_ref().map_or(0, |plan| plan.plan().version)
+    }
+
     /// Whether the plan was confirmed within the lease.
     pub fn is_confirmed(&self) -> bool {
         now_ms() < self.confirmed_until_ms.load(Ordering::SeqCst)
--- a/clayplank-forward/src/refusal.rs
+++ b/clayplank-forward/src/refusal.rs
@@ -66,7 +66,8 @@
         }
     }
 
-    fn retry_after_ms(self) -> Option<u64> {
+    /// When to come back, if the request has not run.
+    pub(crate) fn retry_after_ms(self) -> Option<u64> {
         match self {
             Self::NoPlan { retry_after_ms } | Self::NotRun { retry_after_ms } => {
                 Some(retry_after_ms)
--- a/clayplankd/src/fleet_link.rs
+++ b/clayplankd/src/fleet_link.rs
@@ -193,10 +193,21 @@
 /// Follows the leading keeper until the task is dropped.
 pub(crate) async fn run_following(following: Following) {
     let mut position = Position::default();
+    let mut lost_at_ms = None;
     loop {
         match following.ask(&position).await {
-            Some((followed, asked_ms)) => following.apply(&mut position, &followed, asked_ms),
-            None => tokio::time::sleep(FOLLOW_PAUSE).await,
+            Some((followed, asked_ms)) => {
+                following.apply(&mut position, &followed, asked_ms);
+                if let Some(lost_at_ms) = lost_at_ms.take() {
+                    log::info!(target: part::SETTINGS,
+                        version = position.plan.version, lost_ms = now_ms() - lost_at_ms;
+                        "The plan is confirmed again");
+                }
+            }
+            None => {
+                lost_at_ms.get_or_insert_with(now_ms);
+                tokio::time::sleep(FOLLOW_PAUSE).await;
+            }
         }
     }
 }
@@ -235,7 +246,7 @@
         match answer.await {
             Ok(answer) => Some(answer),
             Err(error) => {
-                log::warn!(target: part::SETTINGS, "The plan is not confirmed: {error}.");
+                log::warn!(target: part::SETTINGS, cause:% = error; "The plan is not confirmed");
                 None
             }
         }
--- a/clayplankd/src/logging.rs
+++ b/clayplankd/src/logging.rs
@@ -44,6 +44,7 @@
 /// # Errors
 /// Logging was started before.
 pub fn start_logging<W>(
+    host: &str,
     settings: &LogSettings,
     format: LogFormat,
     output: W,
@@ -53,11 +54,12 @@
 {
     let (writer, guard) =
         NonBlockingBuilder::default().buffered_lines_limit(settings.buffered_lines).finish(output);
+    let host = host.to_owned();
     let logging = Logging { dropped: writer.error_counter(), _writer: guard };
     fern::Dispatch::new()
         .format(move |out, message, record| match format {
             LogFormat::Plain => out.finish(format_args!("{}", plain_line(message, record))),
-            LogFormat::Json => out.finish(format_args!("{}", json_line(message, record))),
+            LogFormat::Json => out.finish(format_args!("{}", json_line(&host, message, record))),
         })
         .level(log::LevelFilter::Debug)
         .filter(is_own)
@@ -117,7 +119,7 @@
     }
 }
 
-fn json_line(message: &std::fmt::Arguments<'_>, record: &log::Record<'_>) -> String {
+fn json_line(host: &str, message: &std::fmt::Arguments<'_>, record: &log::Record<'_>) -> String {
     let mut fields = Fields::default();
     if record.key_values().visit(&mut fields).is_err() {
         fields.0.insert("lost_fields".to_owned(), serde_json::Value::from(true));
@@ -125,6 +127,7 @@
     let time = humantime::format_rfc3339_millis(std::time::SystemTime::now()).to_string();
     let level = record.level().as_str();
     fields.0.insert("time".to_owned(), time.into());
+    fields.0.insert("host".to_owned(), host.into());
     fields.0.insert("level".to_owned(), level.into());
     fields.0.insert("part".to_owned(), record.target().into());
     fields.0.insert("message".to_owned(), message.to_string().into());
--- a/clayplankd/src/main.rs
+++ b/clayplankd/src/main.rs
@@ -52,8 +52,9 @@
     let settings: HostSettings = clayplank_settings::parse(&text)
         .map_err(StartError::Settings)
         .attach_with(|| options.settings.display().to_string())?;
-    let _logging = start_logging(&settings.log, LogFormat::Plain, std::io::stderr())
-        .map_err(StartError::Logging)?;
+    let _logging =
+        start_logging(settings.host.as_str(), &settings.log, LogFormat::Plain, std::io::stderr())
+            .map_err(StartError::Logging)?;
     let mut stop = signal(SignalKind::terminate()).map_err(StartError::Signal)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(StartError::Signal)?;
     let mut daemon = Daemon::start(settings).await?;
--- a/clayplankd/src/run_seeded.rs
+++ b/clayplankd/src/run_seeded.rs
@@ -21,7 +21,7 @@
 /// The settings are wrong, the host could not start, or its disk failed.
 pub async fn run_seeded(path: &Path, contract: SharedContract) -> Result<(), Report<StartError>> {
     let (settings, mut text) = read_settings(path)?;
-    let logging = start_logging(&settings.log, LogFormat::Json, std::io::stdout())
+    let logging = start_logging(&settings.name, &settings.log, LogFormat::Json, std::io::stdout())
         .map_err(StartError::Logging)?;
     let mut stop = catch(SignalKind::terminate())?;
     let mut interrupt = catch(SignalKind::interrupt())?;
