Add a fault soak of seeded hosts over real processes

Five keepers and three entry hosts, with a proxy before each process: kills, planned stops, pauses, reloads, lost and full disks, delays, resets, silence and cuts one way come in seeded series that overlap, while callers with kept connections and two operators go on. Checked: own whole answers, at most once, true 'not run', nothing denied, planned work cuts off nothing, acknowledged plans are never shown older, service after all faults. Seeds 1 and 2 run with the tests.

--- /dev/null
+++ b/clayplankd/tests/seeded/main.rs
@@ -0,0 +1,9 @@
+//! Seeded hosts as processes: their promises one by one, and a randomised run of them all.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+#![allow(clippy::print_stdout, reason = "the soak tells its seeds, and what each came to")]
+
+mod promises;
+mod proxy;
+mod soak;
+mod system;
--- a/clayplankd/tests/seeded.rs
+++ b/clayplankd/tests/seeded/promises.rs
@@ -1,16 +1,13 @@
 //! The promises of seeded hosts, over real processes.
 
-#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
-
-mod seeded_system;
-
 use std::io::BufRead;
 use std::net::SocketAddr;
 
 use clayplank_placement::EngineModel;
-use seeded_system::{KEY, System, call, plan, publish, wait_for};
 use serde_json::{Value, json};
 
+use crate::system::{Answer, KEY, System, call, plan, publish, wait_for};
+
 #[test]
 fn answers_pass_unchanged_and_faults_are_told_truly() {
     let system = System::start();
@@ -219,7 +216,7 @@
         system.send(0, "short", "/prompt/x", &short).status == 200
     });
     let long = [("x-clayplank-tokens", "90000,138")];
-    let mut answer = seeded_system::Answer::default();
+    let mut answer = Answer::default();
     let mut number = 0;
     // Engines that have not registered yet are missing: nothing runs until all three have.
     wait_for("an answer to the long prompt", || {
--- /dev/null
+++ b/clayplankd/tests/seeded/soak/callers.rs
@@ -0,0 +1,95 @@
+//! Callers that never rest: each keeps its connection until its host ends it.
+
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use super::record::{Kind, Record, Seen};
+use crate::system::{Answer, KEY, read_answer};
+
+/// The longest that a caller waits for an answer: beyond the time limit of all routes.
+const PATIENCE: Duration = Duration::from_secs(12);
+
+/// Faults that a request may ask of its upstream.
+const WISHES: [&str; 6] = ["refuse", "lose", "break", "foreign", "unsealed", "slow"];
+
+/// One in so many requests asks for a fault.
+const WISH_EVERY: u32 = 5;
+
+/// A connection that is kept for many requests.
+struct Kept {
+    address: SocketAddr,
+    stream: Option<BufReader<TcpStream>>,
+}
+
+impl Kept {
+    fn send(&mut self, head: &str, body: &str) -> std::io::Result<Answer> {
+        if self.stream.is_none() {
+            let stream = TcpStream::connect_timeout(&self.address, Duration::from_secs(1))?;
+            stream.set_read_timeout(Some(PATIENCE))?;
+            self.stream = Some(BufReader::new(stream));
+        }
+        let answer = self.exchange(head, body);
+        let ends = answer.as_ref().map_or(true, |answer| {
+            !answer.is_whole || answer.header("connection").is_some_and(|value| value == "close")
+        });
+        if ends {
+            self.stream = None;
+        }
+        answer
+    }
+
+    fn exchange(&mut self, head: &str, body: &str) -> std::io::Result<Answer> {
+        let Some(stream) = &mut self.stream else {
+            return Err(std::io::Error::other("no connection"));
+        };
+        stream.get_mut().write_all(format!("{head}\r\n{body}").as_bytes())?;
+        read_answer(stream)
+    }
+}
+
+/// Sends requests to one entry host until `is_over`.
+pub fn run_caller(
+    seed: u64,
+    (entry, address): (usize, SocketAddr),
+    record: &Record,
+    is_over: &AtomicBool,
+) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut kept = Kept { address, stream: None };
+    for number in 0_u64.. {
+        if is_over.load(Ordering::SeqCst) {
+            return;
+        }
+        let attempt = format!("{seed}-{number}");
+        let (kind, path) = match rng.random_range(0..3) {
+            0 => (Kind::Repeatable, "/repeatable/x".to_owned()),
+            1 => (Kind::Once, "/once/x".to_owned()),
+            _ => {
+                let events = rng.random_range(1..20);
+                (Kind::Stream { events }, format!("/stream/events/{events}"))
+            }
+        };
+        let wishes = rng.random_range(0..WISH_EVERY) == 0;
+        let wish = wishes.then(|| WISHES[rng.random_range(0..WISHES.len())]);
+        let sent_at = Instant::now();
+        let answer = kept.send(&head(&attempt, &path, wish), &attempt).ok();
+        let ended_at = Instant::now();
+        record.push(Seen { attempt, kind, entry, sent_at, ended_at, wish, answer });
+        std::thread::sleep(Duration::from_millis(rng.random_range(5..40)));
+    }
+}
+
+fn head(attempt: &str, path: &str, wish: Option<&str>) -> String {
+    let wish = wish.map_or_else(String::new, |wish| format!("x-standin-fault: {wish}\r\n"));
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: dala.example\r\nauthorization: Bearer {KEY}\r\n\
+         x-clayplank-attempt-id: {attempt}\r\nx-clayplank-deadline-ms: 9000\r\n{wish}\
+         content-length: {}\r\n",
+        attempt.len()
+    )
+}
--- /dev/null
+++ b/clayplankd/tests/seeded/soak/mod.rs
@@ -0,0 +1,40 @@
+//! The fault soak: real processes, random faults from outside, callers that never rest,
+//! and the promises checked from what callers and upstreams saw.
+//!
+//! CLAYPLANK_SOAK_SEEDS names the seeds, such as `7` or `100..150`. The same seed gives
+//! the same schedule; how the processes interleave is the machine's.
+
+mod callers;
+mod record;
+mod run;
+mod schedule;
+
+use run::run_seed;
+
+/// Seeds of a usual test run, and every seed that once failed, with its cause.
+const SEEDS: [u64; 2] = [1, 2];
+
+fn chosen_seeds() -> Vec<u64> {
+    let Ok(text) = std::env::var("CLAYPLANK_SOAK_SEEDS") else {
+        return SEEDS.to_vec();
+    };
+    match text.split_once("..") {
+        Some((first, end)) => (first.parse().unwrap()..end.parse().unwrap()).collect(),
+        None => vec![text.parse().unwrap()],
+    }
+}
+
+#[test]
+fn promises_hold_under_random_faults() {
+    let mut failed = Vec::new();
+    for seed in chosen_seeds() {
+        match run_seed(seed) {
+            Ok(summary) => println!("soak seed {seed}: {summary}"),
+            Err(broken) => {
+                println!("soak seed {seed}: BROKEN\n{broken}");
+                failed.push(seed);
+            }
+        }
+    }
+    assert!(failed.is_empty(), "seeds {failed:?}; replay one with CLAYPLANK_SOAK_SEEDS");
+}
--- a/clayplankd/tests/seeded_system/mod.rs
+++ b/clayplankd/tests/seeded/system.rs
@@ -1,6 +1,7 @@
 //! A small system of seeded hosts as processes, each on a loopback address of its
 //! own, with upstreams in the test's process.
 
+use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
@@ -15,8 +16,8 @@
 use serde_json::{Value, json};
 use tokio::runtime::Runtime;
 
-pub const KEEPERS: usize = 3;
-pub const ENTRIES: usize = 2;
+use crate::proxy::Proxy;
+
 pub const KEY: &str = "timekeeper-key";
 
 /// Ports are alike on all hosts, below those that the system gives to outgoing connections.
@@ -77,13 +78,16 @@
     }
     head.push_str(&format!("content-length: {}\r\n\r\n{body}", body.len()));
     stream.write_all(head.as_bytes())?;
-    read_answer(BufReader::new(stream))
+    read_answer(&mut BufReader::new(stream))
 }
 
-fn read_answer(mut reader: BufReader<TcpStream>) -> std::io::Result<Answer> {
+pub fn read_answer(reader: &mut BufReader<TcpStream>) -> std::io::Result<Answer> {
     let mut line = String::new();
     reader.read_line(&mut line)?;
     let status = line.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
+    if status == 0 {
+        return Err(std::io::Error::other("no answer"));
+    }
     let mut answer = Answer { status, ..Answer::default() };
     loop {
         let mut line = String::new();
@@ -99,7 +103,7 @@
         answer.is_whole = reader.read_exact(&mut answer.body).is_ok();
         return Ok(answer);
     }
-    answer.is_whole = read_chunks(&mut reader, &mut answer.body).is_ok();
+    answer.is_whole = read_chunks(reader, &mut answer.body).is_ok();
     Ok(answer)
 }
 
@@ -126,7 +130,10 @@
 }
 
 pub struct Host {
+    /// Where others reach it.
     ip: Ipv4Addr,
+    /// Where it listens for other hosts and operators: behind a proxy, perhaps.
+    bind_ip: Ipv4Addr,
     role: &'static str,
     settings: PathBuf,
     pub data: PathBuf,
@@ -155,7 +162,12 @@
     }
 
     pub fn start(&mut self) {
-        let log = std::fs::File::create(self.settings.with_extension("log")).unwrap();
+        // Lines of former lives are kept.
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(self.settings.with_extension("log"))
+            .unwrap();
         let child = self
             .command()
             .stdout(Stdio::from(log.try_clone().unwrap()))
@@ -179,6 +191,14 @@
         pipe
     }
 
+    pub fn process_id(&self) -> u32 {
+        self.child.as_ref().unwrap().id()
+    }
+
+    pub fn is_running(&self) -> bool {
+        self.child.is_some()
+    }
+
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             child.kill().unwrap();
@@ -191,8 +211,8 @@
     }
 
     /// Sends a signal, through the tool that every Debian machine has.
-    fn signal(&self, signal: &str) {
-        let id = self.child.as_ref().unwrap().id().to_string();
+    pub fn signal(&self, signal: &str) {
+        let id = self.process_id().to_string();
         assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
     }
 
@@ -231,7 +251,29 @@
     }
 }
 
+/// How many hosts there are, and what stands between them.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    pub keepers: usize,
+    pub entries: usize,
+    pub has_proxies: bool,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Self { keepers: 3, entries: 2, has_proxies: false }
+    }
+}
+
+/// Where a process listens that is reached at `ip` through a proxy.
+fn behind_proxy(ip: Ipv4Addr) -> Ipv4Addr {
+    let [first, second, third, last] = ip.octets();
+    Ipv4Addr::new(first, second, third, last + 128)
+}
+
 pub struct System {
+    shape: Shape,
+    proxies: BTreeMap<Ipv4Addr, Proxy>,
     _dir: tempfile::TempDir,
     pub keepers: Vec<Host>,
     pub entries: Vec<Host>,
@@ -244,19 +286,28 @@
 impl System {
     /// Starts all hosts, two upstreams, and the first plan.
     pub fn start() -> Self {
+        Self::start_as(Shape::default())
+    }
+
+    /// The same, in another size, or with proxies between the processes.
+    pub fn start_as(shape: Shape) -> Self {
         static NEXT: AtomicU8 = AtomicU8::new(1);
         let net = [(std::process::id() % 200) as u8 + 20, NEXT.fetch_add(1, Ordering::SeqCst)];
         let dir = tempfile::tempdir().unwrap();
         let host = |role, last: usize| {
             let ip = Ipv4Addr::new(127, net[0], net[1], last as u8);
+            let bind_ip = if shape.has_proxies { behind_proxy(ip) } else { ip };
             let settings = dir.path().join(format!("{last}.json"));
-            Host { ip, role, settings, data: dir.path().join(format!("data-{last}")), child: None }
+            let data = dir.path().join(format!("data-{last}"));
+            Host { ip, bind_ip, role, settings, data, child: None }
         };
-        let keepers: Vec<_> = (0..KEEPERS).map(|n| host("keeper", n + 1)).collect();
-        let entries: Vec<_> = (0..ENTRIES).map(|n| host("entry", n + 11)).collect();
+        let keepers: Vec<_> = (0..shape.keepers).map(|n| host("keeper", n + 1)).collect();
+        let entries: Vec<_> = (0..shape.entries).map(|n| host("entry", n + 11)).collect();
         let mut system = Self {
+            shape,
             keepers,
             entries,
+            proxies: BTreeMap::new(),
             runs: SharedRuns::default(),
             runtime: Runtime::new().unwrap(),
             net,
@@ -264,6 +315,7 @@
             _dir: dir,
         };
         system.write_settings(true);
+        system.start_proxies();
         system.keepers.iter_mut().for_each(Host::start);
         system.entries.iter_mut().for_each(Host::start);
         system.start_upstream("u1", 21);
@@ -277,9 +329,10 @@
 
     fn write_settings(&self, is_first_start: bool) {
         for host in self.keepers.iter().chain(&self.entries) {
-            let mut listen = json!({ "inner": host.at(INNER), "metrics": host.at(METRICS) });
+            let behind = |port| SocketAddr::new(IpAddr::V4(host.bind_ip), port);
+            let mut listen = json!({ "inner": behind(INNER), "metrics": host.at(METRICS) });
             if host.role == "keeper" {
-                listen["control"] = json!(host.at(CONTROL));
+                listen["control"] = json!(behind(CONTROL));
             } else {
                 listen["callers"] = json!(host.at(CALLERS));
                 listen["readiness"] = json!(host.at(READINESS));
@@ -293,15 +346,45 @@
                 "seeds": self.keepers.iter().map(Host::control).collect::<Vec<_>>(),
                 "is_first_start": is_first_start,
                 "data_dir": host.data,
-                "tolerated_losses": 1,
+                "tolerated_losses": (self.keepers.len() - 1) / 2,
                 "bounds": { "heartbeat_ms": 300, "revoke_ms": 4000, "grace_s": 6.0 },
             });
             std::fs::write(&host.settings, settings.to_string()).unwrap();
         }
     }
 
+    /// One proxy before each host and each upstream.
+    fn start_proxies(&mut self) {
+        if !self.shape.has_proxies {
+            return;
+        }
+        let hosts = self.keepers.iter().chain(&self.entries);
+        let of_hosts = hosts.map(|host| (host.ip, vec![INNER, CONTROL]));
+        let upstreams = [21, 22].map(|last| (self.upstream_ip(last), vec![UPSTREAM]));
+        for (ip, ports) in of_hosts.chain(upstreams).collect::<Vec<_>>() {
+            let proxy = Proxy::default();
+            for port in ports {
+                let near = SocketAddr::new(IpAddr::V4(ip), port);
+                let far = SocketAddr::new(IpAddr::V4(behind_proxy(ip)), port);
+                proxy.start(&self.runtime, near, far);
+            }
+            self.proxies.insert(ip, proxy);
+        }
+    }
+
+    /// The proxy before a host or an upstream, by the last byte of its address.
+    pub fn proxy(&self, last: u8) -> &Proxy {
+        &self.proxies[&self.upstream_ip(last)]
+    }
+
+    fn upstream_ip(&self, last: u8) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.net[0], self.net[1], last)
+    }
+
     fn start_upstream(&self, id: &str, last: u8) {
-        let address = self.upstream_address(last);
+        let ip = self.upstream_ip(last);
+        let bind_ip = if self.shape.has_proxies { behind_proxy(ip) } else { ip };
+        let address = SocketAddr::new(IpAddr::V4(bind_ip), UPSTREAM);
         let (id, runs) = (id.to_owned(), self.runs.clone());
         let listener = self.runtime.block_on(clayplank_standin::bind(address)).unwrap();
         self.runtime.spawn(serve_upstream(listener, id, runs));
@@ -325,32 +408,48 @@
     }
 
     fn upstream_address(&self, last: u8) -> SocketAddr {
-        let ip = Ipv4Addr::new(127, self.net[0], self.net[1], last);
-        SocketAddr::new(IpAddr::V4(ip), UPSTREAM)
+        SocketAddr::new(IpAddr::V4(self.upstream_ip(last)), UPSTREAM)
     }
 
     /// One heartbeat of an upstream, at one keeper.
     pub fn beat(&mut self, keeper: usize, id: &str, standing: &str) -> Answer {
         self.beats += 1;
         let last = if id == "u1" { 21 } else { 22 };
-        let body = json!({
+        let body = self.heartbeat(id, last, self.beats, standing);
+        let path = format!("/v1/upstreams/{id}");
+        call(self.keepers[keeper].control(), "PUT", &path, &[], &body.to_string())
+    }
+
+    /// Calls that carry heartbeats of both upstreams to every keeper.
+    pub fn heartbeat_calls(&self, sequence: u64) -> Vec<(SocketAddr, String, String)> {
+        let of_upstream = |id: &str, last: u8| {
+            let body = self.heartbeat(id, last, sequence, "ready").to_string();
+            let path = format!("/v1/upstreams/{id}");
+            self.keepers
+                .iter()
+                .map(move |keeper| (keeper.control(), path.clone(), body.clone()))
+                .collect::<Vec<_>>()
+        };
+        [of_upstream("u1", 21), of_upstream("u2", 22)].concat()
+    }
+
+    fn heartbeat(&self, id: &str, last: u8, sequence: u64, standing: &str) -> Value {
+        json!({
             "id": id,
-            "sequence": self.beats,
+            "sequence": sequence,
             "service": "app",
             "address": self.upstream_address(last),
             "data_centre": "hall",
             "slots": 4,
             "standing": standing,
-        });
-        let path = format!("/v1/upstreams/{id}");
-        call(self.keepers[keeper].control(), "PUT", &path, &[], &body.to_string())
+        })
     }
 
     /// Heartbeats of both upstreams until every entry host serves.
     pub fn beat_until_served(&mut self) {
         for number in 0.. {
             assert!(number < 400, "requests are not served");
-            for keeper in 0..KEEPERS {
+            for keeper in 0..self.keepers.len() {
                 self.beat(keeper, "u1", "ready");
                 self.beat(keeper, "u2", "ready");
             }
@@ -358,7 +457,7 @@
                 self.send(entry, &format!("warm-{number}-{entry}"), "/repeatable/x", &[]).status
                     == 200
             };
-            if (0..ENTRIES).all(is_served) {
+            if (0..self.entries.len()).all(is_served) {
                 return;
             }
             std::thread::sleep(Duration::from_millis(50));
