Ask engines whose first tokens are late for their pace

What was learned from a late first token was put on the first engine alone. The leading keeper now asks the engines of a late placement, each at most every 700 ms, and works their queues and passes out at the pace that they tell.

--- a/bench/src/placement.rs
+++ b/bench/src/placement.rs
@@ -30,6 +30,18 @@
 /// Tokens of an event.
 const EVENT_TOKENS: f64 = 46.0;
 
+/// Slow engines of a run with trouble: how many, how slow, and from when until when, in ms.
+const SLOW_ENGINES: usize = 3;
+const SLOW_PACE: f64 = 5.0;
+const SLOW_MS: std::ops::Range<f64> = 4_000.0..14_000.0;
+
+/// Between two looks at which engines are late, and until one has told its pace, in ms.
+const LOOK_MS: f64 = 100.0;
+const TELL_MS: f64 = 5.0;
+
+/// How old the pace is that an engine tells, in ms.
+const REPORT_LAG_MS: f64 = 200.0;
+
 /// How often a refused request comes back, after what it was told.
 const RETRIES: u32 = 1;
 
@@ -122,6 +134,27 @@
     Arrival(usize),
     PassEnd(usize),
     News(usize, Event),
+    /// Late engines are asked for their pace.
+    Look,
+    Told(usize),
+}
+
+/// What is wrong with the engines, and what is known of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Trouble {
+    None,
+    /// Some are slow; that is learned from their answers alone.
+    Slow,
+    /// Some are slow, and tell so when they are asked.
+    SlowAndAsked,
+}
+
+impl Trouble {
+    /// How many times longer an engine's work takes.
+    fn pace(self, engine: usize, now_ms: f64) -> f64 {
+        let is_slow = self != Self::None && engine < SLOW_ENGINES && SLOW_MS.contains(&now_ms);
+        if is_slow { SLOW_PACE } else { 1.0 }
+    }
 }
 
 /// Ordered by time, then by when it was planned.
@@ -153,6 +186,7 @@
     planned: BinaryHeap<Reverse<Planned>>,
     count: u64,
     refused: u64,
+    trouble: Trouble,
 }
 
 fn engine_name(engine: usize) -> UpstreamId {
@@ -160,7 +194,7 @@
 }
 
 impl World {
-    fn new(requests: Vec<Request>) -> Self {
+    fn new(requests: Vec<Request>, trouble: Trouble) -> Self {
         let model = EngineModel::default();
         let mut fleet = Fleet::default();
         for engine in 0..ENGINES {
@@ -172,11 +206,21 @@
             fleet.set_engine(engine_name(engine), spec, true);
         }
         let engines = vec![PassEngine::new(model); ENGINES];
-        let mut world =
-            Self { fleet, engines, requests, planned: BinaryHeap::new(), count: 0, refused: 0 };
+        let mut world = Self {
+            fleet,
+            engines,
+            requests,
+            planned: BinaryHeap::new(),
+            count: 0,
+            refused: 0,
+            trouble,
+        };
         for request in 0..world.requests.len() {
             world.plan(world.requests[request].arrives_ms, Happening::Arrival(request));
         }
+        if trouble == Trouble::SlowAndAsked {
+            world.plan(0.0, Happening::Look);
+        }
         world
     }
 
@@ -194,10 +238,25 @@
                     let id = PlacementId { host: 1, number: request as u64 };
                     self.fleet.note(next.at_ms, id, event);
                 }
+                Happening::Look => self.look(next.at_ms),
+                Happening::Told(engine) => {
+                    let pace = self.trouble.pace(engine, next.at_ms - REPORT_LAG_MS);
+                    self.fleet.note_pace(next.at_ms, &engine_name(engine), pace);
+                }
             }
         }
     }
 
+    fn look(&mut self, now_ms: f64) {
+        let suspects = self.fleet.take_suspects(now_ms);
+        for engine in (0..ENGINES).filter(|&engine| suspects.contains(&engine_name(engine))) {
+            self.plan(now_ms + TELL_MS, Happening::Told(engine));
+        }
+        if now_ms < RUN_MS {
+            self.plan(now_ms + LOOK_MS, Happening::Look);
+        }
+    }
+
     fn place(&mut self, now_ms: f64, number: usize) {
         let request = &self.requests[number];
         let kind = &KINDS[request.kind];
@@ -249,6 +308,7 @@
             return;
         }
         if let Some(span_ms) = self.engines[engine].start_pass() {
+            let span_ms = span_ms * self.trouble.pace(engine, now_ms);
             self.plan(now_ms + span_ms, Happening::PassEnd(engine));
         }
     }
@@ -371,6 +431,9 @@
     (earned * factor, kind.worth * factor)
 }
 
+/// Prompts above this many tokens are told apart: the engines' memory holds no longer ones.
+const LONGEST_TOKENS: f64 = 430_000.0;
+
 /// Why a request earned less than its worth.
 const CAUSES: [&str; 4] = ["in time", "first event late", "pause too long", "not served"];
 
@@ -390,50 +453,75 @@
 pub(crate) fn run(first_seed: u64, seeds: u64) {
     println!("load  seeds  whole  short  medium  long  worst 2 s  refused");
     for load in [1.0, 1.2, 1.4] {
-        let mut whole = Account::default();
-        let mut kinds = [Account::default(); KINDS.len()];
-        let mut worst = 0.0;
-        let mut refused = 0;
-        let mut longest = Account::default();
-        let mut causes = [[0_u64; CAUSES.len()]; KINDS.len()];
-        for seed in first_seed..first_seed + seeds {
-            let mut world = World::new(draw_requests(seed, load));
+        Tally::of(first_seed..first_seed + seeds, load, Trouble::None).print(load, seeds);
+    }
+    println!("three slow engines, learned from answers alone, then asked as well:");
+    for trouble in [Trouble::Slow, Trouble::SlowAndAsked] {
+        Tally::of(first_seed..first_seed + seeds, 1.0, trouble).print(1.0, seeds);
+    }
+    let names: Vec<_> = KINDS.iter().map(|kind| kind.name).collect();
+    println!("kinds in order: {}", names.join(", "));
+}
+
+/// What the runs of several seeds came to.
+#[derive(Default)]
+struct Tally {
+    whole: Account,
+    kinds: [Account; KINDS.len()],
+    /// Mean of the two worst windows, summed over the seeds.
+    worst: f64,
+    refused: u64,
+    longest: Account,
+    causes: [[u64; CAUSES.len()]; KINDS.len()],
+}
+
+impl Tally {
+    fn of(seeds: std::ops::Range<u64>, load: f64, trouble: Trouble) -> Self {
+        let mut tally = Self::default();
+        for seed in seeds {
+            let mut world = World::new(draw_requests(seed, load), trouble);
             world.run();
-            let mut windows = [Account::default(); WINDOWS];
-            for request in &world.requests {
-                causes[request.kind][late_cause(request)] += 1;
+            tally.add(&world);
+        }
+        tally
+    }
+
+    fn add(&mut self, world: &World) {
+        let mut windows = [Account::default(); WINDOWS];
+        for request in &world.requests {
+            self.causes[request.kind][late_cause(request)] += 1;
+            let (earned, owed) = settle(request);
+            if request.tokens > LONGEST_TOKENS {
+                self.longest.owed += 1.0;
+                self.longest.earned += f64::from(u8::from(earned > 0.0));
             }
-            for request in &world.requests {
-                let (earned, owed) = settle(request);
-                if request.tokens > 430_000.0 {
-                    longest.owed += 1.0;
-                    longest.earned += f64::from(u8::from(earned > 0.0));
-                }
-                let window = ((request.arrives_ms / WINDOW_MS) as usize).min(WINDOWS - 1);
-                for account in [&mut whole, &mut kinds[request.kind], &mut windows[window]] {
-                    account.earned += earned;
-                    account.owed += owed;
-                }
+            let window = ((request.arrives_ms / WINDOW_MS) as usize).min(WINDOWS - 1);
+            for account in [&mut self.whole, &mut self.kinds[request.kind], &mut windows[window]] {
+                account.earned += earned;
+                account.owed += owed;
             }
-            let mut shares: Vec<_> = windows.iter().map(|window| window.share()).collect();
-            shares.sort_by(f64::total_cmp);
-            worst += (shares[0] + shares[1]) / 2.0 / seeds as f64;
-            refused += world.refused;
         }
-        let kinds: Vec<_> = kinds.iter().map(|kind| format!("{:.3}", kind.share())).collect();
+        let mut shares: Vec<_> = windows.iter().map(|window| window.share()).collect();
+        shares.sort_by(f64::total_cmp);
+        self.worst += (shares[0] + shares[1]) / 2.0;
+        self.refused += world.refused;
+    }
+
+    fn print(&self, load: f64, seeds: u64) {
+        let kinds: Vec<_> = self.kinds.iter().map(|kind| format!("{:.3}", kind.share())).collect();
         println!(
-            "{load:.1}   {seeds:5}  {:.3}  {}  {worst:.3}  {refused}",
-            whole.share(),
-            kinds.join("  ")
+            "{load:.1}   {seeds:5}  {:.3}  {}  {:.3}  {}",
+            self.whole.share(),
+            kinds.join("  "),
+            self.worst / seeds as f64,
+            self.refused
         );
         println!(
-            "      share of the longest prompts, above 430,000 tokens, that are served: {:.2}",
-            longest.share()
+            "      share of the longest prompts, above {LONGEST_TOKENS} tokens, that are served: {:.2}",
+            self.longest.share()
         );
-        for (kind, counts) in KINDS.iter().zip(causes) {
+        for (kind, counts) in KINDS.iter().zip(self.causes) {
             println!("      {}: {CAUSES:?} {counts:?}", kind.name);
         }
     }
-    let names: Vec<_> = KINDS.iter().map(|kind| kind.name).collect();
-    println!("kinds in order: {}", names.join(", "));
 }
--- a/clayplank-forward/src/exchange.rs
+++ b/clayplank-forward/src/exchange.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
-use http_body_util::Full;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -23,7 +23,7 @@
 
 /// Why there is no answer.
 #[derive(Debug, thiserror::Error)]
-pub(crate) enum ExchangeError {
+pub enum ExchangeError {
     /// Nothing was sent.
     #[error("no connection: {0}")]
     Connect(#[source] std::io::Error),
@@ -32,6 +32,20 @@
     Failed(#[source] hyper::Error),
 }
 
+/// Why a small call has no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum CallError {
+    /// The connection could not be had, or failed.
+    #[error(transparent)]
+    Exchange(#[from] ExchangeError),
+    /// The answer broke off.
+    #[error("the answer broke off: {0}")]
+    BrokenOff(#[source] hyper::Error),
+    /// Nothing came in time.
+    #[error("no answer in time")]
+    TimedOut,
+}
+
 /// Ends the task of a connection together with whoever waits for its answer.
 #[derive(Debug)]
 pub(crate) struct Connection(JoinHandle<()>);
@@ -86,3 +100,21 @@
     let response = sender.send_request(request).await.map_err(ExchangeError::Failed)?;
     Ok((response, guard))
 }
+
+/// Makes a small call, such as an order to an engine; gives its status and its whole answer.
+///
+/// # Errors
+/// There was no whole answer in time.
+pub async fn call_whole(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    patience: Duration,
+) -> Result<(StatusCode, Bytes), CallError> {
+    let call = async {
+        let (response, _connection) = exchange(address, request).await?;
+        let status = response.status();
+        let body = response.into_body().collect().await.map_err(CallError::BrokenOff)?;
+        Ok((status, body.to_bytes()))
+    };
+    tokio::time::timeout(patience, call).await.map_err(|_| CallError::TimedOut)?
+}
--- a/clayplank-forward/src/lib.rs
+++ b/clayplank-forward/src/lib.rs
@@ -47,7 +47,7 @@
 pub use door::{serve_callers, serve_simple};
 pub use entry::{Entry, EntryBuilder};
 pub use events::{EventSplitter, StreamEvent};
-pub use exchange::connect;
+pub use exchange::{CallError, ExchangeError, call_whole, connect};
 pub use facts::RequestFacts;
 pub use figures::Figures;
 pub use gate::Gate;
--- a/clayplank-forward/src/reserve.rs
+++ b/clayplank-forward/src/reserve.rs
@@ -9,7 +9,7 @@
 use http_body_util::Full;
 use tokio::task::JoinHandle;
 
-use crate::exchange::exchange;
+use crate::exchange::call_whole;
 
 /// How long a reservation holds without being renewed, in ms: memory of a host that
 /// died is free again before anybody counts it as lost.
@@ -88,15 +88,11 @@
 
 /// Gives an order; whether the engine took it.
 async fn give_order(ticket: &Ticket, order: Request<Full<Bytes>>) -> bool {
-    match tokio::time::timeout(ORDER_PATIENCE, exchange(ticket.address, order)).await {
-        Ok(Ok((response, _connection))) => response.status() == StatusCode::OK,
-        Ok(Err(error)) => {
+    match call_whole(ticket.address, order, ORDER_PATIENCE).await {
+        Ok((status, _)) => status == StatusCode::OK,
+        Err(error) => {
             log::info!(target: "forward", ticket = ticket.name, cause:% = error; "An order failed");
             false
         }
-        Err(_) => {
-            log::info!(target: "forward", ticket = ticket.name; "An order was not answered");
-            false
-        }
     }
 }
--- a/clayplank-placement/src/fleet.rs
+++ b/clayplank-placement/src/fleet.rs
@@ -1,7 +1,7 @@
 //! All engines, and the placements that load them.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use clayplank_types::UpstreamId;
 use rand::rngs::SmallRng;
@@ -25,6 +25,11 @@
 /// Time, in ms, in which split prompts lose half of their weight in the load.
 const SPLIT_LOAD_HALF_LIFE_MS: f64 = 2_000.0;
 
+/// A first token that is this many times later than expected, and by a margin in ms, makes the
+/// engines that read for it suspect of being slow.
+const SUSPECT_RATIO: f64 = 1.5;
+const SUSPECT_MARGIN_MS: f64 = 100.0;
+
 /// What a host tells of a placement.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Event {
@@ -60,6 +65,13 @@
     lost_at_ms: f64,
 }
 
+impl Placement {
+    fn is_late(&self, now_ms: f64) -> bool {
+        let waited_ms = now_ms - self.placed_at_ms;
+        !self.is_started && waited_ms > SUSPECT_RATIO * self.expected_ms + SUSPECT_MARGIN_MS
+    }
+}
+
 /// Engines and placements.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
@@ -266,6 +278,32 @@
         }
     }
 
+    /// Engines that should be asked for their pace now: those whose first tokens are late, and
+    /// those that were slow. They count as asked.
+    pub fn take_suspects(&mut self, now_ms: f64) -> Vec<UpstreamId> {
+        let late = self.placements.values().filter(|one| one.is_late(now_ms));
+        let mut suspects: BTreeSet<UpstreamId> = late
+            .flat_map(|one| std::iter::once(&one.engine).chain(&one.helpers))
+            .cloned()
+            .collect();
+        let slow = self.engines.iter().filter(|(_, engine)| engine.is_slow());
+        suspects.extend(slow.map(|(id, _)| id.clone()));
+        suspects
+            .into_iter()
+            .filter(|id| {
+                self.engines.get_mut(id).is_some_and(|engine| engine.take_question(now_ms))
+            })
+            .collect()
+    }
+
+    /// Takes in the pace that an engine told: how many times longer its work takes than the
+    /// model says.
+    pub fn note_pace(&mut self, now_ms: f64, id: &UpstreamId, pace: f64) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.note_pace(now_ms, pace);
+        }
+    }
+
     /// Drops placements whose hosts said nothing for too long.
     pub fn drop_lost(&mut self, now_ms: f64) {
         let lost = self.placements.iter().filter(|(_, placement)| placement.lost_at_ms < now_ms);
--- a/clayplank-placement/tests/decisions.rs
+++ b/clayplank-placement/tests/decisions.rs
@@ -217,3 +217,37 @@
         .collect();
     assert!(chosen.len() >= 3, "{chosen:?}");
 }
+
+#[test]
+fn engines_of_a_late_first_token_are_asked_for_their_pace() {
+    let mut fleet = fleet_of(18, &EngineModel::default());
+    let assignment = assigned(fleet.place(0.0, &long(1)));
+    let mut used: Vec<_> = assignment.helpers.iter().map(|part| part.engine.clone()).collect();
+    used.push(assignment.engine);
+    used.sort();
+    assert!(fleet.take_suspects(assignment.first_token_ms).is_empty(), "it is not late yet");
+    let late_ms = 2.0 * assignment.first_token_ms + 200.0;
+    assert_eq!(fleet.take_suspects(late_ms), used);
+    assert!(fleet.take_suspects(late_ms + 100.0).is_empty(), "each question has its price");
+    fleet.note_pace(late_ms, &used[0], 5.0);
+    fleet.note(late_ms, long(1).id, Event::Started { took_ms: late_ms });
+    assert_eq!(fleet.take_suspects(late_ms + 1_000.0), used[..1], "slow ones are asked again");
+    fleet.note_pace(late_ms + 1_000.0, &used[0], 1.0);
+    assert!(fleet.take_suspects(late_ms + 2_000.0).is_empty());
+}
+
+#[test]
+fn an_engine_that_told_that_it_is_slow_reads_no_part() {
+    let mut fleet = fleet_of(18, &EngineModel::default());
+    for number in 0..3 {
+        fleet.note_pace(0.0, &engine(number), 5.0);
+    }
+    for number in 0..3 {
+        let assignment = assigned(fleet.place(0.0, &long(number)));
+        let reads = |slow: usize| {
+            let mut all = assignment.helpers.iter().map(|part| &part.engine);
+            assignment.engine == engine(slow) || all.any(|id| *id == engine(slow))
+        };
+        assert!(!(0..3).any(reads), "{assignment:?}");
+    }
+}
--- a/clayplank-standin/src/pass_server.rs
+++ b/clayplank-standin/src/pass_server.rs
@@ -95,6 +95,7 @@
         StatusCode::OK,
         &json!({
             "running": running,
+            "pace": 1.0,
             "memory_tokens": run.model.memory_tokens,
             "used_tokens": used_tokens,
             "reserved_tokens": reserved_tokens,
--- a/clayplankd/src/contract.rs
+++ b/clayplankd/src/contract.rs
@@ -2,12 +2,14 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use clayplank_forward::{HeaderNames, OrderFormat};
 use clayplank_registry::Heartbeat;
 use clayplank_routes::ServingPlan;
 use clayplank_settings::Faults;
 use clayplank_types::UpstreamId;
-use http::Method;
+use http::{Method, Request};
+use http_body_util::Full;
 
 /// A call to a keeper.
 #[derive(Clone, Debug, PartialEq)]
@@ -22,6 +24,13 @@
     Leave(UpstreamId),
 }
 
+/// What an engine tells of itself when it is asked.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineReport {
+    /// How many times longer its work takes than its cost model says.
+    pub pace: f64,
+}
+
 /// Why a call is not taken.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ControlFault {
@@ -53,6 +62,15 @@
     /// All faults of the text.
     fn parse_plan(&self, text: &str) -> Result<ServingPlan, Faults>;
 
+    /// The question to an engine for what it tells of itself.
+    fn report_request(&self) -> Request<Full<Bytes>>;
+
+    /// Reads an engine's answer to it.
+    ///
+    /// # Errors
+    /// It is not what engines answer.
+    fn scan_report(&self, body: &[u8]) -> Result<EngineReport, serde_json::Error>;
+
     /// Whether a call asks if the host takes new connections.
     fn is_readiness_call(&self, method: &Method, path: &str) -> bool;
 }
--- a/clayplankd/src/fleet_keeper.rs
+++ b/clayplankd/src/fleet_keeper.rs
@@ -1,6 +1,7 @@
 //! A keeper's soft state: registered upstreams, and the load of the engines.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 
@@ -149,6 +150,23 @@
         }
     }
 
+    /// Engines that should be asked for their pace, and where they are.
+    pub(crate) fn take_suspects(&self) -> Vec<(UpstreamId, SocketAddr)> {
+        let suspects = lock(&self.fleet).take_suspects(fleet_now_ms());
+        let registry = lock(&self.registry);
+        let address = |id: &UpstreamId| Some(registry.record(id)?.heartbeat.address);
+        suspects.into_iter().filter_map(|id| Some((id.clone(), address(&id)?))).collect()
+    }
+
+    /// Takes in the pace that an engine told.
+    pub(crate) fn note_pace(&self, id: &UpstreamId, pace: f64) {
+        lock(&self.fleet).note_pace(fleet_now_ms(), id, pace);
+    }
+
+    pub(crate) fn contract(&self) -> &SharedContract {
+        &self.contract
+    }
+
     /// Answers an entry host when there is news, and confirms after a while that there is none.
     pub(crate) async fn follow(
         &self,
--- a/clayplankd/src/lib.rs
+++ b/clayplankd/src/lib.rs
@@ -23,6 +23,7 @@
 mod cut_off;
 mod daemon;
 mod dispatch;
+mod engine_watch;
 mod fleet_keeper;
 mod fleet_link;
 mod host;
@@ -54,7 +55,7 @@
 mod spread;
 mod upstreams;
 
-pub use contract::{Contract, ControlCall, ControlFault};
+pub use contract::{Contract, ControlCall, ControlFault, EngineReport};
 pub use daemon::{Daemon, StartError};
 pub use logging::{LogFormat, Logging, start_logging};
 pub use native::NativeContract;
--- a/clayplankd/src/logging.rs
+++ b/clayplankd/src/logging.rs
@@ -110,9 +110,11 @@
         key: log::kv::Key<'kvs>,
         value: log::kv::Value<'kvs>,
     ) -> Result<(), log::kv::Error> {
-        let value = match value.to_u64() {
-            Some(number) => serde_json::Value::from(number),
-            None => serde_json::Value::from(value.to_string()),
+        let value = match (value.to_u64(), value.to_f64(), value.to_bool()) {
+            (Some(number), _, _) => serde_json::Value::from(number),
+            (None, Some(number), _) => serde_json::Value::from(number),
+            (None, None, Some(is_so)) => serde_json::Value::from(is_so),
+            (None, None, None) => serde_json::Value::from(value.to_string()),
         };
         self.0.insert(key.to_string(), value);
         Ok(())
--- a/clayplankd/src/native.rs
+++ b/clayplankd/src/native.rs
@@ -8,15 +8,28 @@
 use clayplank_types::UpstreamId;
 use http::{HeaderValue, Method, Request, Uri, header};
 use http_body_util::Full;
+use serde::Deserialize;
 use serde_json::{Value, json};
 
-use crate::contract::{Contract, ControlCall, ControlFault};
+use crate::contract::{Contract, ControlCall, ControlFault, EngineReport};
 
 const PLAN_PATH: &str = "/v1/plan";
 const UPSTREAMS_PATH: &str = "/v1/upstreams/";
 const HEALTH_PATH: &str = "/health";
+const REPORT_PATH: &str = "/v1/report";
 const RESERVATIONS_PATH: &str = "/v1/reservations";
 
+/// What an engine answers when it is asked; fields that mean nothing here are passed over.
+#[derive(Deserialize)]
+struct Report {
+    #[serde(default = "usual_pace")]
+    pace: f64,
+}
+
+fn usual_pace() -> f64 {
+    1.0
+}
+
 /// What callers, operators and upstreams of the project itself speak.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct NativeContract;
@@ -71,6 +84,18 @@
         clayplank_settings::parse(text)
     }
 
+    fn report_request(&self) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = Uri::from_static(REPORT_PATH);
+        request.headers_mut().insert(header::HOST, HeaderValue::from_static("engine"));
+        request
+    }
+
+    fn scan_report(&self, body: &[u8]) -> Result<EngineReport, serde_json::Error> {
+        let report: Report = serde_json::from_slice(body)?;
+        Ok(EngineReport { pace: report.pace })
+    }
+
     fn is_readiness_call(&self, method: &Method, path: &str) -> bool {
         method == Method::GET && path == HEALTH_PATH
     }
--- a/clayplankd/src/seeded_keeper.rs
+++ b/clayplankd/src/seeded_keeper.rs
@@ -9,6 +9,7 @@
 
 use crate::control_door::ControlDoor;
 use crate::daemon::{MAILBOX, StartError, bind, serve_inner};
+use crate::engine_watch::run_engine_watch;
 use crate::fleet_keeper::{FleetKeeper, run_fleet};
 use crate::inner::InnerService;
 use crate::keeper::{Keeper, Sizing};
@@ -59,6 +60,7 @@
         tokio::spawn(run_ticks(keeper.clone()));
         tokio::spawn(run_join(keeper.clone(), self.joining(), self.peers.clone()));
         tokio::spawn(run_fleet(Arc::clone(&fleet), plans));
+        tokio::spawn(run_engine_watch(Arc::clone(&fleet)));
         tokio::spawn(run_spread(spread.clone()));
         tokio::spawn(serve_inner(
             inner,
