--- a/clayplank-forward/src/admit.rs
+++ b/clayplank-forward/src/admit.rs
@@ -94,6 +94,7 @@
             arrived,
             deadline: arrived + millis(limit_ms),
             tried: Vec::new(),
+            unfit_helpers: Vec::new(),
             sent_count: 0,
             may_have_run: false,
         })
--- a/clayplank-forward/src/attempt.rs
+++ b/clayplank-forward/src/attempt.rs
@@ -12,6 +12,7 @@
 use crate::call::Call;
 use crate::choice::Chosen;
 use crate::exchange::{Connection, ExchangeError, exchange};
+use crate::facts::text;
 use crate::headers::{Told, for_upstream};
 use crate::load::LoadGuard;
 
@@ -79,7 +80,8 @@
             }
             Verdict::NotRun => {
                 self.note_sent(false);
-                load.note_outcome(false);
+                let at_fault = text(&head.headers, &self.entry.names.at_fault);
+                self.note_at_fault(&mut load, at_fault.unwrap_or_default());
                 self.log_attempt(upstream, "not_run", head.status.as_str());
                 Attempt::NotRun
             }
@@ -93,6 +95,22 @@
         }
     }
 
+    /// Blames the helper that the answer names, or else the engine that answered.
+    fn note_at_fault(&mut self, load: &mut LoadGuard, at_fault: &str) {
+        let id = self.entry.directory.find(at_fault);
+        match id.filter(|id| load.note_helper_failed(id)) {
+            Some(helper) => {
+                log::info!(target: "forward",
+                    request = self.facts.attempt_id, upstream = helper.as_str();
+                    "A helper was at fault");
+                // The engine that answered may well read the prompt with others.
+                self.tried.pop();
+                self.unfit_helpers.push(helper);
+            }
+            None => load.note_outcome(false),
+        }
+    }
+
     /// An attempt that may have run, without an answer of its own.
     fn note_lost(
         &mut self,
--- a/clayplank-forward/src/call.rs
+++ b/clayplank-forward/src/call.rs
@@ -33,6 +33,8 @@
     pub(crate) deadline: Instant,
     /// Upstreams that it was sent to, or that could not be reached.
     pub(crate) tried: Vec<UpstreamId>,
+    /// Engines that failed it as helpers.
+    pub(crate) unfit_helpers: Vec<UpstreamId>,
     /// How often it was written to an upstream.
     pub(crate) sent_count: u32,
     /// Whether one of them may have run it.
--- a/clayplank-forward/src/choice.rs
+++ b/clayplank-forward/src/choice.rs
@@ -112,10 +112,10 @@
         ask.limit_ms = left_ms.min(patience_ms - spent_ms).max(0.0);
         ask.pause_goal_ms = pause_goal_ms;
         ask.data_centre = self.entry.data_centre.clone();
-        ask.avoid = self.tried.clone();
+        ask.avoid = [self.tried.as_slice(), &self.unfit_helpers].concat();
         let asked_ms = self.facts.deadline_ms.unwrap_or(u64::MAX) as f64;
         ask.is_returning =
-            asked_ms < RETURNING_SHARE * self.route.time_limit_ms as f64 || !self.tried.is_empty();
+            asked_ms < RETURNING_SHARE * self.route.time_limit_ms as f64 || !ask.avoid.is_empty();
         ask
     }
 
@@ -127,6 +127,7 @@
             return Err(gone);
         };
         let mut load = LoadGuard::new(&self.entry, &record.heartbeat.id, Some(ask.id));
+        load.set_helpers(assignment.helpers.iter().map(|part| part.engine.clone()).collect());
         let helpers = self.helpers(ask, assignment);
         let tickets: Vec<_> = helpers.iter().filter_map(|helper| helper.ticket.clone()).collect();
         if !tickets.is_empty() {
--- a/clayplank-forward/src/directory.rs
+++ b/clayplank-forward/src/directory.rs
@@ -83,6 +83,18 @@
         self.lock().records.get(id).cloned()
     }
 
+    /// The upstream that a text names, by its id or its address.
+    pub fn find(&self, name: &str) -> Option<UpstreamId> {
+        let inner = self.lock();
+        let address = name.parse().ok();
+        let is_named = |record: &&Record| {
+            let heartbeat = &record.heartbeat;
+            let is_at = heartbeat.standing != Standing::Gone && address == Some(heartbeat.address);
+            heartbeat.id.as_str() == name || is_at
+        };
+        inner.records.values().find(is_named).map(|record| record.heartbeat.id.clone())
+    }
+
     /// All records.
     pub fn records(&self) -> Vec<Record> {
         self.lock().records.values().cloned().collect()
--- a/clayplank-forward/src/load.rs
+++ b/clayplank-forward/src/load.rs
@@ -14,6 +14,9 @@
     entry: Arc<Entry>,
     upstream: UpstreamId,
     placement: Option<PlacementId>,
+    /// Engines that read with the upstream.
+    helpers: Vec<UpstreamId>,
+    failed_helper: Option<usize>,
     started_at: Instant,
     /// Whether the upstream did its work; `None` until that is known.
     is_good: Option<bool>,
@@ -32,6 +35,8 @@
             entry: Arc::clone(entry),
             upstream: upstream.clone(),
             placement,
+            helpers: Vec::new(),
+            failed_helper: None,
             started_at: Instant::now(),
             is_good: None,
             _reservation: None,
@@ -51,6 +56,17 @@
         }
     }
 
+    /// Names the engines that read with the upstream.
+    pub(crate) fn set_helpers(&mut self, helpers: Vec<UpstreamId>) {
+        self.helpers = helpers;
+    }
+
+    /// Notes that a helper failed, and not the upstream; `false` if it is none of its helpers.
+    pub(crate) fn note_helper_failed(&mut self, id: &UpstreamId) -> bool {
+        self.failed_helper = self.helpers.iter().position(|helper| helper == id);
+        self.failed_helper.is_some()
+    }
+
     /// Notes whether the upstream did its work.
     pub(crate) fn note_outcome(&mut self, is_good: bool) {
         self.is_good = Some(is_good);
@@ -62,7 +78,12 @@
         let is_good = self.is_good.unwrap_or(true);
         match self.placement {
             Some(id) => {
-                self.entry.placer.note(id, if is_good { Event::Ended } else { Event::Failed });
+                let event = match self.failed_helper {
+                    Some(position) => Event::HelperFailed { position },
+                    None if is_good => Event::Ended,
+                    None => Event::Failed,
+                };
+                self.entry.placer.note(id, event);
             }
             None => {
                 let took_ms = self.started_at.elapsed().as_millis() as u64;
--- a/clayplank-forward/src/names.rs
+++ b/clayplank-forward/src/names.rs
@@ -19,6 +19,8 @@
     pub expect_upstream: HeaderName,
     /// The life that answered instead.
     pub upstream: HeaderName,
+    /// Which engine is at fault that a request was not run: a helper, perhaps.
+    pub at_fault: HeaderName,
     /// The upstream's mark on an answer of its own.
     pub seal: HeaderName,
     /// Says that the request was not run.
@@ -41,6 +43,7 @@
             account: HeaderName::from_static("x-clayplank-account"),
             expect_upstream: HeaderName::from_static("x-clayplank-expect-upstream"),
             upstream: HeaderName::from_static("x-clayplank-upstream"),
+            at_fault: HeaderName::from_static("x-clayplank-at-fault"),
             seal: HeaderName::from_static("x-clayplank-seal"),
             not_run: HeaderName::from_static("x-clayplank-not-run"),
             load: HeaderName::from_static("x-clayplank-load"),
--- a/clayplank-placement/src/fleet.rs
+++ b/clayplank-placement/src/fleet.rs
@@ -42,6 +42,11 @@
     Ended,
     /// It failed in a way that speaks against the engine.
     Failed,
+    /// It was not run, and a helper is at fault.
+    HelperFailed {
+        /// Among the helpers of its assignment.
+        position: usize,
+    },
 }
 
 /// A placement that its host still runs, enough to take it over.
@@ -229,6 +234,14 @@
             }
             Event::Ended => self.end(now_ms, id, |_| {}),
             Event::Failed => self.end(now_ms, id, |engine| engine.note_failure(now_ms)),
+            Event::HelperFailed { position } => {
+                let placement = self.placements.get(&id);
+                let helper = placement.and_then(|one| one.helpers.get(position)).cloned();
+                if let Some(engine) = helper.and_then(|helper| self.engines.get_mut(&helper)) {
+                    engine.note_failure(now_ms);
+                }
+                self.end(now_ms, id, |_| {});
+            }
         }
     }
 
--- a/clayplank-placement/tests/decisions.rs
+++ b/clayplank-placement/tests/decisions.rs
@@ -251,3 +251,19 @@
         assert!(!(0..3).any(reads), "{assignment:?}");
     }
 }
+
+#[test]
+fn a_helper_that_failed_is_avoided_and_the_first_engine_is_not() {
+    let mut fleet = fleet_of(18, &EngineModel::default());
+    let first = assigned(fleet.place(0.0, &long(1)));
+    let failed = first.helpers[0].engine.clone();
+    fleet.note(50.0, long(1).id, Event::HelperFailed { position: 0 });
+    let second = assigned(fleet.place(50.0, &long(2)));
+    assert_ne!(second.engine, failed);
+    assert!(second.helpers.iter().all(|part| part.engine != failed), "{second:?}");
+    let others: Vec<_> = first.helpers[1..].iter().map(|part| &part.engine).collect();
+    let used: Vec<_> = std::iter::once(&second.engine)
+        .chain(second.helpers.iter().map(|part| &part.engine))
+        .collect();
+    assert!(others.iter().any(|other| used.contains(other)), "nobody else is avoided: {second:?}");
+}
--- a/clayplank-standin/src/pass_server.rs
+++ b/clayplank-standin/src/pass_server.rs
@@ -29,6 +29,8 @@
 /// Requests running, waiting, and slots.
 const LOAD_HEADER: &str = "x-clayplank-load";
 
+const AT_FAULT_HEADER: &str = "x-clayplank-at-fault";
+
 /// Calls among the engines themselves.
 const PARTS_PATH: &str = "/engine/parts";
 
@@ -161,8 +163,9 @@
         post_json(helper.address, PARTS_PATH, call, PART_PATIENCE)
     }));
     let (answers, ()) = tokio::join!(read_elsewhere, place.read(prompt_tokens, parts));
-    if answers.iter().any(|answer| !answer.as_ref().is_some_and(|status| status.is_success())) {
-        return not_run(&attempt);
+    let is_read = |status: &Option<StatusCode>| status.is_some_and(|status| status.is_success());
+    if let Some(failed) = answers.iter().position(|status| !is_read(status)) {
+        return not_run_for(&attempt, helpers[failed].address);
     }
     place.write(prompt_tokens / parts as u64);
     let first = header_text(&head.headers, "last-event-id").parse().unwrap_or(0_u64);
@@ -177,6 +180,15 @@
     response
 }
 
+/// Names the helper that is at fault that a request was not run.
+fn not_run_for(attempt: &str, helper: SocketAddr) -> Response<Body> {
+    let mut response = not_run(attempt);
+    if let Ok(address) = helper.to_string().parse() {
+        response.headers_mut().insert(AT_FAULT_HEADER, address);
+    }
+    response
+}
+
 /// Sends events as passes bring them; those up to `first` are known to the caller.
 async fn send_events(
     mut sender: Sender<Bytes, ServeError>,
--- a/clayplankd/src/fleet_link.rs
+++ b/clayplankd/src/fleet_link.rs
@@ -127,7 +127,7 @@
                     renewed.is_started = true;
                 }
             }
-            Event::Ended | Event::Failed => {
+            Event::Ended | Event::Failed | Event::HelperFailed { .. } => {
                 lock(&self.active).remove(&id);
             }
         }
--- a/clayplankd/tests/seeded/promises.rs
+++ b/clayplankd/tests/seeded/promises.rs
@@ -185,11 +185,9 @@
 }
 
 /// A plan with a route to a pool of engines.
-fn plan_with_pool(version: u64) -> Value {
+fn plan_with_engines(version: u64, model: &EngineModel) -> Value {
     let mut plan = plan(version);
-    plan["services"].as_array_mut().unwrap().push(json!({
-        "name": "pool", "engine": small_engine(),
-    }));
+    plan["services"].as_array_mut().unwrap().push(json!({ "name": "pool", "engine": model }));
     plan["routes"].as_array_mut().unwrap().push(json!({
         "name": "prompt", "host": "dala.example", "path_prefix": "/prompt/",
         "kind": "resumable_stream", "time_limit_ms": 9000, "goal_ms": 3000,
@@ -210,7 +208,7 @@
     let engines: Vec<_> = (1..=3_u8)
         .map(|number| system.start_engine(&format!("e{number}"), 30 + number, small_engine()))
         .collect();
-    system.wait_for_plan(&plan_with_pool(2));
+    system.wait_for_plan(&plan_with_engines(2, &small_engine()));
     let short = [("x-clayplank-tokens", "2000,90")];
     wait_for("an answer to a short prompt", || {
         system.send(0, "short", "/prompt/x", &short).status == 200
@@ -280,3 +278,26 @@
     assert!(dropped["lines"].as_u64().unwrap() > 0);
     assert!(told("Stopped").is_some(), "the last line is written before the end");
 }
+
+#[test]
+fn a_helper_that_is_gone_is_named_and_the_prompt_is_read_by_others() {
+    let system = System::start();
+    for number in 1..=3_u8 {
+        system.start_engine(&format!("e{number}"), 30 + number, EngineModel::default());
+    }
+    // It registers, and nothing listens where it says it is.
+    system.register_engine("e4", 34);
+    system.wait_for_plan(&plan_with_engines(2, &EngineModel::default()));
+    wait_for("the route", || system.send(0, "route", "/prompt/x", &[]).status != 404);
+    let long = [("x-clayplank-tokens", "240000,92")];
+    let mut number = 0;
+    wait_for("a prompt for which the missing helper was named", || {
+        number += 1;
+        let answer = system.send(0, &format!("named-{number}"), "/prompt/x", &long);
+        assert!(matches!(answer.status, 200 | 503), "{}", answer.status);
+        system.entries[0].log().contains("A helper was at fault")
+    });
+    let log = system.entries[0].log();
+    let line = log.lines().find(|line| line.contains("A helper was at fault")).unwrap();
+    assert!(line.contains("\"upstream\":\"e4\""), "{line}");
+}
--- a/clayplankd/tests/seeded/system.rs
+++ b/clayplankd/tests/seeded/system.rs
@@ -393,18 +393,23 @@
     /// Starts an engine of the pass model, which registers with all keepers.
     pub fn start_engine(&self, id: &str, last: u8, model: EngineModel) -> SocketAddr {
         let address = self.upstream_address(last);
+        let listener = self.runtime.block_on(clayplank_standin::bind(address)).unwrap();
+        self.runtime.spawn(serve_pass_engine(listener, id.to_owned(), model));
+        self.register_engine(id, last);
+        address
+    }
+
+    /// Sends heartbeats of an engine, whether it is there or not.
+    pub fn register_engine(&self, id: &str, last: u8) {
         let registration = Registration {
             id: id.to_owned(),
             service: "pool".to_owned(),
-            address,
+            address: self.upstream_address(last),
             data_centre: "hall".to_owned(),
-            slots: model.slots,
+            slots: EngineModel::default().slots,
         };
         let keepers = self.keepers.iter().map(Host::control).collect();
-        let listener = self.runtime.block_on(clayplank_standin::bind(address)).unwrap();
-        self.runtime.spawn(serve_pass_engine(listener, id.to_owned(), model));
         self.runtime.spawn(send_heartbeats(registration, keepers, Duration::from_millis(300)));
-        address
     }
 
     fn upstream_address(&self, last: u8) -> SocketAddr {
