--- a/clayplankd/tests/seeded/soak/run.rs
+++ b/clayplankd/tests/seeded/soak/run.rs
@@ -43,6 +43,17 @@
 struct Pending {
     until: Instant,
     step: Step,
+    /// The process that was struck; another may run in its place by now.
+    process: Option<u32>,
+}
+
+/// Ends all threads of a run, also if a check panics.
+struct EndsRun<'a>(&'a AtomicBool);
+
+impl Drop for EndsRun<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
 }
 
 /// Plays a seed; `Err` tells the schedule and all broken promises.
@@ -72,9 +83,9 @@
         scope.spawn(|| run_heartbeats(&shared));
         scope.spawn(|| run_operator(&shared, 0));
         scope.spawn(|| run_operator(&shared, 1));
+        let _ends = EndsRun(&shared.is_over);
         play(&shared, &schedule, began);
         wait_until_served(&shared, seed);
-        shared.is_over.store(true, Ordering::SeqCst);
     });
     let shared = Arc::into_inner(shared).unwrap();
     check_plan(&shared);
@@ -102,32 +113,39 @@
             steps.next_if(|step| began.elapsed().as_millis() as u64 >= step.at_ms)
         {
             let until = Instant::now() + Duration::from_millis(step.for_ms);
-            begin(&mut shared.system.lock().unwrap(), step);
-            pending.push(Pending { until, step: *step });
+            let process = begin(&mut shared.system.lock().unwrap(), step);
+            pending.push(Pending { until, step: *step, process });
         }
         let mut system = shared.system.lock().unwrap();
-        pending.retain(|one| Instant::now() < one.until || !end(&mut system, &one.step));
+        pending.retain(|one| Instant::now() < one.until || !end(&mut system, one));
         drop(system);
         std::thread::sleep(Duration::from_millis(10));
     }
 }
 
-fn begin(system: &mut System, step: &Step) {
+/// Begins a fault; returns the process that it is done to, if it is one.
+fn begin(system: &mut System, step: &Step) -> Option<u32> {
     match (step.target, step.act) {
         (Target::Link(last), Act::Network(fault)) => system.proxy(last).set(fault),
         (Target::AllKeepers, _) => system.keepers.iter_mut().for_each(Host::kill),
-        (Target::Keeper(number), Act::Blow(blow)) => strike(&mut system.keepers[number], blow),
-        (Target::Entry(number), Act::Blow(blow)) => strike(&mut system.entries[number], blow),
+        (Target::Keeper(number), Act::Blow(blow)) => {
+            return strike(&mut system.keepers[number], blow);
+        }
+        (Target::Entry(number), Act::Blow(blow)) => {
+            return strike(&mut system.entries[number], blow);
+        }
         (Target::Link(_), Act::Blow(_))
         | (Target::Keeper(_) | Target::Entry(_), Act::Network(_)) => {
             unreachable!("schedules draw blows for processes and faults for links")
         }
     }
+    None
 }
 
-fn strike(host: &mut Host, blow: Blow) {
-    if !host.is_running() {
-        return;
+fn strike(host: &mut Host, blow: Blow) -> Option<u32> {
+    let process = host.process();
+    if process.is_none() || host.has_ended() {
+        return None;
     }
     match blow {
         Blow::Kill => host.kill(),
@@ -144,30 +162,32 @@
         }
         Blow::FillDisk => limit_files(host),
     }
+    process
 }
 
 /// No file of the process may grow any more: the next write fails part of the way.
 fn limit_files(host: &Host) {
-    let id = host.process_id().to_string();
+    let id = host.process().unwrap().to_string();
     Command::new("prlimit").args(["--pid", &id, "--fsize=1"]).status().unwrap();
 }
 
 /// Ends a fault; `false` while a process that stops is not down yet.
-fn end(system: &mut System, step: &Step) -> bool {
-    match step.target {
+fn end(system: &mut System, pending: &Pending) -> bool {
+    match pending.step.target {
         Target::Link(last) => system.proxy(last).set(Fault::None),
         Target::AllKeepers => system.keepers.iter_mut().for_each(restart),
-        Target::Keeper(number) => return end_blow(&mut system.keepers[number], step),
-        Target::Entry(number) => return end_blow(&mut system.entries[number], step),
+        Target::Keeper(number) => return end_blow(&mut system.keepers[number], pending),
+        Target::Entry(number) => return end_blow(&mut system.entries[number], pending),
     }
     true
 }
 
-fn end_blow(host: &mut Host, step: &Step) -> bool {
-    match step.act {
-        Act::Blow(Blow::Pause) if host.is_running() => host.signal("-CONT"),
-        Act::Blow(Blow::Stop) if !host.has_ended() => return false,
-        Act::Blow(Blow::FillDisk) => {
+fn end_blow(host: &mut Host, pending: &Pending) -> bool {
+    let is_struck = pending.process.is_some() && host.process() == pending.process;
+    match pending.step.act {
+        Act::Blow(Blow::Pause) if is_struck => host.signal("-CONT"),
+        Act::Blow(Blow::Stop) if is_struck && !host.has_ended() => return false,
+        Act::Blow(Blow::FillDisk) if is_struck => {
             host.kill();
             restart(host);
         }
--- a/clayplankd/tests/seeded/system.rs
+++ b/clayplankd/tests/seeded/system.rs
@@ -191,12 +191,9 @@
         pipe
     }
 
-    pub fn process_id(&self) -> u32 {
-        self.child.as_ref().unwrap().id()
-    }
-
-    pub fn is_running(&self) -> bool {
-        self.child.is_some()
+    /// The process that was started last, if it was not killed.
+    pub fn process(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
     }
 
     pub fn kill(&mut self) {
@@ -212,7 +209,7 @@
 
     /// Sends a signal, through the tool that every Debian machine has.
     pub fn signal(&self, signal: &str) {
-        let id = self.process_id().to_string();
+        let id = self.process().unwrap().to_string();
         assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
     }
 
