--- a/clayplankd/tests/seeded/soak/run.rs
+++ b/clayplankd/tests/seeded/soak/run.rs
@@ -61,6 +61,8 @@
     let schedule = draw_schedule(seed);
     let shape = Shape { keepers: KEEPERS, entries: ENTRIES, has_proxies: true };
     let system = System::start_as(shape);
+    // A keeper with an empty disk joins the others from now on.
+    system.write_settings(false);
     let runs = system.runs.clone();
     let callers: Vec<_> = system.entries.iter().map(Host::callers).collect();
     let shared = Arc::new(Shared {
--- a/clayplankd/tests/seeded/system.rs
+++ b/clayplankd/tests/seeded/system.rs
@@ -324,7 +324,8 @@
         system
     }
 
-    fn write_settings(&self, is_first_start: bool) {
+    /// Writes the settings of all hosts anew.
+    pub fn write_settings(&self, is_first_start: bool) {
         for host in self.keepers.iter().chain(&self.entries) {
             let behind = |port| SocketAddr::new(IpAddr::V4(host.bind_ip), port);
             let mut listen = json!({ "inner": behind(INNER), "metrics": host.at(METRICS) });
