Let streams that have begun go on wherever there is room

Its caller's patience was counted from when the request came, two seconds for a short prompt, so a stream that had run longer was refused by every engine; and each look for an engine took a retry from the budget. Now patience counts from the last event, a stream that has begun is placed late or not, and what is not sent costs no retry.

--- a/clayplank-forward/src/admit.rs
+++ b/clayplank-forward/src/admit.rs
@@ -92,6 +92,7 @@
             account,
             rank,
             arrived,
+            waits_since: None,
             deadline: arrived + millis(limit_ms),
             tried: Vec::new(),
             unfit_helpers: Vec::new(),
--- a/clayplank-forward/src/call.rs
+++ b/clayplank-forward/src/call.rs
@@ -10,7 +10,7 @@
 use http::request::Parts;
 use tokio::time::Instant;
 
-use crate::clock::now_ms;
+use crate::clock::{millis, now_ms};
 use crate::entry::Entry;
 use crate::facts::RequestFacts;
 use crate::refusal::{AnswerBody, Refusal};
@@ -18,6 +18,18 @@
 /// Connections that may fail, beyond the first, before a request is given up.
 const MAX_UNREACHED: usize = 3;
 
+/// An event stream whose route has no goal for pauses is given this one, in ms.
+const USUAL_PAUSE_GOAL_MS: u64 = 1_000;
+
+/// Callers give a stream up after this many goals,
+const PATIENCE_GOALS: f64 = 4.0;
+
+/// or after this many pause goals, whichever is later.
+const PATIENCE_PAUSE_GOALS: f64 = 8.0;
+
+/// Callers of streams wait this long at least, in ms.
+const MIN_PATIENCE_MS: f64 = 2_000.0;
+
 /// A request that was taken in whole, on its way to upstreams.
 pub(crate) struct Call {
     pub(crate) entry: Arc<Entry>,
@@ -30,6 +42,8 @@
     pub(crate) account: Option<String>,
     pub(crate) rank: u8,
     pub(crate) arrived: Instant,
+    /// Since when its caller waits for the next event, once its stream has begun.
+    pub(crate) waits_since: Option<Instant>,
     pub(crate) deadline: Instant,
     /// Upstreams that it was sent to, or that could not be reached.
     pub(crate) tried: Vec<UpstreamId>,
@@ -59,6 +73,26 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// How long its caller has waited for the first event, or for the next one.
+    pub(crate) fn waited(&self) -> Duration {
+        self.waits_since.unwrap_or(self.arrived).elapsed()
+    }
+
+    /// How long its caller still waits for an event.
+    pub(crate) fn patience(&self) -> Duration {
+        let goal_ms = self.route.goal_ms as f64;
+        let pause_goal_ms = self.pause_goal_ms() as f64;
+        let patience_ms = (PATIENCE_GOALS * goal_ms)
+            .max(PATIENCE_PAUSE_GOALS * pause_goal_ms)
+            .max(MIN_PATIENCE_MS);
+        millis(patience_ms as u64).saturating_sub(self.waited()).min(self.left())
+    }
+
+    /// The longest pause between its events that is in time.
+    pub(crate) fn pause_goal_ms(&self) -> u64 {
+        self.route.pause_goal_ms.unwrap_or(USUAL_PAUSE_GOAL_MS)
+    }
+
     pub(crate) fn waited_ms(&self) -> u64 {
         self.arrived.elapsed().as_millis() as u64
     }
--- a/clayplank-forward/src/choice.rs
+++ b/clayplank-forward/src/choice.rs
@@ -24,22 +24,10 @@
 /// Between two tries to place a request that waits, in ms.
 const FULL_PAUSE_MS: u64 = 15;
 
-/// An event stream whose route has no goal for pauses is given this one, in ms.
-const USUAL_PAUSE_GOAL_MS: u64 = 1_000;
-
 /// A caller that has less than this share of its route's time has spent the rest on
 /// an attempt that was refused.
 const RETURNING_SHARE: f64 = 0.93;
 
-/// Callers give a stream up after this many goals,
-const PATIENCE_GOALS: f64 = 4.0;
-
-/// or after this many pause goals, whichever is later.
-const PATIENCE_PAUSE_GOALS: f64 = 8.0;
-
-/// Callers of streams wait this long at least, in ms.
-const MIN_PATIENCE_MS: f64 = 2_000.0;
-
 /// An upstream that was chosen for an attempt.
 pub(crate) struct Chosen {
     pub(crate) record: Record,
@@ -81,11 +69,16 @@
 
     async fn choose_engine(&self) -> Result<Chosen, Refusal> {
         let wait = millis((self.route.goal_ms as f64 * FULL_WAIT_SHARE) as u64);
+        let is_over = || match self.waits_since {
+            // Its stream has begun: it is not refused, but goes on or breaks off.
+            Some(_) => self.patience().is_zero(),
+            None => self.arrived.elapsed() >= wait,
+        };
         loop {
             let ask = self.ask();
             match self.entry.placer.place(&ask).await {
                 Placed::At(assignment) => return self.take_assignment(&ask, &assignment).await,
-                Placed::Full { retry_after_ms } if self.arrived.elapsed() >= wait => {
+                Placed::Full { retry_after_ms } if is_over() => {
                     let retry_after_ms = retry_after_ms.max(FULL_RETRY_MS);
                     return Err(Refusal::NotRun { retry_after_ms });
                 }
@@ -95,22 +88,20 @@
     }
 
     fn ask(&self) -> Ask {
-        let goal_ms = self.route.goal_ms as f64;
-        let spent_ms = self.arrived.elapsed().as_secs_f64() * 1e3;
-        let left_ms = self.left().as_secs_f64() * 1e3;
-        let pause_goal_ms = self.route.pause_goal_ms.unwrap_or(USUAL_PAUSE_GOAL_MS) as f64;
+        let pause_goal_ms = self.pause_goal_ms() as f64;
+        let has_begun = self.waits_since.is_some();
+        let goal_ms = if has_begun { pause_goal_ms } else { self.route.goal_ms as f64 };
+        let waited_ms = self.waited().as_secs_f64() * 1e3;
         let mut ask = Ask::new(
             self.entry.placer.next_id(),
             &self.service,
             self.facts.prompt_tokens,
-            (goal_ms - spent_ms).max(1.0),
+            (goal_ms - waited_ms).max(1.0),
         );
         ask.output_tokens = self.facts.output_tokens;
-        let patience_ms = (PATIENCE_GOALS * goal_ms)
-            .max(PATIENCE_PAUSE_GOALS * pause_goal_ms)
-            .max(MIN_PATIENCE_MS);
-        ask.limit_ms = left_ms.min(patience_ms - spent_ms).max(0.0);
+        ask.limit_ms = self.patience().as_secs_f64() * 1e3;
         ask.pause_goal_ms = pause_goal_ms;
+        ask.has_begun = has_begun;
         ask.data_centre = self.entry.data_centre.clone();
         ask.avoid = [self.tried.as_slice(), &self.unfit_helpers].concat();
         let asked_ms = self.facts.deadline_ms.unwrap_or(u64::MAX) as f64;
--- a/clayplank-forward/src/opening.rs
+++ b/clayplank-forward/src/opening.rs
@@ -158,11 +158,22 @@
         "A stream broke off at its upstream");
 }
 
+/// Why a stream does not go on at another upstream.
+pub(crate) enum NotResumed {
+    /// No upstream takes it; nothing was sent.
+    NoUpstream,
+    /// The one that was chosen did not go on.
+    Failed,
+}
+
 /// One attempt to go on after an event at another upstream.
-pub(crate) async fn open_elsewhere(call: &mut Call, last_event_id: Option<u64>) -> Option<Begun> {
-    let chosen = call.choose().await.ok()?;
+pub(crate) async fn open_elsewhere(
+    call: &mut Call,
+    last_event_id: Option<u64>,
+) -> Result<Begun, NotResumed> {
+    let chosen = call.choose().await.map_err(|_| NotResumed::NoUpstream)?;
     match open_at(call, chosen, last_event_id).await {
-        Tried::Begun(begun) => Some(*begun),
-        Tried::Other(..) | Tried::NotRun | Tried::Lost => None,
+        Tried::Begun(begun) => Ok(*begun),
+        Tried::Other(..) | Tried::NotRun | Tried::Lost => Err(NotResumed::Failed),
     }
 }
--- a/clayplank-forward/src/pump.rs
+++ b/clayplank-forward/src/pump.rs
@@ -9,7 +9,7 @@
 use crate::call::Call;
 use crate::clock::millis;
 use crate::events::StreamEvent;
-use crate::opening::{Begun, Timing, log_broken, open_elsewhere};
+use crate::opening::{Begun, NotResumed, Timing, log_broken, open_elsewhere};
 use crate::refusal::BrokenOff;
 use crate::source::{Next, Source};
 
@@ -19,6 +19,9 @@
 /// but not less than this, in ms: engines cut streams themselves after a stall of 1.5 s.
 const MIN_SILENCE_MS: u64 = 1_000;
 
+/// Between two looks for an upstream that takes a broken stream, if none did.
+const RESUME_PAUSE: Duration = Duration::from_millis(50);
+
 /// Moves events from upstreams to a caller.
 pub(crate) struct Pump {
     call: Call,
@@ -149,12 +152,12 @@
             resumed = open_elsewhere(&mut self.call, last_event_id) => resumed,
         };
         match resumed {
-            Some(begun) => {
+            Ok(begun) => {
                 self.note_broken("silent");
                 self.source = begun.source;
                 begun.first.map_or(Next::End, Next::Event)
             }
-            None => self.source.next(left).await,
+            Err(NotResumed::NoUpstream | NotResumed::Failed) => self.source.next(left).await,
         }
     }
 
@@ -175,19 +178,33 @@
         self.last_event_id = event.id.or(self.last_event_id);
         self.longest_pause = self.longest_pause.max(self.sent_at.elapsed());
         self.sent_at = Instant::now();
+        self.call.waits_since = Some(self.sent_at);
         self.sender.send(Ok(event.bytes)).await.is_ok()
     }
 
     /// Goes on at another upstream after the last event.
     async fn resume(&mut self) -> bool {
         while self.call.may_try() {
-            if let Some(begun) = open_elsewhere(&mut self.call, self.last_event_id).await {
+            if let Some(begun) = self.open_at_next().await {
                 return self.take_over(begun).await;
             }
         }
         false
     }
 
+    /// One attempt at another upstream, as soon as one takes the stream.
+    async fn open_at_next(&mut self) -> Option<Begun> {
+        loop {
+            match open_elsewhere(&mut self.call, self.last_event_id).await {
+                Ok(begun) => return Some(begun),
+                Err(NotResumed::NoUpstream) if !self.call.patience().is_zero() => {
+                    tokio::time::sleep(RESUME_PAUSE).await;
+                }
+                Err(NotResumed::NoUpstream | NotResumed::Failed) => return None,
+            }
+        }
+    }
+
     async fn take_over(&mut self, begun: Begun) -> bool {
         self.source = begun.source;
         match begun.first {
--- a/clayplank-placement/src/ask.rs
+++ b/clayplank-placement/src/ask.rs
@@ -37,6 +37,8 @@
     pub avoid: Vec<UpstreamId>,
     /// Whether it was refused before, and will not come back once more.
     pub is_returning: bool,
+    /// Whether its stream has begun: it goes on wherever there is room, late or not.
+    pub has_begun: bool,
 }
 
 /// A pause between events that matters to nobody.
@@ -62,6 +64,7 @@
             data_centre: DataCentre::default(),
             avoid: Vec::new(),
             is_returning: false,
+            has_begun: false,
         }
     }
 
--- a/clayplank-placement/src/choose.rs
+++ b/clayplank-placement/src/choose.rs
@@ -65,10 +65,7 @@
         }
     }
     match best {
-        Some((_, assignment))
-            if assignment.first_token_ms < longest_wait_ms(ask)
-                && is_worth_its_time(&open, ask, &assignment) =>
-        {
+        Some((_, assignment)) if ask.has_begun || is_worth_it(&open, ask, &assignment) => {
             Placed::At(assignment)
         }
         Some((_, assignment)) => Placed::Full { retry_after_ms: retry_after(&assignment, ask) },
@@ -83,6 +80,11 @@
     fewer.chain((most > 0).then_some(most))
 }
 
+/// Whether a prompt that may still be refused should run now.
+fn is_worth_it(open: &[Open<'_>], ask: &Ask, assignment: &Assignment) -> bool {
+    assignment.first_token_ms < longest_wait_ms(ask) && is_worth_its_time(open, ask, assignment)
+}
+
 /// How late a first token may be expected. One that comes back in time is worth more
 /// than one that is late now, and leaves the engines to those that are still in time.
 fn longest_wait_ms(ask: &Ask) -> f64 {
--- a/clayplank-placement/tests/decisions.rs
+++ b/clayplank-placement/tests/decisions.rs
@@ -267,3 +267,13 @@
         .collect();
     assert!(others.iter().any(|other| used.contains(other)), "nobody else is avoided: {second:?}");
 }
+
+#[test]
+fn a_stream_that_has_begun_goes_on_though_its_caller_waited_long() {
+    let mut fleet = fleet_of(2, &EngineModel::default());
+    let mut resumed = short(1);
+    (resumed.goal_ms, resumed.limit_ms, resumed.is_returning) = (1.0, 0.0, true);
+    assert!(matches!(fleet.place(0.0, &resumed), Placed::Full { .. }));
+    resumed.has_begun = true;
+    assigned(fleet.place(0.0, &resumed));
+}
