Ask services whose heartbeats are missing last, and forget upstreams that left

A crashed service stayed first choice of every host after each pause of up to 8 s, and a request to one that is silent takes 400 ms to find out. An entry host never forgot an upstream, so it grew with each life of one. Both tests failed before.

--- a/clayplank-forward/src/directory.rs
+++ b/clayplank-forward/src/directory.rs
@@ -26,6 +26,10 @@
 /// Failures in a row that still double the time for which an upstream is avoided.
 const MAX_DOUBLINGS: u32 = 4;
 
+/// An upstream that left is remembered for this long, in ms: far longer than news of it may
+/// be late.
+const TOMBSTONE_MS: u64 = 120_000;
+
 /// What was seen of one upstream.
 #[derive(Clone, Debug, Default)]
 struct Seen {
@@ -40,9 +44,26 @@
 #[derive(Debug, Default)]
 struct Inner {
     records: BTreeMap<UpstreamId, Record>,
+    /// When it was learned of those that left.
+    gone_at_ms: HashMap<UpstreamId, u64>,
     seen: HashMap<UpstreamId, Seen>,
 }
 
+impl Inner {
+    /// Forgets upstreams that left long ago, and what was seen of them.
+    fn forget_gone(&mut self, now_ms: u64) {
+        let Self { records, gone_at_ms, seen } = self;
+        gone_at_ms.retain(|id, gone_at_ms| {
+            let is_kept = now_ms < *gone_at_ms + TOMBSTONE_MS;
+            if !is_kept {
+                records.remove(id);
+                seen.remove(id);
+            }
+            is_kept
+        });
+    }
+}
+
 /// Records of upstreams by id.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -67,14 +88,20 @@
             if is_gone || (is_older && record.heartbeat.standing != Standing::Gone) {
                 continue;
             }
+            if record.heartbeat.standing == Standing::Gone {
+                inner.gone_at_ms.insert(id.clone(), now_ms());
+            }
             inner.records.insert(id, record);
         }
+        inner.forget_gone(now_ms());
     }
 
     /// Notes that an id is no more: another life answered in its place.
     pub fn note_replaced(&self, id: &UpstreamId) {
-        if let Some(record) = self.lock().records.get_mut(id) {
+        let mut inner = self.lock();
+        if let Some(record) = inner.records.get_mut(id) {
             record.heartbeat.standing = Standing::Gone;
+            inner.gone_at_ms.insert(id.clone(), now_ms());
         }
     }
 
@@ -108,7 +135,8 @@
         let cost = |record: &Record| {
             let seen = seen.get(&record.heartbeat.id).cloned().unwrap_or_default();
             let remote_ms = if record.heartbeat.data_centre == *own { 0.0 } else { REMOTE_MS };
-            let is_avoided = now_ms < seen.avoid_until_ms;
+            // One whose heartbeats are missing may be dead: it is asked if no other is there.
+            let is_avoided = now_ms < seen.avoid_until_ms || record.is_silent;
             (is_avoided, expected_ms(&seen, record, now_ms) + remote_ms)
         };
         let fit = inner.records.values().filter(|record| {
--- a/clayplank-forward/tests/parts.rs
+++ b/clayplank-forward/tests/parts.rs
@@ -96,3 +96,32 @@
     directory.apply(vec![record("u", "a", Standing::Ready, 9)]);
     assert!(directory.choose("app", &own, &[]).is_none());
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_service_whose_heartbeats_are_missing_is_asked_last() {
+    let directory = Directory::default();
+    let own = DataCentre::new("a");
+    let silent = Record { is_silent: true, ..record("silent", "a", Standing::Ready, 2) };
+    directory.apply(vec![silent, record("heard", "b", Standing::Ready, 1)]);
+    let choose = |avoid: &[UpstreamId]| directory.choose("app", &own, avoid).unwrap().heartbeat.id;
+    for _ in 0..20 {
+        assert_eq!(choose(&[]).as_str(), "heard");
+    }
+    assert_eq!(choose(&[UpstreamId::new("heard")]).as_str(), "silent");
+}
+
+#[tokio::test(start_paused = true)]
+async fn upstreams_that_left_are_forgotten_in_the_end() {
+    let directory = Directory::default();
+    directory.apply(vec![record("old", "a", Standing::Gone, 1)]);
+    directory.apply(vec![record("old", "a", Standing::Ready, 2)]);
+    assert_eq!(
+        directory.records()[0].heartbeat.standing,
+        Standing::Gone,
+        "late news changes nothing"
+    );
+    tokio::time::advance(std::time::Duration::from_secs(180)).await;
+    directory.apply(vec![record("new", "a", Standing::Ready, 1)]);
+    let ids: Vec<_> = directory.records().into_iter().map(|one| one.heartbeat.id).collect();
+    assert_eq!(ids, [UpstreamId::new("new")]);
+}
