Let callers of a new host wait for its first plan

A host that has just started now lets them wait for its first plan, 800 ms at most, and then refuses as before. Test with the paused clock.

--- a/clayplank-forward/src/admit.rs
+++ b/clayplank-forward/src/admit.rs
@@ -22,6 +22,11 @@
 /// or twice, so an early time is worse than a late one.
 const NO_PLAN_RETRY_MS: u64 = 2_500;
 
+/// A host that has just started lets its callers wait for its first plan for so long: after a
+/// loss of power all come back at once, most of them for the last time, and keepers elect a
+/// leader within about this time.
+const FIRST_PLAN_WAIT: Duration = Duration::from_millis(800);
+
 /// When to come back if this host is stopping, in ms: the balancer sends the caller to another.
 const CLOSED_RETRY_MS: u64 = 50;
 
@@ -65,6 +70,7 @@
         if self.gate.is_closed() {
             return Err(Refusal::NotRun { retry_after_ms: CLOSED_RETRY_MS });
         }
+        self.gate.wait_for_first_plan(FIRST_PLAN_WAIT).await;
         let no_plan = Refusal::NoPlan { retry_after_ms: NO_PLAN_RETRY_MS };
         let limits = self.gate.plan().ok_or(no_plan)?.plan().limits.clone();
         let body = read_body(body, limits.max_body_bytes, millis(limits.read_timeout_ms)).await?;
--- a/clayplank-forward/src/gate.rs
+++ b/clayplank-forward/src/gate.rs
@@ -2,9 +2,11 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use clayplank_routes::PlanIndex;
+use tokio::sync::watch;
 
 use crate::clock::now_ms;
 
@@ -15,6 +17,8 @@
     /// Until when accounts may be admitted under the plan; counted from when a keeper was asked.
     confirmed_until_ms: AtomicU64,
     lease_ms: AtomicU64,
+    /// Whether a plan was ever confirmed here.
+    has_served: watch::Sender<bool>,
     is_leaving: AtomicBool,
     is_closed: AtomicBool,
     in_progress: AtomicU64,
@@ -27,6 +31,7 @@
             plan: ArcSwapOption::empty(),
             confirmed_until_ms: AtomicU64::new(0),
             lease_ms: AtomicU64::new(lease_ms),
+            has_served: watch::Sender::new(false),
             is_leaving: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
             in_progress: AtomicU64::new(0),
@@ -45,6 +50,14 @@
     pub fn confirm(&self, asked_ms: u64) {
         let lease_ms = self.lease_ms.load(Ordering::SeqCst);
         self.confirmed_until_ms.fetch_max(asked_ms + lease_ms, Ordering::SeqCst);
+        self.has_served.send_if_modified(|has_served| !std::mem::replace(has_served, true));
+    }
+
+    /// Waits for the first confirmed plan of a host that has just started, but not for long.
+    pub async fn wait_for_first_plan(&self, patience: Duration) {
+        let mut has_served = self.has_served.subscribe();
+        // Without one in time the caller is refused, as by a host that has lost its plan.
+        tokio::time::timeout(patience, has_served.wait_for(|has_served| *has_served)).await.ok();
     }
 
     /// Takes in a changed lease; it counts from the next confirmation on.
--- a/clayplank-forward/tests/parts.rs
+++ b/clayplank-forward/tests/parts.rs
@@ -2,10 +2,14 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
-use clayplank_forward::{BudgetLimits, Directory, EventSplitter, RetryBudget};
+use std::sync::Arc;
+use std::time::Duration;
+
+use clayplank_forward::{BudgetLimits, Directory, EventSplitter, Gate, RetryBudget};
 use clayplank_registry::{Heartbeat, Record, Standing};
 use clayplank_types::{DataCentre, UpstreamId};
 use rstest::rstest;
+use tokio::time::Instant;
 
 #[rstest]
 #[case::byte_by_byte(1)]
@@ -120,8 +124,29 @@
         Standing::Gone,
         "late news changes nothing"
     );
-    tokio::time::advance(std::time::Duration::from_secs(180)).await;
+    tokio::time::advance(Duration::from_secs(180)).await;
     directory.apply(vec![record("new", "a", Standing::Ready, 1)]);
     let ids: Vec<_> = directory.records().into_iter().map(|one| one.heartbeat.id).collect();
     assert_eq!(ids, [UpstreamId::new("new")]);
 }
+
+#[tokio::test(start_paused = true)]
+async fn callers_of_a_new_host_wait_for_its_first_plan_and_no_longer() {
+    let gate = Arc::new(Gate::new(1_000));
+    let patience = Duration::from_millis(800);
+    let started = Instant::now();
+    gate.wait_for_first_plan(patience).await;
+    assert_eq!(started.elapsed(), patience, "no plan came");
+    let waiting = tokio::spawn({
+        let gate = Arc::clone(&gate);
+        async move { gate.wait_for_first_plan(patience).await }
+    });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    gate.confirm(1);
+    waiting.await.unwrap();
+    assert_eq!(started.elapsed(), patience + Duration::from_millis(300));
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    let later = Instant::now();
+    gate.wait_for_first_plan(patience).await;
+    assert_eq!(later.elapsed(), Duration::ZERO, "a host that has lost its plan refuses at once");
+}
