A new owner of a pool waits for its engines' first reports before it refuses

From its log: host h0 had just started and taken the pool, and none of the engines had reported to it yet, so the scheduler knew none. Ruled out: engines that left (none did), a deadline. Such callers now ask again, as they do in a hand-over, for 2 s at most.

--- a/clayplank-schedule/src/scheduler.rs
+++ b/clayplank-schedule/src/scheduler.rs
@@ -167,6 +167,11 @@
         Forecast { wait_ms: ahead_tokens / tokens_per_ms, service_ms }
     }
 
+    /// Whether an engine that serves the model has reported.
+    pub fn has_engine(&self, model: &str) -> bool {
+        self.fleet.model(model).is_some_and(|model| model.count() > 0)
+    }
+
     /// Sums over all engines and queues.
     pub fn totals(&self) -> Totals {
         let mut totals =
--- a/clayplankd/src/owner.rs
+++ b/clayplankd/src/owner.rs
@@ -25,6 +25,10 @@
 
 const TICK: Duration = Duration::from_millis(100);
 
+/// Engines of a pool that was taken over have reported within this time, in ms: some reports,
+/// also on a host that is busy with its start.
+const FIRST_REPORTS_MS: u64 = 2_000;
+
 /// Load reports that may fail in a row before an engine counts as silent.
 const MAX_MISSED_REPORTS: u32 = 3;
 
@@ -51,9 +55,17 @@
 
 struct OwnedPool {
     scheduler: Scheduler,
+    taken_at_ms: u64,
     polls: Vec<tokio::task::JoinHandle<()>>,
 }
 
+impl OwnedPool {
+    /// Whether engines of the model may only not have reported yet to their new owner.
+    fn awaits_reports(&self, model: &str) -> bool {
+        now_ms() < self.taken_at_ms + FIRST_REPORTS_MS && !self.scheduler.has_engine(model)
+    }
+}
+
 impl Drop for OwnedPool {
     fn drop(&mut self) {
         self.polls.iter().for_each(tokio::task::JoinHandle::abort);
@@ -147,7 +159,7 @@
             };
             polls.push(tokio::spawn(poll.run()));
         }
-        self.pools.insert(pool, OwnedPool { scheduler, polls });
+        self.pools.insert(pool, OwnedPool { scheduler, taken_at_ms: now_ms(), polls });
     }
 
     /// Those that wait ask the new owner; grants are told to it by their holders.
@@ -310,7 +322,8 @@
     async fn handle(&mut self, reserve: Reserve, _: &mut Context<Self>) -> Self::Return {
         let Reserve { pool, holder, mut ask } = reserve;
         let (reply, receiver) = oneshot::channel();
-        if !self.pools.contains_key(&pool) {
+        // One that asks too soon after the pool was taken asks again, as in a hand-over.
+        if self.pools.get(&pool).is_none_or(|owned| owned.awaits_reports(&ask.model)) {
             let reserved = Reserved::NotOwner(self.members.owner_of(&pool));
             reply.send(ReserveAnswer { reserved, pool_wait_ms: 0 }).ok();
             return receiver;
