Split an entry host's following of the keepers from its placements

fleet_link.rs did both: it placed prompts at the leader, and took plans and upstreams in. following.rs has the second now; the link no longer lends its keepers and engines.

--- a/clayplankd/src/lib.rs
+++ b/clayplankd/src/lib.rs
@@ -26,6 +26,7 @@
 mod engine_watch;
 mod fleet_keeper;
 mod fleet_link;
+mod following;
 mod host;
 mod inner;
 mod keeper;
--- a/clayplankd/src/seeded_entry.rs
+++ b/clayplankd/src/seeded_entry.rs
@@ -14,7 +14,8 @@
 
 use crate::contract::SharedContract;
 use crate::daemon::{StartError, bind};
-use crate::fleet_link::{FleetLink, Following, run_following, run_reports};
+use crate::fleet_link::{FleetLink, run_reports};
+use crate::following::{Following, run_following};
 use crate::seeded::{Parts, plain_text, serve_metrics};
 
 /// Share of the time until a revoked key must be without effect for which a
@@ -50,7 +51,7 @@
         let gate = Arc::new(Gate::new(lease_ms(bounds)));
         let directory = Arc::new(Directory::default());
         let figures = Arc::new(Figures::default());
-        let (link, events) = FleetLink::new(self.peers, self.keepers);
+        let (link, events) = FleetLink::new(self.peers, self.keepers.clone());
         let link = Arc::new(link);
         let entry = EntryBuilder::default()
             .names(self.contract.header_names())
@@ -64,6 +65,7 @@
         tokio::spawn(run_following(Following {
             host: self.own,
             contract: Arc::clone(&self.contract),
+            keepers: self.keepers,
             link,
             gate: Arc::clone(&gate),
             directory,
