Split a keeper's answers to entry hosts, and the engines of a fleet, from its soft state

fleet_keeper.rs held the registry, the placing, and the answers to followers; the link of entry hosts took its engines and its clock from there. The follower's file goes through methods now, and each step of the ageing loop has a name.

--- a/clayplankd/src/clock.rs
+++ b/clayplankd/src/clock.rs
@@ -4,6 +4,11 @@
 
 pub(crate) use clayplank_forward::{millis, now_ms};
 
+/// The fleet's time: milliseconds of the runtime's clock.
+pub(crate) fn fleet_now_ms() -> f64 {
+    now_ms() as f64
+}
+
 /// Milliseconds since 1970, for the replicated state alone.
 pub(crate) fn wall_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
--- a/clayplankd/src/fleet_keeper.rs
+++ b/clayplankd/src/fleet_keeper.rs
@@ -6,29 +6,21 @@
 use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwapOption;
-use clayplank_placement::{Ask, EngineSpec, Event, Fleet, Placed, PlacementId, Renewed};
-use clayplank_registry::{Changes, Cursor, Heartbeat, Record, Registry, Standing};
+use clayplank_placement::{Ask, Event, Fleet, Placed, PlacementId, Renewed};
+use clayplank_registry::{Changes, Cursor, Heartbeat, Registry};
 use clayplank_routes::PlanIndex;
-use clayplank_state::{Delta, PlanDocument, decode, encode};
+use clayplank_state::{Delta, PlanDocument};
 use clayplank_types::{HostId, UpstreamId};
-use clayplank_wire::{FollowRequest, Followed, follow_reply};
-use tokio::sync::{oneshot, watch};
-use tonic::Status;
-use xtra::Address;
+use tokio::sync::watch;
 
-use crate::clock::{millis, now_ms};
+use crate::clock::{fleet_now_ms, millis, now_ms};
 use crate::contract::SharedContract;
-use crate::keeper::Keeper;
+use crate::fleet_engines::set_engines;
 use crate::keeper_client::KeeperClient;
-use crate::keeper_messages::{Watch, Watched};
 use crate::lock::lock;
 use crate::logging::part;
 use crate::plan_edits::PlanEdits;
 
-/// A follower without news is confirmed after this time, in ms. A host whose
-/// keeper has died finds the next one after about as long.
-const FOLLOW_WAIT_MS: u64 = 500;
-
 /// An entry host that did not follow for this long, in ms, does not share the retry budget any more.
 const HOST_GONE_MS: u64 = 5_000;
 
@@ -58,11 +50,6 @@
     entry_hosts: Mutex<HashMap<HostId, u64>>,
 }
 
-/// The fleet's time: milliseconds of the runtime's clock.
-pub(crate) fn fleet_now_ms() -> f64 {
-    now_ms() as f64
-}
-
 impl FleetKeeper {
     pub(crate) fn new(contract: SharedContract, keepers: KeeperClient, heartbeat_ms: u64) -> Self {
         Self {
@@ -97,6 +84,14 @@
         }
     }
 
+    /// Takes in what an entry host knows, which it tells to a keeper that knows less.
+    pub(crate) fn learn(&self, known: &[Heartbeat]) {
+        if !known.is_empty() {
+            self.apply(known);
+            self.has_learned.store(true, Ordering::SeqCst);
+        }
+    }
+
     /// Notes that an upstream left; returns what the other keepers have to know.
     pub(crate) fn leave(&self, id: &UpstreamId) -> Heartbeat {
         let gone = lock(&self.registry).leave(now_ms(), id);
@@ -119,7 +114,12 @@
         set_engines(&mut lock(&self.fleet), &plan, &records);
     }
 
+    /// Takes a plan in, unless it is the one that is held.
     fn set_plan(&self, document: &PlanDocument) {
+        let held = self.plan.load().as_ref().map(|plan| plan.plan().version);
+        if held == Some(document.version) {
+            return;
+        }
         lock(&self.edits).note(document);
         match self.contract.parse_plan(&document.text) {
             Ok(plan) => {
@@ -132,6 +132,16 @@
         }
     }
 
+    /// Marks upstreams that are silent for this long, and drops what was lost.
+    fn age(&self, silent_ms: u64) {
+        let before = lock(&self.registry).cursor();
+        lock(&self.registry).age(now_ms(), silent_ms);
+        lock(&self.fleet).drop_lost(fleet_now_ms());
+        if lock(&self.registry).cursor() != before {
+            self.note_changed();
+        }
+    }
+
     /// Chooses engines; `None` while too little is known of them.
     pub(crate) fn place(&self, ask: &Ask) -> Option<Placed> {
         // Every upstream has told of itself once, or this keeper would send all to a few.
@@ -167,61 +177,26 @@
         &self.contract
     }
 
-    /// Answers an entry host when there is news, and confirms after a while that there is none.
-    pub(crate) async fn follow(
-        &self,
-        keeper: &Address<Keeper>,
-        request: FollowRequest,
-    ) -> Result<follow_reply::Result, Status> {
-        let cursor: Cursor = decode(&request.cursor).map_err(malformed)?;
-        let renewed: Vec<Renewed> = decode(&request.renewed).map_err(malformed)?;
-        let known: Vec<Heartbeat> = decode(&request.known).map_err(malformed)?;
-        if !known.is_empty() {
-            self.apply(&known);
-            self.has_learned.store(true, Ordering::SeqCst);
-        }
-        let host = HostId::new(request.from_host);
-        let (revision, plan_version) = (request.applied_revision, request.plan_version);
-        let mut changed = self.changed.subscribe();
-        let has_news = *changed.borrow_and_update() != cursor;
-        let wait_ms = if has_news { 0 } else { FOLLOW_WAIT_MS };
-        lock(&self.fleet).renew(fleet_now_ms(), request.life, &renewed);
-        let mut watched = watch_keeper(keeper, &host, revision, wait_ms).await?;
-        let answer = tokio::select! {
-            answer = &mut watched => answer,
-            _ = changed.changed() => watch_keeper(keeper, &host, revision, 0).await?.await,
-        };
-        match answer.map_err(|_| Status::unavailable("the keeper is stopping"))? {
-            Watched::Delta(delta) => {
-                lock(&self.entry_hosts).insert(host, now_ms());
-                Ok(follow_reply::Result::Followed(self.followed(delta, plan_version, cursor)?))
-            }
-            Watched::NotLeader(hint) => {
-                let hint = hint.map_or_else(String::new, |host| host.to_string());
-                Ok(follow_reply::Result::NotLeaderHint(hint))
-            }
-        }
+    pub(crate) fn keepers(&self) -> &KeeperClient {
+        &self.keepers
+    }
+
+    /// The registry's newest change, and those to come.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<Cursor> {
+        self.changed.subscribe()
+    }
+
+    pub(crate) fn changes_after(&self, cursor: Cursor) -> Changes {
+        lock(&self.registry).changes_after(cursor)
     }
 
-    fn followed(
-        &self,
-        mut delta: Delta,
-        plan_version: u64,
-        cursor: Cursor,
-    ) -> Result<Followed, Status> {
-        let changes: Changes = lock(&self.registry).changes_after(cursor);
-        let plan_edit = self.take_edit(&mut delta, plan_version);
-        Ok(Followed {
-            delta: encode(&delta).map_err(malformed)?,
-            plan_edit,
-            changes: encode(&changes).map_err(malformed)?,
-            entry_hosts: self.count_entry_hosts(),
-            keepers: self.keepers.hosts().iter().map(ToString::to_string).collect(),
-        })
+    /// Takes over the placements that a life of an entry host runs.
+    pub(crate) fn renew(&self, life: u64, renewed: &[Renewed]) {
+        lock(&self.fleet).renew(fleet_now_ms(), life, renewed);
     }
 
     /// Takes the plan out of a delta if an edit says it in less; empty if none does.
-    fn take_edit(&self, delta: &mut Delta, plan_version: u64) -> Vec<u8> {
+    pub(crate) fn take_edit(&self, delta: &mut Delta, plan_version: u64) -> Vec<u8> {
         let Some(document) = &delta.plan else {
             return Vec::new();
         };
@@ -234,7 +209,12 @@
         edit.unwrap_or_default()
     }
 
-    fn count_entry_hosts(&self) -> u64 {
+    pub(crate) fn note_entry_host(&self, host: HostId) {
+        lock(&self.entry_hosts).insert(host, now_ms());
+    }
+
+    /// How many entry hosts follow this keeper.
+    pub(crate) fn count_entry_hosts(&self) -> u64 {
         let now_ms = now_ms();
         let mut hosts = lock(&self.entry_hosts);
         hosts.retain(|_, heard_ms| now_ms < *heard_ms + HOST_GONE_MS);
@@ -259,39 +239,6 @@
         "An upstream's standing changed");
 }
 
-fn malformed<E: std::fmt::Display>(error: E) -> Status {
-    Status::invalid_argument(error.to_string())
-}
-
-async fn watch_keeper(
-    keeper: &Address<Keeper>,
-    host: &HostId,
-    applied_revision: u64,
-    wait_ms: u64,
-) -> Result<oneshot::Receiver<Watched>, Status> {
-    let watch = Watch { host: host.clone(), applied_revision, wait_ms };
-    keeper.send(watch).await.map_err(|_| Status::unavailable("the keeper is stopping"))
-}
-
-/// Sets the engines of a fleet from the plan and the registered upstreams.
-pub(crate) fn set_engines(fleet: &mut Fleet, plan: &PlanIndex, records: &[Record]) {
-    for record in records {
-        let heartbeat = &record.heartbeat;
-        let Some(model) = plan.engine_model(&heartbeat.service) else {
-            continue;
-        };
-        let spec = EngineSpec {
-            pool: heartbeat.service.clone(),
-            data_centre: heartbeat.data_centre.clone(),
-            model: model.clone(),
-        };
-        fleet.set_engine(heartbeat.id.clone(), spec, heartbeat.standing == Standing::Ready);
-        fleet.set_silent(&heartbeat.id, record.is_silent);
-    }
-    let is_known = |id: &UpstreamId| records.iter().any(|record| record.heartbeat.id == *id);
-    fleet.retain_engines(is_known);
-}
-
 /// Ages records, and follows the plan.
 pub(crate) async fn run_fleet(
     fleet: Arc<FleetKeeper>,
@@ -309,16 +256,8 @@
         }
         let plan = plans.borrow_and_update().clone();
         if let Some(document) = plan {
-            let held = fleet.plan.load().as_ref().map(|plan| plan.plan().version);
-            if held != Some(document.version) {
-                fleet.set_plan(&document);
-            }
-        }
-        let before = lock(&fleet.registry).cursor();
-        lock(&fleet.registry).age(now_ms(), silent_ms);
-        lock(&fleet.fleet).drop_lost(fleet_now_ms());
-        if lock(&fleet.registry).cursor() != before {
-            fleet.note_changed();
+            fleet.set_plan(&document);
         }
+        fleet.age(silent_ms);
     }
 }
--- a/clayplankd/src/fleet_link.rs
+++ b/clayplankd/src/fleet_link.rs
@@ -13,8 +13,8 @@
 use clayplank_wire::{PlaceRequest, ReportRequest};
 use tokio::sync::mpsc;
 
-use crate::clock::now_ms;
-use crate::fleet_keeper::{fleet_now_ms, set_engines};
+use crate::clock::{fleet_now_ms, now_ms};
+use crate::fleet_engines::set_engines;
 use crate::keeper_client::KeeperClient;
 use crate::lock::lock;
 use crate::logging::part;
--- a/clayplankd/src/inner.rs
+++ b/clayplankd/src/inner.rs
@@ -24,6 +24,7 @@
 use xtra::Address;
 
 use crate::clock::now_ms;
+use crate::fleet_followers::answer_follower;
 use crate::fleet_keeper::FleetKeeper;
 use crate::keeper::{Keeper, KeeperAddress};
 use crate::keeper_messages::{
@@ -186,7 +187,7 @@
 
     async fn follow(&self, request: Request<FollowRequest>) -> Answer<FollowReply> {
         let keeper = self.keeper()?;
-        let result = self.fleet()?.follow(keeper, request.into_inner()).await?;
+        let result = answer_follower(self.fleet()?, keeper, request.into_inner()).await?;
         Ok(Response::new(FollowReply { result: Some(result) }))
     }
 
--- a/clayplankd/src/lib.rs
+++ b/clayplankd/src/lib.rs
@@ -24,6 +24,8 @@
 mod daemon;
 mod dispatch;
 mod engine_watch;
+mod fleet_engines;
+mod fleet_followers;
 mod fleet_keeper;
 mod fleet_link;
 mod following;
