Split an engine's health and its jobs from its load

engine.rs held the load, the failures, the slowness that was seen and the pace that was told. health.rs has the last three, job.rs a request's share, avoid.rs the one rule of how long a failed upstream is left alone.

--- a/clayplank-placement/src/candidate.rs
+++ b/clayplank-placement/src/candidate.rs
@@ -4,8 +4,9 @@
 
 use crate::ask::Ask;
 use crate::costs::{delay_harm, exposure_loss, pause_harm};
-use crate::engine::{Engine, Queued};
+use crate::engine::Engine;
 use crate::fleet::Fleet;
+use crate::job::Queued;
 
 /// Loss for an engine in another data centre: bytes between them cost.
 const REMOTE_LOSS: f64 = 0.004;
@@ -79,7 +80,7 @@
 ) -> Candidate<'a> {
     let (id, engine) = (open.id, open.engine);
     let read_ms =
-        engine.spec.model.part_read_ms(ask.prompt_tokens, parts) * engine.slowness(now_ms);
+        engine.spec.model.part_read_ms(ask.prompt_tokens, parts) * engine.health.slowness(now_ms);
     let part = Queued { tokens: ask.prompt_tokens as f64 / parts as f64, read_ms };
     let before = engine.queued_before(parts > 1);
     let until_read =
@@ -91,7 +92,7 @@
     if engine.is_doubtful(now_ms) {
         harm += DOUBT_LOSS * ask.weight();
     }
-    if engine.is_avoided(now_ms) {
+    if engine.health.is_avoided(now_ms) {
         harm += AVOID_LOSS * ask.weight();
     }
     if engine.spec.data_centre != ask.data_centre {
--- a/clayplank-placement/src/costs.rs
+++ b/clayplank-placement/src/costs.rs
@@ -1,8 +1,9 @@
 //! What requests lose: a prompt by its own wait, and others by what it does to them.
 
 use crate::ask::Ask;
-use crate::engine::{Engine, JobKind, Queued};
+use crate::engine::Engine;
 use crate::fleet::Fleet;
+use crate::job::{JobKind, Queued};
 
 /// What a late answer loses of its weight. Most callers still take it, for about a quarter.
 pub(crate) const LATE_LOSS: f64 = 0.75;
--- a/clayplank-placement/src/engine.rs
+++ b/clayplank-placement/src/engine.rs
@@ -3,6 +3,8 @@
 use clayplank_types::DataCentre;
 
 use crate::ask::PlacementId;
+use crate::health::Health;
+use crate::job::{Job, JobKind, Queued};
 use crate::model::EngineModel;
 
 /// What is fixed of an engine.
@@ -16,80 +18,6 @@
     pub model: EngineModel,
 }
 
-/// Whether a request runs at the engine or is only read there.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum JobKind {
-    Primary,
-    Helper,
-}
-
-/// A request's share in one engine.
-#[derive(Clone, Debug)]
-pub(crate) struct Job {
-    pub(crate) id: PlacementId,
-    pub(crate) kind: JobKind,
-    /// Until the first token of the request has come.
-    pub(crate) is_reading: bool,
-    /// Whether several engines read the prompt: such parts are read before others.
-    pub(crate) is_split: bool,
-    /// What is left of its part to be read, as far as can be known from here.
-    pub(crate) left_ms: f64,
-    pub(crate) left_tokens: f64,
-    pub(crate) memory_tokens: u64,
-    pub(crate) context_tokens: u64,
-    pub(crate) pause_goal_ms: f64,
-    /// Time for its first token, from when it was placed.
-    pub(crate) goal_ms: f64,
-    pub(crate) first_token_due_ms: f64,
-    pub(crate) weight: f64,
-}
-
-impl Job {
-    pub(crate) fn is_queued(&self) -> bool {
-        self.is_reading && self.left_ms > 0.0
-    }
-}
-
-/// Reads that wait on an engine.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Queued {
-    pub(crate) tokens: f64,
-    pub(crate) read_ms: f64,
-}
-
-/// After a first failure an engine is avoided for this long, in ms; twice as long after the next.
-const AVOID_BASE_MS: f64 = 500.0;
-
-/// And never longer than this, in ms, so that one that has recovered is found out.
-const AVOID_MAX_MS: f64 = 8_000.0;
-
-/// Failures in a row that are counted; the longest time is reached before.
-const MAX_FAILURES: u32 = 8;
-
-/// A first token that took this many times what was expected speaks of a slow engine.
-const SLOW_RATIO: f64 = 2.0;
-
-/// Shorter delays, in ms, say nothing of an engine: the way there and the passes vary.
-const SLOW_MIN_MS: f64 = 150.0;
-
-/// An engine is never taken for slower than this; beyond, nothing more is learned.
-const MAX_SLOWNESS: f64 = 8.0;
-
-/// Time, in ms, in which what was learned of an engine's slowness loses half of its weight.
-const SLOWNESS_HALF_LIFE_MS: f64 = 3_000.0;
-
-/// A pace that an engine told is used for this long, in ms: slow ones are asked again before.
-const PACE_AGE_MS: f64 = 2_500.0;
-
-/// An engine is asked for its pace this often at most, in ms: each question has its price.
-const ASK_EVERY_MS: f64 = 700.0;
-
-/// Beyond this pace an engine is slow, and asked again until it is not.
-const SLOW_PACE: f64 = 1.2;
-
-/// An answer shows for this long, in ms, that an engine lives whose heartbeats are missing.
-const SEEN_MS: f64 = 3_000.0;
-
 /// What is known of one engine.
 #[derive(Clone, Debug)]
 pub(crate) struct Engine {
@@ -97,21 +25,12 @@
     pub(crate) is_open: bool,
     /// Whether its heartbeats are missing.
     pub(crate) is_silent: bool,
-    /// When an answer of it was last seen.
-    seen_at_ms: f64,
+    pub(crate) health: Health,
     pub(crate) jobs: Vec<Job>,
     /// Up to when the reading of its jobs was worked out.
     advanced_at_ms: f64,
     /// The pace that it had told by then, and at which its work is worked out.
     slowness_now: f64,
-    failures: u32,
-    avoid_until_ms: f64,
-    slowness: f64,
-    slowness_at_ms: f64,
-    /// What the engine itself told: how many times longer its work takes than the model says.
-    pace: f64,
-    pace_at_ms: f64,
-    asked_at_ms: f64,
 }
 
 impl Engine {
@@ -120,38 +39,16 @@
             spec,
             is_open,
             is_silent: false,
-            seen_at_ms: 0.0,
+            health: Health::default(),
             jobs: Vec::new(),
             advanced_at_ms: 0.0,
             slowness_now: 1.0,
-            failures: 0,
-            avoid_until_ms: 0.0,
-            slowness: 1.0,
-            slowness_at_ms: 0.0,
-            pace: 1.0,
-            pace_at_ms: f64::NEG_INFINITY,
-            asked_at_ms: f64::NEG_INFINITY,
         }
     }
 
-    pub(crate) fn is_avoided(&self, now_ms: f64) -> bool {
-        now_ms < self.avoid_until_ms
-    }
-
-    /// How many times longer its work takes than the model says: as it told itself lately,
-    /// or, if that is more, as its answers showed.
-    pub(crate) fn slowness(&self, now_ms: f64) -> f64 {
-        self.told_pace(now_ms).max(self.seen_slowness(now_ms))
-    }
-
-    /// What it told itself, if that is not too old.
-    fn told_pace(&self, now_ms: f64) -> f64 {
-        if now_ms < self.pace_at_ms + PACE_AGE_MS { self.pace } else { 1.0 }
-    }
-
-    fn seen_slowness(&self, now_ms: f64) -> f64 {
-        let age_ms = (now_ms - self.slowness_at_ms).max(0.0);
-        1.0 + (self.slowness - 1.0) * 0.5_f64.powf(age_ms / SLOWNESS_HALF_LIFE_MS)
+    /// Whether neither heartbeats nor answers tell that it lives.
+    pub(crate) fn is_doubtful(&self, now_ms: f64) -> bool {
+        self.is_silent && !self.health.is_seen(now_ms)
     }
 
     /// Requests that run here, written or about to be.
@@ -215,7 +112,7 @@
     pub(crate) fn advance(&mut self, now_ms: f64) {
         let span_ms = (now_ms - self.advanced_at_ms).max(0.0);
         self.advanced_at_ms = now_ms;
-        self.set_slowness(self.told_pace(now_ms));
+        self.set_slowness(self.health.told_pace(now_ms));
         let queued = self.queued();
         if queued.read_ms <= 0.0 || span_ms <= 0.0 {
             return;
@@ -259,51 +156,4 @@
         self.advance(now_ms);
         self.jobs.retain(|job| job.id != id);
     }
-
-    pub(crate) fn note_failure(&mut self, now_ms: f64) {
-        self.failures = (self.failures + 1).min(MAX_FAILURES);
-        let pause_ms = AVOID_BASE_MS * f64::from(1_u32 << (self.failures - 1));
-        self.avoid_until_ms = now_ms + pause_ms.min(AVOID_MAX_MS);
-    }
-
-    pub(crate) fn note_success(&mut self, now_ms: f64) {
-        self.failures = 0;
-        self.seen_at_ms = now_ms;
-    }
-
-    /// Whether neither heartbeats nor answers tell that it lives.
-    pub(crate) fn is_doubtful(&self, now_ms: f64) -> bool {
-        self.is_silent && now_ms > self.seen_at_ms + SEEN_MS
-    }
-
-    /// Takes in the pace that the engine told.
-    pub(crate) fn note_pace(&mut self, now_ms: f64, pace: f64) {
-        self.pace = pace.clamp(1.0, MAX_SLOWNESS);
-        self.pace_at_ms = now_ms;
-        self.seen_at_ms = now_ms;
-    }
-
-    /// Whether it was slow when it last told its pace.
-    pub(crate) fn is_slow(&self) -> bool {
-        self.pace > SLOW_PACE
-    }
-
-    /// Whether it may be asked for its pace again; if so, it counts as asked.
-    pub(crate) fn take_question(&mut self, now_ms: f64) -> bool {
-        let is_due = now_ms >= self.asked_at_ms + ASK_EVERY_MS;
-        if is_due {
-            self.asked_at_ms = now_ms;
-        }
-        is_due
-    }
-
-    /// Learns from how long a first token took.
-    pub(crate) fn note_first_token(&mut self, now_ms: f64, expected_ms: f64, took_ms: f64) {
-        let is_late = took_ms > SLOW_RATIO * expected_ms && took_ms > expected_ms + SLOW_MIN_MS;
-        let seen = if is_late { took_ms / expected_ms.max(1.0) } else { 1.0 };
-        let held = self.seen_slowness(now_ms);
-        self.slowness = ((held + seen) / 2.0).clamp(1.0, MAX_SLOWNESS);
-        self.slowness_at_ms = now_ms;
-        self.seen_at_ms = now_ms;
-    }
 }
--- a/clayplank-placement/src/fleet.rs
+++ b/clayplank-placement/src/fleet.rs
@@ -10,7 +10,8 @@
 
 use crate::ask::{Ask, Assignment, Placed, PlacementId};
 use crate::choose::choose;
-use crate::engine::{Engine, EngineSpec, Job, JobKind};
+use crate::engine::{Engine, EngineSpec};
+use crate::job::{Job, JobKind};
 
 /// A placement whose host says nothing is dropped this long, in ms, after its time limit.
 const LOST_AFTER_MS: f64 = 5_000.0;
@@ -207,7 +208,7 @@
             kind,
             is_reading: true,
             is_split: parts > 1,
-            left_ms: read_ms * engine.slowness(now_ms),
+            left_ms: read_ms * engine.health.slowness(now_ms),
             left_tokens: ask.prompt_tokens as f64 / parts as f64,
             memory_tokens,
             context_tokens: ask.prompt_tokens / parts as u64,
@@ -227,19 +228,19 @@
                     let expected_ms = placement.expected_ms;
                     let engine = self.engines.get_mut(&placement.engine);
                     if let Some(engine) = engine {
-                        engine.note_success(now_ms);
-                        engine.note_first_token(now_ms, expected_ms, took_ms);
+                        engine.health.note_success(now_ms);
+                        engine.health.note_first_token(now_ms, expected_ms, took_ms);
                     }
                     self.note_started(now_ms, id);
                 }
             }
             Event::Ended => self.end(now_ms, id, |_| {}),
-            Event::Failed => self.end(now_ms, id, |engine| engine.note_failure(now_ms)),
+            Event::Failed => self.end(now_ms, id, |engine| engine.health.note_failure(now_ms)),
             Event::HelperFailed { position } => {
                 let placement = self.placements.get(&id);
                 let helper = placement.and_then(|one| one.helpers.get(position)).cloned();
                 if let Some(engine) = helper.and_then(|helper| self.engines.get_mut(&helper)) {
-                    engine.note_failure(now_ms);
+                    engine.health.note_failure(now_ms);
                 }
                 self.end(now_ms, id, |_| {});
             }
@@ -300,12 +301,12 @@
             .flat_map(|one| std::iter::once(&one.engine).chain(&one.helpers))
             .cloned()
             .collect();
-        let slow = self.engines.iter().filter(|(_, engine)| engine.is_slow());
+        let slow = self.engines.iter().filter(|(_, engine)| engine.health.is_slow());
         suspects.extend(slow.map(|(id, _)| id.clone()));
         suspects
             .into_iter()
             .filter(|id| {
-                self.engines.get_mut(id).is_some_and(|engine| engine.take_question(now_ms))
+                self.engines.get_mut(id).is_some_and(|engine| engine.health.take_question(now_ms))
             })
             .collect()
     }
@@ -314,7 +315,7 @@
     /// model says.
     pub fn note_pace(&mut self, now_ms: f64, id: &UpstreamId, pace: f64) {
         if let Some(engine) = self.engines.get_mut(id) {
-            engine.note_pace(now_ms, pace);
+            engine.health.note_pace(now_ms, pace);
         }
     }
 
--- a/clayplank-placement/src/lib.rs
+++ b/clayplank-placement/src/lib.rs
@@ -20,11 +20,14 @@
 //! ```
 
 mod ask;
+mod avoid;
 mod candidate;
 mod choose;
 mod costs;
 mod engine;
 mod fleet;
+mod health;
+mod job;
 mod model;
 mod parts;
 
