Keep one rule of how long an upstream that failed is avoided

The directory of services and the placement of engines had the same rule with the same figures, 500 ms doubled up to 8 s, each in its own words; the directory takes the placement's now. The times are the same for every count of failures.

--- a/clayplank-forward/src/directory.rs
+++ b/clayplank-forward/src/directory.rs
@@ -3,17 +3,12 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use clayplank_placement::avoid_ms;
 use clayplank_registry::{Record, Standing};
 use clayplank_types::{DataCentre, UpstreamId};
 
 use crate::clock::now_ms;
 
-/// An upstream that failed is avoided for this long, in ms; twice as long after the next failure.
-const AVOID_BASE_MS: u64 = 500;
-
-/// The longest time, in ms, for which an upstream is avoided.
-const AVOID_MAX_MS: u64 = 8_000;
-
 /// Load that an upstream told counts for this long, in ms.
 const LOAD_AGE_MS: u64 = 1_000;
 
@@ -23,9 +18,6 @@
 /// Answers of an upstream in another data centre come this much later, in ms, in comparisons.
 const REMOTE_MS: f64 = 5.0;
 
-/// Failures in a row that still double the time for which an upstream is avoided.
-const MAX_DOUBLINGS: u32 = 4;
-
 /// An upstream that left is remembered for this long, in ms: far longer than news of it may
 /// be late.
 const TOMBSTONE_MS: u64 = 120_000;
@@ -165,9 +157,8 @@
         if is_good {
             seen.failures = 0;
         } else {
-            let doublings = seen.failures.min(MAX_DOUBLINGS);
-            seen.failures += 1;
-            seen.avoid_until_ms = now_ms + (AVOID_BASE_MS << doublings).min(AVOID_MAX_MS);
+            seen.failures = seen.failures.saturating_add(1);
+            seen.avoid_until_ms = now_ms + avoid_ms(seen.failures) as u64;
         }
     }
 
--- a/clayplank-placement/src/lib.rs
+++ b/clayplank-placement/src/lib.rs
@@ -32,6 +32,7 @@
 mod parts;
 
 pub use ask::{Ask, Assignment, Part, Placed, PlacementId};
+pub use avoid::avoid_ms;
 pub use engine::EngineSpec;
 pub use fleet::{Event, Fleet, Renewed};
 pub use model::EngineModel;
