--- a/clayplank-placement/src/fleet.rs
+++ b/clayplank-placement/src/fleet.rs
@@ -6,18 +6,13 @@
 use clayplank_types::UpstreamId;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use serde::{Deserialize, Serialize};
 
 use crate::ask::{Ask, Assignment, Placed, PlacementId};
 use crate::choose::choose;
 use crate::engine::{Engine, EngineSpec};
+use crate::event::{Event, Renewed};
 use crate::job::{Job, JobKind};
-
-/// A placement whose host says nothing is dropped this long, in ms, after its time limit.
-const LOST_AFTER_MS: f64 = 5_000.0;
-
-/// A placement that its host does not list is kept this long, in ms: the list may be older.
-const SETTLE_MS: f64 = 1_000.0;
+use crate::placement::Placement;
 
 /// What chance adds to an engine's cost for a host that decides alone, as a share of a
 /// prompt's weight: as much as one stream that is harmed costs.
@@ -26,58 +21,6 @@
 /// Time, in ms, in which split prompts lose half of their weight in the load.
 const SPLIT_LOAD_HALF_LIFE_MS: f64 = 2_000.0;
 
-/// A first token that is this many times later than expected, and by a margin in ms, makes the
-/// engines that read for it suspect of being slow.
-const SUSPECT_RATIO: f64 = 1.5;
-const SUSPECT_MARGIN_MS: f64 = 100.0;
-
-/// What a host tells of a placement.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Event {
-    /// Its first token came.
-    Started {
-        /// Since it was sent.
-        took_ms: f64,
-    },
-    /// It ended well, or its caller left.
-    Ended,
-    /// It failed in a way that speaks against the engine.
-    Failed,
-    /// It was not run, and a helper is at fault.
-    HelperFailed {
-        /// Among the helpers of its assignment.
-        position: usize,
-    },
-}
-
-/// A placement that its host still runs, enough to take it over.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Renewed {
-    /// What was asked for.
-    pub ask: Ask,
-    /// What was assigned.
-    pub assignment: Assignment,
-    /// Whether its first token has come.
-    pub is_started: bool,
-}
-
-#[derive(Clone, Debug)]
-struct Placement {
-    engine: UpstreamId,
-    helpers: Vec<UpstreamId>,
-    placed_at_ms: f64,
-    expected_ms: f64,
-    is_started: bool,
-    lost_at_ms: f64,
-}
-
-impl Placement {
-    fn is_late(&self, now_ms: f64) -> bool {
-        let waited_ms = now_ms - self.placed_at_ms;
-        !self.is_started && waited_ms > SUSPECT_RATIO * self.expected_ms + SUSPECT_MARGIN_MS
-    }
-}
-
 /// Engines and placements.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
@@ -161,35 +104,32 @@
         if self.placements.contains_key(&ask.id) {
             return;
         }
-        let helpers: Vec<_> = assignment.helpers.iter().map(|part| part.engine.clone()).collect();
-        let parts = 1 + helpers.len();
+        let parts = 1 + assignment.helpers.len();
         let reserved: u64 = assignment.helpers.iter().map(|part| part.reserve_tokens).sum();
         let own_tokens = ask.memory_tokens().saturating_sub(reserved);
-        let expected_ms = assignment.first_token_ms;
-        if let Some(engine) = self.engines.get(&assignment.engine).filter(|_| parts > 1) {
-            let work_ms = engine.spec.model.part_read_ms(ask.prompt_tokens, 1);
-            self.split_work_ms = self.split_work(now_ms) + work_ms;
-            self.split_work_at_ms = now_ms;
+        if parts > 1 {
+            self.note_split_work(now_ms, ask, &assignment.engine);
         }
         self.take_job(now_ms, ask, &assignment.engine, JobKind::Primary, parts, own_tokens);
         for part in &assignment.helpers {
             let kind = JobKind::Helper;
             self.take_job(now_ms, ask, &part.engine, kind, parts, part.reserve_tokens);
         }
-        let placement = Placement {
-            engine: assignment.engine.clone(),
-            helpers,
-            placed_at_ms: now_ms,
-            expected_ms,
-            is_started: false,
-            lost_at_ms: now_ms + ask.limit_ms + LOST_AFTER_MS,
-        };
-        self.placements.insert(ask.id, placement);
+        self.placements.insert(ask.id, Placement::new(now_ms, ask, assignment));
         if is_started {
             self.note_started(now_ms, ask.id);
         }
     }
 
+    fn note_split_work(&mut self, now_ms: f64, ask: &Ask, engine: &UpstreamId) {
+        let Some(engine) = self.engines.get(engine) else {
+            return;
+        };
+        let work_ms = engine.spec.model.part_read_ms(ask.prompt_tokens, 1);
+        self.split_work_ms = self.split_work(now_ms) + work_ms;
+        self.split_work_at_ms = now_ms;
+    }
+
     fn take_job(
         &mut self,
         now_ms: f64,
@@ -223,36 +163,42 @@
     /// Takes in what hosts tell of their placements.
     pub fn note(&mut self, now_ms: f64, id: PlacementId, event: Event) {
         match event {
-            Event::Started { took_ms } => {
-                if let Some(placement) = self.placements.get(&id).filter(|one| !one.is_started) {
-                    let expected_ms = placement.expected_ms;
-                    let engine = self.engines.get_mut(&placement.engine);
-                    if let Some(engine) = engine {
-                        engine.health.note_success(now_ms);
-                        engine.health.note_first_token(now_ms, expected_ms, took_ms);
-                    }
-                    self.note_started(now_ms, id);
-                }
-            }
+            Event::Started { took_ms } => self.note_first_token(now_ms, id, took_ms),
             Event::Ended => self.end(now_ms, id, |_| {}),
             Event::Failed => self.end(now_ms, id, |engine| engine.health.note_failure(now_ms)),
             Event::HelperFailed { position } => {
-                let placement = self.placements.get(&id);
-                let helper = placement.and_then(|one| one.helpers.get(position)).cloned();
-                if let Some(engine) = helper.and_then(|helper| self.engines.get_mut(&helper)) {
-                    engine.health.note_failure(now_ms);
-                }
+                self.note_helper_failed(now_ms, id, position);
                 self.end(now_ms, id, |_| {});
             }
         }
     }
 
+    /// What a first token tells of the engine that wrote it; a later report adds nothing.
+    fn note_first_token(&mut self, now_ms: f64, id: PlacementId, took_ms: f64) {
+        let Some(placement) = self.placements.get(&id).filter(|one| !one.is_started) else {
+            return;
+        };
+        if let Some(engine) = self.engines.get_mut(&placement.engine) {
+            engine.health.note_success(now_ms);
+            engine.health.note_first_token(now_ms, placement.expected_ms, took_ms);
+        }
+        self.note_started(now_ms, id);
+    }
+
+    fn note_helper_failed(&mut self, now_ms: f64, id: PlacementId, position: usize) {
+        let placement = self.placements.get(&id);
+        let helper = placement.and_then(|one| one.helpers.get(position));
+        if let Some(engine) = helper.and_then(|helper| self.engines.get_mut(helper)) {
+            engine.health.note_failure(now_ms);
+        }
+    }
+
     fn note_started(&mut self, now_ms: f64, id: PlacementId) {
         let Some(placement) = self.placements.get_mut(&id) else {
             return;
         };
         placement.is_started = true;
-        for engine in std::iter::once(&placement.engine).chain(&placement.helpers) {
+        for engine in placement.engines() {
             if let Some(engine) = self.engines.get_mut(engine) {
                 engine.note_started(now_ms, id);
             }
@@ -270,7 +216,7 @@
     }
 
     fn drop_jobs(&mut self, now_ms: f64, id: PlacementId, placement: &Placement) {
-        for engine in std::iter::once(&placement.engine).chain(&placement.helpers) {
+        for engine in placement.engines() {
             if let Some(engine) = self.engines.get_mut(engine) {
                 engine.drop_job(now_ms, id);
             }
@@ -284,8 +230,7 @@
         }
         let is_listed = |id: &PlacementId| renewed.iter().any(|one| one.ask.id == *id);
         let gone = self.placements.iter().filter(|(id, placement)| {
-            let is_settled = placement.placed_at_ms + SETTLE_MS < now_ms;
-            id.host == host && is_settled && !is_listed(id)
+            id.host == host && placement.is_settled(now_ms) && !is_listed(id)
         });
         let gone: Vec<_> = gone.map(|(id, _)| *id).collect();
         for id in gone {
@@ -297,10 +242,8 @@
     /// those that were slow. They count as asked.
     pub fn take_suspects(&mut self, now_ms: f64) -> Vec<UpstreamId> {
         let late = self.placements.values().filter(|one| one.is_late(now_ms));
-        let mut suspects: BTreeSet<UpstreamId> = late
-            .flat_map(|one| std::iter::once(&one.engine).chain(&one.helpers))
-            .cloned()
-            .collect();
+        let mut suspects: BTreeSet<UpstreamId> =
+            late.flat_map(Placement::engines).cloned().collect();
         let slow = self.engines.iter().filter(|(_, engine)| engine.health.is_slow());
         suspects.extend(slow.map(|(id, _)| id.clone()));
         suspects
--- a/clayplank-placement/src/lib.rs
+++ b/clayplank-placement/src/lib.rs
@@ -25,14 +25,17 @@
 mod choose;
 mod costs;
 mod engine;
+mod event;
 mod fleet;
 mod health;
 mod job;
 mod model;
 mod parts;
+mod placement;
 
 pub use ask::{Ask, Assignment, Part, Placed, PlacementId};
 pub use avoid::avoid_ms;
 pub use engine::EngineSpec;
-pub use fleet::{Event, Fleet, Renewed};
+pub use event::{Event, Renewed};
+pub use fleet::Fleet;
 pub use model::EngineModel;
