Split the tests' system of seeded hosts, and read answers by one copy

system.rs held settings, processes, an HTTP caller and upstreams; host.rs, client.rs and upstreams.rs have theirs now. Both sets of tests read answers by harness/answer.rs. It is as strict as either copy was: a header line without a colon, where one copy went on and the other took the rest for a body, counts as no answer.

--- a/clayplankd/tests/harness/mod.rs
+++ b/clayplankd/tests/harness/mod.rs
@@ -1,5 +1,6 @@
 //! A small system of real daemons, with stand-ins in the test's own process.
 
+mod answer;
 mod client;
 mod relay;
 mod standins;
@@ -13,7 +14,8 @@
 use clayplank_settings::KeyDigest;
 use serde_json::{Value, json};
 
-pub use client::{Answer, call, get, read_answer, send};
+pub use answer::Answer;
+pub use client::{call, get, read_answer, send};
 pub use relay::Links;
 pub use standins::{Engine, Platform, Service};
 
--- /dev/null
+++ b/clayplankd/tests/seeded/host.rs
@@ -0,0 +1,161 @@
+//! One seeded host as a process: its settings, its life, its log.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Child, ChildStdout, Command, Stdio};
+
+use serde_json::{Value, json};
+
+use crate::client::call;
+
+/// Ports are alike on all hosts, below those that the system gives to outgoing connections.
+pub const CALLERS: u16 = 18_080;
+pub const READINESS: u16 = 18_081;
+pub const CONTROL: u16 = 18_082;
+pub const INNER: u16 = 18_083;
+pub const METRICS: u16 = 18_084;
+pub const UPSTREAM: u16 = 18_085;
+
+/// One process, on an address of its own.
+pub struct Host {
+    /// Where others reach it.
+    pub ip: Ipv4Addr,
+    /// Where it listens for other hosts and operators: behind a proxy, perhaps.
+    pub bind_ip: Ipv4Addr,
+    pub role: &'static str,
+    pub settings: PathBuf,
+    pub data: PathBuf,
+    pub child: Option<Child>,
+}
+
+impl Host {
+    pub fn at(&self, port: u16) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(self.ip), port)
+    }
+
+    pub fn callers(&self) -> SocketAddr {
+        self.at(CALLERS)
+    }
+
+    pub fn control(&self) -> SocketAddr {
+        self.at(CONTROL)
+    }
+
+    pub fn is_ready(&self) -> bool {
+        call(self.at(READINESS), "GET", "/health", &[], "").status == 200
+    }
+
+    pub fn figures(&self) -> String {
+        call(self.at(METRICS), "GET", "/metrics", &[], "").text()
+    }
+
+    pub fn start(&mut self) {
+        // Lines of former lives are kept.
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(self.settings.with_extension("log"))
+            .unwrap();
+        let child = self
+            .command()
+            .stdout(Stdio::from(log.try_clone().unwrap()))
+            .stderr(Stdio::from(log))
+            .spawn()
+            .unwrap();
+        self.child = Some(child);
+    }
+
+    fn command(&self) -> Command {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_clayplankd"));
+        command.arg("--seeded").arg("--settings").arg(&self.settings);
+        command
+    }
+
+    /// Starts with a pipe for the logs, which nobody reads until the caller does.
+    pub fn start_with_pipe(&mut self) -> ChildStdout {
+        let mut child = self.command().stdout(Stdio::piped()).spawn().unwrap();
+        let pipe = child.stdout.take().unwrap();
+        self.child = Some(child);
+        pipe
+    }
+
+    /// The process that was started last, if it was not killed.
+    pub fn process(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+    }
+
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Sends a signal, through the tool that every Debian machine has.
+    pub fn signal(&self, signal: &str) {
+        let id = self.process().unwrap().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+    }
+
+    /// Writes its settings anew; the seeds are the operators' doors of all keepers.
+    pub fn write_settings(&self, seeds: &[SocketAddr], is_first_start: bool) {
+        let behind = |port| SocketAddr::new(IpAddr::V4(self.bind_ip), port);
+        let mut listen = json!({ "inner": behind(INNER), "metrics": self.at(METRICS) });
+        if self.role == "keeper" {
+            listen["control"] = json!(behind(CONTROL));
+        } else {
+            listen["callers"] = json!(self.at(CALLERS));
+            listen["readiness"] = json!(self.at(READINESS));
+        }
+        let settings = json!({
+            "name": self.ip.to_string(),
+            "role": self.role,
+            "ip": self.ip,
+            "data_centre": "hall",
+            "listen": listen,
+            "seeds": seeds,
+            "is_first_start": is_first_start,
+            "data_dir": self.data,
+            "tolerated_losses": (seeds.len() - 1) / 2,
+            "bounds": { "heartbeat_ms": 300, "revoke_ms": 4000, "grace_s": 6.0 },
+        });
+        std::fs::write(&self.settings, settings.to_string()).unwrap();
+    }
+
+    /// Changes its settings file, and tells it so by SIGHUP.
+    pub fn change_settings(&self, change: impl FnOnce(&mut Value)) {
+        self.write_changed_settings(change);
+        self.signal("-HUP");
+    }
+
+    pub fn write_changed_settings(&self, change: impl FnOnce(&mut Value)) {
+        let text = std::fs::read_to_string(&self.settings).unwrap();
+        let mut settings: Value = serde_json::from_str(&text).unwrap();
+        change(&mut settings);
+        std::fs::write(&self.settings, settings.to_string()).unwrap();
+    }
+
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.settings.with_extension("log")).unwrap_or_default()
+    }
+
+    pub fn has_ended(&mut self) -> bool {
+        self.child.as_mut().is_none_or(|child| child.try_wait().unwrap().is_some())
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.kill();
+        if std::thread::panicking() {
+            let log = self.log();
+            let last: Vec<_> = log.lines().rev().take(15).collect();
+            eprintln!("{} {}:", self.role, self.ip);
+            last.iter().rev().for_each(|line| eprintln!("  {line}"));
+        }
+    }
+}
--- a/clayplankd/tests/seeded/main.rs
+++ b/clayplankd/tests/seeded/main.rs
@@ -3,7 +3,12 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 #![allow(clippy::print_stdout, reason = "the soak tells its seeds, and what each came to")]
 
+#[path = "../harness/answer.rs"]
+mod answer;
+mod client;
+mod host;
 mod promises;
 mod proxy;
 mod soak;
 mod system;
+mod upstreams;
--- a/clayplankd/tests/seeded/promises.rs
+++ b/clayplankd/tests/seeded/promises.rs
@@ -6,7 +6,9 @@
 use clayplank_placement::EngineModel;
 use serde_json::{Value, json};
 
-use crate::system::{Answer, KEY, System, call, plan, publish, wait_for};
+use crate::answer::Answer;
+use crate::client::call;
+use crate::system::{KEY, System, plan, publish, wait_for};
 
 #[test]
 fn answers_pass_unchanged_and_faults_are_told_truly() {
--- a/clayplankd/tests/seeded/soak/callers.rs
+++ b/clayplankd/tests/seeded/soak/callers.rs
@@ -9,7 +9,8 @@
 use rand::{RngExt, SeedableRng};
 
 use super::record::{Kind, Record, Seen};
-use crate::system::{Answer, KEY, read_answer};
+use crate::answer::{Answer, read_answer};
+use crate::system::KEY;
 
 /// The longest that a caller waits for an answer: beyond the time limit of all routes.
 const PATIENCE: Duration = Duration::from_secs(12);
--- a/clayplankd/tests/seeded/soak/record.rs
+++ b/clayplankd/tests/seeded/soak/record.rs
@@ -3,7 +3,7 @@
 use std::sync::Mutex;
 use std::time::Instant;
 
-use crate::system::Answer;
+use crate::answer::Answer;
 
 /// How a request may be treated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/clayplankd/tests/seeded/soak/run.rs
+++ b/clayplankd/tests/seeded/soak/run.rs
@@ -12,8 +12,10 @@
 use super::callers::run_caller;
 use super::record::{Record, Seen, check_seen, is_cut_off};
 use super::schedule::{Act, Blow, ENTRIES, KEEPERS, Step, Target, draw_schedule};
+use crate::client::call;
+use crate::host::Host;
 use crate::proxy::Fault;
-use crate::system::{Host, Shape, System, call, plan, wait_for};
+use crate::system::{Shape, System, plan, wait_for};
 
 /// Callers of each entry host.
 const CALLERS: u64 = 3;
--- /dev/null
+++ b/clayplankd/tests/seeded/upstreams.rs
@@ -0,0 +1,89 @@
+//! Upstreams in the test's process, and their heartbeats at the keepers.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use clayplank_placement::EngineModel;
+use clayplank_standin::{Registration, send_heartbeats, serve_pass_engine, serve_upstream};
+use serde_json::{Value, json};
+
+use crate::answer::Answer;
+use crate::client::call;
+use crate::host::{Host, UPSTREAM};
+use crate::system::{System, behind_proxy};
+
+impl System {
+    pub fn upstream_ip(&self, last: u8) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.net[0], self.net[1], last)
+    }
+
+    /// Starts an upstream of the service `app`; its heartbeats are sent one by one.
+    pub fn start_upstream(&self, id: &str, last: u8) {
+        let ip = self.upstream_ip(last);
+        let bind_ip = if self.shape.has_proxies { behind_proxy(ip) } else { ip };
+        let address = SocketAddr::new(IpAddr::V4(bind_ip), UPSTREAM);
+        let (id, runs) = (id.to_owned(), self.runs.clone());
+        let listener = self.runtime.block_on(clayplank_standin::bind(address)).unwrap();
+        self.runtime.spawn(serve_upstream(listener, id, runs));
+    }
+
+    /// Starts an engine of the pass model, which registers with all keepers.
+    pub fn start_engine(&self, id: &str, last: u8, model: EngineModel) -> SocketAddr {
+        let address = self.upstream_address(last);
+        let listener = self.runtime.block_on(clayplank_standin::bind(address)).unwrap();
+        self.runtime.spawn(serve_pass_engine(listener, id.to_owned(), model));
+        self.register_engine(id, last);
+        address
+    }
+
+    /// Sends heartbeats of an engine, whether it is there or not.
+    pub fn register_engine(&self, id: &str, last: u8) {
+        let registration = Registration {
+            id: id.to_owned(),
+            service: "pool".to_owned(),
+            address: self.upstream_address(last),
+            data_centre: "hall".to_owned(),
+            slots: EngineModel::default().slots,
+        };
+        let keepers = self.keepers.iter().map(Host::control).collect();
+        self.runtime.spawn(send_heartbeats(registration, keepers, Duration::from_millis(300)));
+    }
+
+    fn upstream_address(&self, last: u8) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(self.upstream_ip(last)), UPSTREAM)
+    }
+
+    /// One heartbeat of an upstream, at one keeper.
+    pub fn beat(&mut self, keeper: usize, id: &str, standing: &str) -> Answer {
+        self.beats += 1;
+        let last = if id == "u1" { 21 } else { 22 };
+        let body = self.heartbeat(id, last, self.beats, standing);
+        let path = format!("/v1/upstreams/{id}");
+        call(self.keepers[keeper].control(), "PUT", &path, &[], &body.to_string())
+    }
+
+    /// Calls that carry heartbeats of both upstreams to every keeper.
+    pub fn heartbeat_calls(&self, sequence: u64) -> Vec<(SocketAddr, String, String)> {
+        let of_upstream = |id: &str, last: u8| {
+            let body = self.heartbeat(id, last, sequence, "ready").to_string();
+            let path = format!("/v1/upstreams/{id}");
+            self.keepers
+                .iter()
+                .map(move |keeper| (keeper.control(), path.clone(), body.clone()))
+                .collect::<Vec<_>>()
+        };
+        [of_upstream("u1", 21), of_upstream("u2", 22)].concat()
+    }
+
+    fn heartbeat(&self, id: &str, last: u8, sequence: u64, standing: &str) -> Value {
+        json!({
+            "id": id,
+            "sequence": sequence,
+            "service": "app",
+            "address": self.upstream_address(last),
+            "data_centre": "hall",
+            "slots": 4,
+            "standing": standing,
+        })
+    }
+}
