Tell followers news of upstreams in one answer for each look

News of upstreams that take work wait for the next look, 200 ms at most; those that take no new work are told at once, as before. Engines are retained by a set.

--- a/clayplankd/src/fleet_engines.rs
+++ b/clayplankd/src/fleet_engines.rs
@@ -1,5 +1,7 @@
 //! Engines of a fleet, as the plan and the registered upstreams have them.
 
+use std::collections::HashSet;
+
 use clayplank_placement::{EngineSpec, Fleet};
 use clayplank_registry::{Record, Standing};
 use clayplank_routes::PlanIndex;
@@ -20,6 +22,7 @@
         fleet.set_engine(heartbeat.id.clone(), spec, heartbeat.standing == Standing::Ready);
         fleet.set_silent(&heartbeat.id, record.is_silent);
     }
-    let is_known = |id: &UpstreamId| records.iter().any(|record| record.heartbeat.id == *id);
-    fleet.retain_engines(is_known);
+    // A set: with thousands of upstreams, a search through the list for each takes seconds.
+    let known: HashSet<&UpstreamId> = records.iter().map(|record| &record.heartbeat.id).collect();
+    fleet.retain_engines(|id| known.contains(id));
 }
--- a/clayplankd/src/fleet_keeper.rs
+++ b/clayplankd/src/fleet_keeper.rs
@@ -7,7 +7,7 @@
 
 use arc_swap::ArcSwapOption;
 use clayplank_placement::{Ask, Event, Fleet, Placed, PlacementId, Renewed};
-use clayplank_registry::{Changes, Cursor, Heartbeat, Registry};
+use clayplank_registry::{Changes, Cursor, Heartbeat, Registry, Standing};
 use clayplank_routes::PlanIndex;
 use clayplank_state::{Delta, PlanDocument};
 use clayplank_types::{HostId, UpstreamId};
@@ -42,6 +42,8 @@
     /// Whether an entry host has told which upstreams it knows.
     has_learned: AtomicBool,
     registry: Mutex<Registry>,
+    /// Whether the registry holds news that followers were not told.
+    has_news: AtomicBool,
     /// The registry's newest change.
     changed: watch::Sender<Cursor>,
     fleet: Mutex<Fleet>,
@@ -59,6 +61,7 @@
             started_ms: now_ms(),
             has_learned: AtomicBool::new(false),
             registry: Mutex::new(Registry::new(rand::random())),
+            has_news: AtomicBool::new(false),
             changed: watch::Sender::new(Cursor::default()),
             fleet: Mutex::default(),
             plan: ArcSwapOption::empty(),
@@ -71,16 +74,18 @@
     pub(crate) fn apply(&self, heartbeats: &[Heartbeat]) {
         let now_ms = now_ms();
         let mut registry = lock(&self.registry);
-        let mut is_news = false;
+        let mut is_urgent = false;
         for heartbeat in heartbeats {
             if registry.apply(now_ms, heartbeat) {
-                is_news = true;
+                // Who takes no new work must get none at once; who is new may wait for others.
+                is_urgent |= heartbeat.standing != Standing::Ready;
+                self.has_news.store(true, Ordering::SeqCst);
                 log_standing(heartbeat);
             }
         }
         drop(registry);
-        if is_news {
-            self.note_changed();
+        if is_urgent {
+            self.tell_news();
         }
     }
 
@@ -96,11 +101,13 @@
     pub(crate) fn leave(&self, id: &UpstreamId) -> Heartbeat {
         let gone = lock(&self.registry).leave(now_ms(), id);
         log_standing(&gone);
-        self.note_changed();
+        self.tell_news();
         gone
     }
 
-    fn note_changed(&self) {
+    /// Tells all followers what is new, in one answer for each.
+    fn tell_news(&self) {
+        self.has_news.store(false, Ordering::SeqCst);
         let cursor = lock(&self.registry).cursor();
         self.update_engines();
         self.changed.send_replace(cursor);
@@ -132,13 +139,15 @@
         }
     }
 
-    /// Marks upstreams that are silent for this long, and drops what was lost.
+    /// Marks upstreams that are silent for this long, drops what was lost, and tells what is
+    /// new: one answer for each follower and look, not one for each upstream that registers.
     fn age(&self, silent_ms: u64) {
         let before = lock(&self.registry).cursor();
         lock(&self.registry).age(now_ms(), silent_ms);
         lock(&self.fleet).drop_lost(fleet_now_ms());
-        if lock(&self.registry).cursor() != before {
-            self.note_changed();
+        let has_aged = lock(&self.registry).cursor() != before;
+        if has_aged || self.has_news.load(Ordering::SeqCst) {
+            self.tell_news();
         }
     }
 
