Split the soak's run: its schedule, its operators, and its checks

run.rs played faults, sent plans and heartbeats, and checked the end. Each has a file now; the end of a fault names every case that starts a process again.

--- a/clayplankd/tests/seeded/soak/mod.rs
+++ b/clayplankd/tests/seeded/soak/mod.rs
@@ -5,6 +5,9 @@
 //! the same schedule; how the processes interleave is the machine's.
 
 mod callers;
+mod checks;
+mod operators;
+mod play;
 mod record;
 mod run;
 mod schedule;
--- /dev/null
+++ b/clayplankd/tests/seeded/soak/operators.rs
@@ -0,0 +1,64 @@
+//! What comes to the keepers during a run: heartbeats, and plans that are read back.
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use serde_json::Value;
+
+use super::run::Shared;
+use crate::client::call;
+use crate::system::plan;
+
+/// Between two heartbeats of the upstreams.
+const BEAT_EVERY: Duration = Duration::from_millis(300);
+
+/// Between two plans of an operator.
+const PLAN_EVERY: Duration = Duration::from_millis(400);
+
+/// Sends heartbeats of the upstreams until the run is over.
+pub fn run_heartbeats(shared: &Shared) {
+    let mut sequence = 1_000_000;
+    while !shared.is_over.load(Ordering::SeqCst) {
+        sequence += 1;
+        let calls = shared.system.lock().unwrap().heartbeat_calls(sequence);
+        for (address, path, body) in calls {
+            std::thread::spawn(move || call(address, "PUT", &path, &[], &body));
+        }
+        std::thread::sleep(BEAT_EVERY);
+    }
+}
+
+/// Publishes plans, two operators in turn with versions of their own, and reads them back.
+pub fn run_operator(shared: &Shared, number: u64) {
+    for round in 1_u64.. {
+        if shared.is_over.load(Ordering::SeqCst) {
+            return;
+        }
+        let version = 2 * round + number;
+        let controls = shared.controls();
+        let control = controls[(version % controls.len() as u64) as usize];
+        let text = plan(version).to_string();
+        if call(control, "PUT", "/v1/plan", &[], &text).status == 200 {
+            shared.acknowledged.fetch_max(version, Ordering::SeqCst);
+        }
+        read_back(shared, control);
+        std::thread::sleep(PLAN_EVERY);
+    }
+}
+
+/// A read never shows less than what was acknowledged before it was sent.
+pub fn read_back(shared: &Shared, control: SocketAddr) {
+    let acknowledged = shared.acknowledged.load(Ordering::SeqCst);
+    let answer = call(control, "GET", "/v1/plan", &[], "");
+    if answer.status != 200 || !answer.is_whole {
+        return;
+    }
+    let read: Value = serde_json::from_str(&answer.text()).unwrap();
+    let version = read["version"].as_u64().unwrap();
+    if version < acknowledged {
+        shared.record.note_broken(format!(
+            "{control} showed plan {version} after {acknowledged} was acknowledged"
+        ));
+    }
+}
--- /dev/null
+++ b/clayplankd/tests/seeded/soak/play.rs
@@ -0,0 +1,122 @@
+//! Plays a schedule of faults on the processes and proxies of a system.
+
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use super::run::Shared;
+use super::schedule::{Act, Blow, Step, Target};
+use crate::host::Host;
+use crate::proxy::Fault;
+use crate::system::System;
+
+/// A process that is down or paused, or a proxy with a fault, and until when.
+struct Pending {
+    until: Instant,
+    step: Step,
+    /// The process that was struck; another may run in its place by now.
+    process: Option<u32>,
+}
+
+/// Plays the schedule, and puts everything right again in time.
+pub fn play(shared: &Shared, schedule: &[Step], began: Instant) {
+    let mut steps = schedule.iter().peekable();
+    let mut pending: Vec<Pending> = Vec::new();
+    while steps.peek().is_some() || !pending.is_empty() {
+        while let Some(step) =
+            steps.next_if(|step| began.elapsed().as_millis() as u64 >= step.at_ms)
+        {
+            let until = Instant::now() + Duration::from_millis(step.for_ms);
+            let process = begin(&mut shared.system.lock().unwrap(), step);
+            pending.push(Pending { until, step: *step, process });
+        }
+        let mut system = shared.system.lock().unwrap();
+        pending.retain(|one| Instant::now() < one.until || !end(&mut system, one));
+        drop(system);
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// Begins a fault; returns the process that it is done to, if it is one.
+fn begin(system: &mut System, step: &Step) -> Option<u32> {
+    match (step.target, step.act) {
+        (Target::Link(last), Act::Network(fault)) => system.proxy(last).set(fault),
+        (Target::AllKeepers, _) => system.keepers.iter_mut().for_each(Host::kill),
+        (Target::Keeper(number), Act::Blow(blow)) => {
+            return strike(&mut system.keepers[number], blow);
+        }
+        (Target::Entry(number), Act::Blow(blow)) => {
+            return strike(&mut system.entries[number], blow);
+        }
+        (Target::Link(_), Act::Blow(_))
+        | (Target::Keeper(_) | Target::Entry(_), Act::Network(_)) => {
+            unreachable!("schedules draw blows for processes and faults for links")
+        }
+    }
+    None
+}
+
+fn strike(host: &mut Host, blow: Blow) -> Option<u32> {
+    let process = host.process();
+    if process.is_none() || host.has_ended() {
+        return None;
+    }
+    match blow {
+        Blow::Kill => host.kill(),
+        Blow::Stop => host.terminate(),
+        Blow::Pause => host.signal("-STOP"),
+        Blow::Reload => host.change_settings(|settings| {
+            let ratio = settings["bounds"]["retry_ratio"].as_f64().unwrap_or(0.2);
+            settings["bounds"]["retry_ratio"] = json!(ratio + 0.001);
+        }),
+        Blow::LoseDisk => {
+            host.kill();
+            // A keeper that has not begun yet has nothing to lose.
+            std::fs::remove_dir_all(&host.data).ok();
+        }
+        Blow::FillDisk => limit_files(host),
+    }
+    process
+}
+
+/// No file of the process may grow any more: the next write fails part of the way.
+fn limit_files(host: &Host) {
+    let id = host.process().unwrap().to_string();
+    Command::new("prlimit").args(["--pid", &id, "--fsize=1"]).status().unwrap();
+}
+
+/// Ends a fault; `false` while a process that stops is not down yet.
+fn end(system: &mut System, pending: &Pending) -> bool {
+    match pending.step.target {
+        Target::Link(last) => system.proxy(last).set(Fault::None),
+        Target::AllKeepers => system.keepers.iter_mut().for_each(restart),
+        Target::Keeper(number) => return end_blow(&mut system.keepers[number], pending),
+        Target::Entry(number) => return end_blow(&mut system.entries[number], pending),
+    }
+    true
+}
+
+fn end_blow(host: &mut Host, pending: &Pending) -> bool {
+    let is_struck = pending.process.is_some() && host.process() == pending.process;
+    match pending.step.act {
+        Act::Blow(Blow::Pause) if is_struck => host.signal("-CONT"),
+        Act::Blow(Blow::Stop) if is_struck && !host.has_ended() => return false,
+        Act::Blow(Blow::FillDisk) if is_struck => {
+            host.kill();
+            restart(host);
+        }
+        Act::Blow(
+            Blow::Kill | Blow::Stop | Blow::Pause | Blow::Reload | Blow::LoseDisk | Blow::FillDisk,
+        )
+        | Act::Network(_) => restart(host),
+    }
+    true
+}
+
+/// Starts a process that is down.
+fn restart(host: &mut Host) {
+    if host.has_ended() {
+        host.start();
+    }
+}
