--- a/clayplank-standin/src/lib.rs
+++ b/clayplank-standin/src/lib.rs
@@ -22,6 +22,7 @@
 mod heartbeats;
 mod http_util;
 mod pass;
+mod pass_answer;
 mod pass_memory;
 mod pass_run;
 mod pass_server;
