Split what a host saw of an upstream from its directory

Whether one is avoided, how long it would take, and what an end or a told load changes are methods of Seen now; taking one record in has a function of its own.

--- a/clayplank-forward/src/directory.rs
+++ b/clayplank-forward/src/directory.rs
@@ -1,19 +1,13 @@
-//! Upstreams as this host knows them, and what it saw of their answers.
+//! Upstreams as this host knows them, and the choice among those of a plain service.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use clayplank_placement::avoid_ms;
 use clayplank_registry::{Record, Standing};
 use clayplank_types::{DataCentre, UpstreamId};
 
 use crate::clock::now_ms;
-
-/// Load that an upstream told counts for this long, in ms.
-const LOAD_AGE_MS: u64 = 1_000;
-
-/// Weight of a new observation in the mean time of an upstream's answers.
-const TIME_SHARE: f64 = 0.2;
+use crate::seen::Seen;
 
 /// Answers of an upstream in another data centre come this much later, in ms, in comparisons.
 const REMOTE_MS: f64 = 5.0;
@@ -22,17 +16,7 @@
 /// be late.
 const TOMBSTONE_MS: u64 = 120_000;
 
-/// What was seen of one upstream.
-#[derive(Clone, Debug, Default)]
-struct Seen {
-    in_flight: u64,
-    failures: u32,
-    avoid_until_ms: u64,
-    told_load: u64,
-    told_at_ms: u64,
-    mean_ms: f64,
-}
-
+/// What stands behind the lock of a [`Directory`].
 #[derive(Debug, Default)]
 struct Inner {
     records: BTreeMap<UpstreamId, Record>,
@@ -42,6 +26,23 @@
 }
 
 impl Inner {
+    /// Takes a record in, unless its upstream left or something newer is known.
+    fn take_in(&mut self, record: Record) {
+        let id = record.heartbeat.id.clone();
+        let leaves = record.heartbeat.standing == Standing::Gone;
+        if let Some(held) = self.records.get(&id) {
+            let is_gone = held.heartbeat.standing == Standing::Gone;
+            let is_older = record.heartbeat.sequence < held.heartbeat.sequence;
+            if is_gone || (is_older && !leaves) {
+                return;
+            }
+        }
+        if leaves {
+            self.gone_at_ms.insert(id.clone(), now_ms());
+        }
+        self.records.insert(id, record);
+    }
+
     /// Forgets upstreams that left long ago, and what was seen of them.
     fn forget_gone(&mut self, now_ms: u64) {
         let Self { records, gone_at_ms, seen } = self;
@@ -72,18 +73,7 @@
     pub fn apply(&self, records: Vec<Record>) {
         let mut inner = self.lock();
         for record in records {
-            let id = record.heartbeat.id.clone();
-            let held = inner.records.get(&id);
-            let is_gone = held.is_some_and(|held| held.heartbeat.standing == Standing::Gone);
-            let is_older =
-                held.is_some_and(|held| record.heartbeat.sequence < held.heartbeat.sequence);
-            if is_gone || (is_older && record.heartbeat.standing != Standing::Gone) {
-                continue;
-            }
-            if record.heartbeat.standing == Standing::Gone {
-                inner.gone_at_ms.insert(id.clone(), now_ms());
-            }
-            inner.records.insert(id, record);
+            inner.take_in(record);
         }
         inner.forget_gone(now_ms());
     }
@@ -128,8 +118,8 @@
             let seen = seen.get(&record.heartbeat.id).cloned().unwrap_or_default();
             let remote_ms = if record.heartbeat.data_centre == *own { 0.0 } else { REMOTE_MS };
             // One whose heartbeats are missing may be dead: it is asked if no other is there.
-            let is_avoided = now_ms < seen.avoid_until_ms || record.is_silent;
-            (is_avoided, expected_ms(&seen, record, now_ms) + remote_ms)
+            let is_avoided = seen.is_avoided(now_ms) || record.is_silent;
+            (is_avoided, seen.expected_ms(record.heartbeat.slots, now_ms) + remote_ms)
         };
         let fit = inner.records.values().filter(|record| {
             let heartbeat = &record.heartbeat;
@@ -151,31 +141,12 @@
     pub fn note_end(&self, id: &UpstreamId, took_ms: u64, is_good: bool) {
         let now_ms = now_ms();
         let mut inner = self.lock();
-        let seen = inner.seen.entry(id.clone()).or_default();
-        seen.in_flight = seen.in_flight.saturating_sub(1);
-        seen.mean_ms += TIME_SHARE * (took_ms as f64 - seen.mean_ms);
-        if is_good {
-            seen.failures = 0;
-        } else {
-            seen.failures = seen.failures.saturating_add(1);
-            seen.avoid_until_ms = now_ms + avoid_ms(seen.failures) as u64;
-        }
+        inner.seen.entry(id.clone()).or_default().note_end(now_ms, took_ms, is_good);
     }
 
     /// Notes what an upstream told of its load: running and waiting.
     pub fn note_load(&self, id: &UpstreamId, running: u64, waiting: u64) {
         let mut inner = self.lock();
-        let seen = inner.seen.entry(id.clone()).or_default();
-        seen.told_load = running + waiting;
-        seen.told_at_ms = now_ms();
+        inner.seen.entry(id.clone()).or_default().note_load(now_ms(), running + waiting);
     }
 }
-
-/// How long an answer would take, from the load and the times that were seen.
-fn expected_ms(seen: &Seen, record: &Record, now_ms: u64) -> f64 {
-    let is_fresh = seen.told_at_ms > 0 && now_ms < seen.told_at_ms + LOAD_AGE_MS;
-    let load = if is_fresh { seen.told_load.max(seen.in_flight) } else { seen.in_flight };
-    let slots = f64::from(record.heartbeat.slots.max(1));
-    let queue = 1.0 + load as f64 / slots;
-    seen.mean_ms.max(1.0) * queue + load as f64
-}
--- a/clayplank-forward/src/lib.rs
+++ b/clayplank-forward/src/lib.rs
@@ -38,6 +38,7 @@
 mod pump;
 mod refusal;
 mod reserve;
+mod seen;
 mod source;
 mod stream;
 
