--- a/clayplank-registry/src/registry.rs
+++ b/clayplank-registry/src/registry.rs
@@ -141,11 +141,6 @@
     pub fn records(&self) -> impl Iterator<Item = &Record> {
         self.entries.values().map(|entry| &entry.record)
     }
-
-    /// The newest heartbeats of all, for a keeper that knows none.
-    pub fn heartbeats(&self) -> impl Iterator<Item = &Heartbeat> {
-        self.records().map(|record| &record.heartbeat)
-    }
 }
 
 /// Whether only the sequence number differs.
