--- a/clayplank-forward/src/names.rs
+++ b/clayplank-forward/src/names.rs
@@ -17,8 +17,6 @@
     pub account: HeaderName,
     /// The one life of an upstream that may run the request.
     pub expect_upstream: HeaderName,
-    /// The life that answered instead.
-    pub upstream: HeaderName,
     /// Which engine is at fault that a request was not run: a helper, perhaps.
     pub at_fault: HeaderName,
     /// The upstream's mark on an answer of its own.
@@ -42,7 +40,6 @@
             token_counts: HeaderName::from_static("x-clayplank-tokens"),
             account: HeaderName::from_static("x-clayplank-account"),
             expect_upstream: HeaderName::from_static("x-clayplank-expect-upstream"),
-            upstream: HeaderName::from_static("x-clayplank-upstream"),
             at_fault: HeaderName::from_static("x-clayplank-at-fault"),
             seal: HeaderName::from_static("x-clayplank-seal"),
             not_run: HeaderName::from_static("x-clayplank-not-run"),
