--- a/clayplank-ctl/src/explain.rs
+++ b/clayplank-ctl/src/explain.rs
@@ -58,27 +58,35 @@
     // A request's line is written at its end: what was believed counts when it came.
     let waited_ms = first.fields.get("waited_ms").and_then(Value::as_u64).unwrap_or(0);
     let came_ms = first.at_ms().saturating_sub(waited_ms);
-    let mut beliefs = Vec::new();
-    for host in hosts {
-        let of_host = |line: &&LogLine| line.host == host && line.at_ms() <= came_ms;
-        for message in BELIEFS {
-            let known = lines.iter().filter(of_host).rfind(|line| line.message == message);
-            beliefs.extend(known);
-        }
-    }
-    for upstream in upstreams {
-        let told = lines.iter().rfind(|line| {
-            let is_of = line.message == STANDING && line.says("upstream", upstream);
-            is_of && line.at_ms() <= last.at_ms()
-        });
-        beliefs.extend(told);
-    }
+    let believed = hosts.into_iter().flat_map(|host| find_beliefs(lines, host, came_ms));
+    let told = upstreams.into_iter().filter_map(|id| find_standing(lines, id, last.at_ms()));
+    let mut beliefs: Vec<_> = believed.chain(told).collect();
     beliefs.sort_by_key(|line| line.at_ms());
     let aged =
         beliefs.into_iter().map(|line| Event::of(line, Some(came_ms.saturating_sub(line.at_ms()))));
     aged.chain(own.iter().map(|line| Event::of(line, None))).collect()
 }
 
+/// The newest line of each belief that a host had written by then.
+fn find_beliefs<'a>(
+    lines: &'a [LogLine],
+    host: &str,
+    until_ms: u64,
+) -> impl Iterator<Item = &'a LogLine> {
+    let of_host = move |line: &&LogLine| line.host == host && line.at_ms() <= until_ms;
+    BELIEFS.into_iter().filter_map(move |message| {
+        lines.iter().filter(of_host).rfind(|line| line.message == message)
+    })
+}
+
+/// The newest line on an upstream's standing that was written by then.
+fn find_standing<'a>(lines: &'a [LogLine], upstream: &str, until_ms: u64) -> Option<&'a LogLine> {
+    lines.iter().rfind(|line| {
+        let is_of = line.message == STANDING && line.says("upstream", upstream);
+        is_of && line.at_ms() <= until_ms
+    })
+}
+
 /// All lines of an upstream, or of plans up to a version and what held them up.
 pub(crate) fn timeline(subject: &Subject, lines: &[LogLine]) -> Vec<Event> {
     let is_of = |line: &&LogLine| match subject {
