--- a/clayplank-placement/src/candidate.rs
+++ b/clayplank-placement/src/candidate.rs
@@ -85,9 +85,23 @@
     let before = engine.queued_before(parts > 1);
     let until_read =
         Queued { tokens: before.tokens + part.tokens, read_ms: before.read_ms + part.read_ms };
+    Candidate {
+        id,
+        engine,
+        harm: read_harm(open, now_ms, ask, part, parts > 1),
+        exposure: exposure_loss(fleet, engine, now_ms, ask),
+        read_ms: engine.time_to_read_ms(until_read),
+        has_slot: engine.primaries() < engine.spec.model.slots as usize,
+        memory_free: engine.memory_free(),
+    }
+}
+
+/// What reading a part costs: harm to others, doubts of the engine, and chance.
+fn read_harm(open: &Open<'_>, now_ms: f64, ask: &Ask, part: Queued, is_split: bool) -> f64 {
+    let engine = open.engine;
     let mut harm = pause_harm(engine, part) + open.noise;
-    if parts > 1 {
-        harm += delay_harm(engine, now_ms, read_ms);
+    if is_split {
+        harm += delay_harm(engine, now_ms, part.read_ms);
     }
     if engine.is_doubtful(now_ms) {
         harm += DOUBT_LOSS * ask.weight();
@@ -98,13 +112,5 @@
     if engine.spec.data_centre != ask.data_centre {
         harm += REMOTE_LOSS;
     }
-    Candidate {
-        id,
-        engine,
-        harm,
-        exposure: exposure_loss(fleet, engine, now_ms, ask),
-        read_ms: engine.time_to_read_ms(until_read),
-        has_slot: engine.primaries() < engine.spec.model.slots as usize,
-        memory_free: engine.memory_free(),
-    }
+    harm
 }
