--- a/clayplank-forward/src/choice.rs
+++ b/clayplank-forward/src/choice.rs
@@ -87,6 +87,7 @@
         }
     }
 
+    /// What the placement has to know of this request.
     fn ask(&self) -> Ask {
         let pause_goal_ms = self.pause_goal_ms() as f64;
         let has_begun = self.waits_since.is_some();
@@ -110,6 +111,7 @@
         ask
     }
 
+    /// Makes an assignment ready to be used: its engine, its load, and memory at helpers.
     async fn take_assignment(&self, ask: &Ask, assignment: &Assignment) -> Result<Chosen, Refusal> {
         let gone = Refusal::NotRun { retry_after_ms: NO_UPSTREAM_RETRY_MS };
         let found = self.entry.directory.record(&assignment.engine);
@@ -120,15 +122,22 @@
         let mut load = LoadGuard::new(&self.entry, &record.heartbeat.id, Some(ask.id));
         load.set_helpers(assignment.helpers.iter().map(|part| part.engine.clone()).collect());
         let helpers = self.helpers(ask, assignment);
+        self.reserve(&mut load, &helpers).await.ok_or(gone)?;
+        let helpers = helpers.iter().map(Helper::to_string).collect::<Vec<_>>().join(",");
+        Ok(Chosen { record, helpers, expected_ms: assignment.first_token_ms, load })
+    }
+
+    /// Has memory set aside at helpers for as long as the attempt; `None` if one has no room.
+    async fn reserve(&self, load: &mut LoadGuard, helpers: &[Helper]) -> Option<()> {
         let tickets: Vec<_> = helpers.iter().filter_map(|helper| helper.ticket.clone()).collect();
         if !tickets.is_empty() {
-            let orders = self.entry.orders.clone().ok_or(gone)?;
-            load.hold(Reservation::make(orders, tickets).await.ok_or(gone)?);
+            let orders = self.entry.orders.clone()?;
+            load.hold(Reservation::make(orders, tickets).await?);
         }
-        let helpers = helpers.iter().map(Helper::to_string).collect::<Vec<_>>().join(",");
-        Ok(Chosen { record, helpers, expected_ms: assignment.first_token_ms, load })
+        Some(())
     }
 
+    /// The engines that read with the first one, each with its ticket if it holds memory.
     fn helpers(&self, ask: &Ask, assignment: &Assignment) -> Vec<Helper> {
         let parts = assignment.helpers.iter().enumerate();
         let helpers = parts.filter_map(|(number, part)| {
