--- a/clayplankd/src/fleet_followers.rs
+++ b/clayplankd/src/fleet_followers.rs
@@ -10,6 +10,7 @@
 use xtra::Address;
 
 use crate::fleet_keeper::FleetKeeper;
+use crate::inner::malformed;
 use crate::keeper::Keeper;
 use crate::keeper_messages::{Watch, Watched};
 
@@ -78,7 +79,3 @@
         keepers: fleet.keepers().hosts().iter().map(ToString::to_string).collect(),
     })
 }
-
-fn malformed<E: std::fmt::Display>(error: E) -> Status {
-    Status::invalid_argument(error.to_string())
-}
--- a/clayplankd/src/inner.rs
+++ b/clayplankd/src/inner.rs
@@ -70,7 +70,8 @@
     Status::unavailable("the host is stopping")
 }
 
-fn malformed<E: std::fmt::Display>(error: E) -> Status {
+/// What a peer sent cannot be read.
+pub(crate) fn malformed<E: std::fmt::Display>(error: E) -> Status {
     Status::invalid_argument(error.to_string())
 }
 
