--- a/clayplankd/src/following.rs
+++ b/clayplankd/src/following.rs
@@ -44,6 +44,14 @@
     tells_known: bool,
 }
 
+impl Position {
+    fn advance(&mut self, revision: u64, cursor: Cursor) {
+        self.tells_known = self.cursor.life != 0 && self.cursor.life != cursor.life;
+        self.cursor = cursor;
+        self.revision = revision;
+    }
+}
+
 /// Follows the leading keeper until the task is dropped.
 pub(crate) async fn run_following(following: Following) {
     let mut position = Position::default();
@@ -69,21 +77,9 @@
 impl Following {
     /// One exchange with the leader, and when it was asked: the lease counts from there.
     async fn ask(&self, position: &Position) -> Option<(Followed, u64)> {
-        let records = if position.tells_known { self.directory.records() } else { Vec::new() };
-        let known: Vec<_> = records.into_iter().map(|record| record.heartbeat).collect();
-        let known = encode(&known).ok()?;
-        let renewed = encode(&self.link.renewed()).ok()?;
-        let cursor = encode(&position.cursor).ok()?;
+        let request = self.request(position)?;
         let answer = self.keepers.ask(FOLLOW_PATIENCE, |peers, keeper, left| {
-            let request = FollowRequest {
-                from_host: self.host.to_string(),
-                life: self.link.life(),
-                applied_revision: position.revision,
-                plan_version: position.plan.version,
-                cursor: cursor.clone(),
-                renewed: renewed.clone(),
-                known: known.clone(),
-            };
+            let request = request.clone();
             let asked_ms = now_ms();
             async move {
                 let call = peers
@@ -106,6 +102,22 @@
         }
     }
 
+    /// The question for what is new after a position, with what this host runs and knows.
+    fn request(&self, position: &Position) -> Option<FollowRequest> {
+        let records = if position.tells_known { self.directory.records() } else { Vec::new() };
+        let known: Vec<_> = records.into_iter().map(|record| record.heartbeat).collect();
+        Some(FollowRequest {
+            from_host: self.host.to_string(),
+            life: self.link.life(),
+            applied_revision: position.revision,
+            plan_version: position.plan.version,
+            cursor: encode(&position.cursor).ok()?,
+            renewed: encode(&self.link.renewed()).ok()?,
+            known: encode(&known).ok()?,
+        })
+    }
+
+    /// Takes an answer in; one that cannot be used changes nothing but what is asked next.
     fn apply(&self, position: &mut Position, followed: &Followed, asked_ms: u64) {
         let (Ok(delta), Ok(changes)) =
             (decode::<Delta>(&followed.delta), decode::<Changes>(&followed.changes))
@@ -135,10 +147,7 @@
         self.gate.confirm(asked_ms);
         self.entry.set_hosts(followed.entry_hosts);
         self.keepers.learn(followed.keepers.iter().map(HostId::new));
-        position.tells_known =
-            position.cursor.life != 0 && position.cursor.life != changes.cursor.life;
-        position.cursor = changes.cursor;
-        position.revision = delta.revision;
+        position.advance(delta.revision, changes.cursor);
     }
 
     /// Puts a plan in force; whether it could be read.
