--- a/clayplankd/src/fleet_keeper.rs
+++ b/clayplankd/src/fleet_keeper.rs
@@ -47,6 +47,7 @@
     fleet: Mutex<Fleet>,
     plan: ArcSwapOption<PlanIndex>,
     edits: Mutex<PlanEdits>,
+    /// When each entry host last followed this keeper, in ms.
     entry_hosts: Mutex<HashMap<HostId, u64>>,
 }
 
@@ -100,6 +101,7 @@
         gone
     }
 
+    /// Tells the fleet, and those who wait, that the registry has changed.
     fn note_changed(&self) {
         let cursor = lock(&self.registry).cursor();
         self.update_engines();
@@ -153,6 +155,7 @@
         Some(lock(&self.fleet).place(fleet_now_ms(), ask))
     }
 
+    /// Takes in what became of placements.
     pub(crate) fn note(&self, events: &[(PlacementId, Event)]) {
         let mut fleet = lock(&self.fleet);
         for (id, event) in events {
@@ -186,6 +189,7 @@
         self.changed.subscribe()
     }
 
+    /// The records that changed after a cursor, for those who hold the rest.
     pub(crate) fn changes_after(&self, cursor: Cursor) -> Changes {
         lock(&self.registry).changes_after(cursor)
     }
@@ -209,6 +213,7 @@
         edit.unwrap_or_default()
     }
 
+    /// Notes that an entry host follows this keeper now.
     pub(crate) fn note_entry_host(&self, host: HostId) {
         lock(&self.entry_hosts).insert(host, now_ms());
     }
--- a/clayplankd/src/fleet_link.rs
+++ b/clayplankd/src/fleet_link.rs
@@ -34,11 +34,14 @@
 
 /// The link, shared by all requests of the host.
 pub(crate) struct FleetLink {
+    /// This life of the host, in the ids of its placements.
     life: u64,
     next: AtomicU64,
     peers: Peers,
     keepers: KeeperClient,
+    /// The fleet as far as this host sees it, for times without a leader.
     local: Mutex<Fleet>,
+    /// Placements of this host that have not ended.
     active: Mutex<HashMap<PlacementId, Renewed>>,
     events: mpsc::UnboundedSender<(PlacementId, Event)>,
     alone_until_ms: AtomicU64,
@@ -63,6 +66,7 @@
         (link, receiver)
     }
 
+    /// Asks the leader; `None` if it does not answer, and for a while after that.
     async fn place_at_leader(&self, ask: &Ask) -> Option<Placed> {
         if now_ms() < self.alone_until_ms.load(Ordering::SeqCst) {
             return None;
@@ -83,6 +87,7 @@
         }
     }
 
+    /// Keeps a placement until it ends, so that a new leader can take it over.
     fn note_placed(&self, ask: &Ask, placed: &Placed) {
         let Placed::At(assignment) = placed else {
             return;
