--- a/clayplank-placement/src/fleet.rs
+++ b/clayplank-placement/src/fleet.rs
@@ -26,6 +26,7 @@
 pub struct Fleet {
     pub(crate) engines: BTreeMap<UpstreamId, Engine>,
     placements: HashMap<PlacementId, Placement>,
+    /// Work of prompts that several engines read, as it weighed at this time.
     split_work_ms: f64,
     split_work_at_ms: f64,
     /// The most that chance adds to an engine's cost, as a share of a prompt's weight.
@@ -100,6 +101,7 @@
         self.placements.len()
     }
 
+    /// Loads the engines of an assignment, once.
     fn note_placed(&mut self, now_ms: f64, ask: &Ask, assignment: &Assignment, is_started: bool) {
         if self.placements.contains_key(&ask.id) {
             return;
@@ -121,6 +123,7 @@
         }
     }
 
+    /// Counts the work of a prompt that several engines read.
     fn note_split_work(&mut self, now_ms: f64, ask: &Ask, engine: &UpstreamId) {
         let Some(engine) = self.engines.get(engine) else {
             return;
@@ -130,6 +133,7 @@
         self.split_work_at_ms = now_ms;
     }
 
+    /// Loads an engine with a part of a prompt.
     fn take_job(
         &mut self,
         now_ms: f64,
@@ -205,6 +209,7 @@
         }
     }
 
+    /// Ends a placement, and lets its engine learn from how it ended.
     fn end(&mut self, now_ms: f64, id: PlacementId, learn: impl FnOnce(&mut Engine)) {
         let Some(placement) = self.placements.remove(&id) else {
             return;
--- a/clayplank-placement/src/health.rs
+++ b/clayplank-placement/src/health.rs
@@ -31,8 +31,10 @@
 pub(crate) struct Health {
     /// When an answer of it was last seen.
     seen_at_ms: f64,
+    /// In a row.
     failures: u32,
     avoid_until_ms: f64,
+    /// What its first tokens showed, in the same terms as its pace, as of this time.
     slowness: f64,
     slowness_at_ms: f64,
     /// What the engine itself told: how many times longer its work takes than the model says.
