--- a/bench/src/placement.rs
+++ b/bench/src/placement.rs
@@ -52,7 +52,7 @@
     fn add(&mut self, world: &World) {
         let mut windows = [Account::default(); WINDOWS];
         for request in &world.requests {
-            self.causes[request.kind][late_cause(request)] += 1;
+            self.causes[request.kind][late_cause(request) as usize] += 1;
             let (earned, owed) = settle(request);
             if request.tokens > LONGEST_TOKENS {
                 self.longest.owed += 1.0;
--- a/bench/src/placement_worth.rs
+++ b/bench/src/placement_worth.rs
@@ -37,19 +37,27 @@
 /// Prompts above this many tokens are told apart: the engines' memory holds no longer ones.
 pub(crate) const LONGEST_TOKENS: f64 = 430_000.0;
 
-/// Why a request earned less than its worth.
+/// Why a request earned less than its worth, if it did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Cause {
+    InTime,
+    FirstEventLate,
+    PauseTooLong,
+    NotServed,
+}
+
+/// Names of the causes, in their order.
 pub(crate) const CAUSES: [&str; 4] =
     ["in time", "first event late", "pause too long", "not served"];
 
-/// The cause, among [`CAUSES`], that a request counts under.
-pub(crate) fn late_cause(request: &Request) -> usize {
+/// The cause that a request counts under.
+pub(crate) fn late_cause(request: &Request) -> Cause {
     let kind = &KINDS[request.kind];
-    match request.first_ms {
-        _ if !request.is_done => 3,
-        None => 3,
-        Some(first_ms) if first_ms > kind.limit_ms => 3,
-        Some(first_ms) if first_ms > kind.goal_ms => 1,
-        Some(_) if request.longest_pause_ms > kind.pause_goal_ms => 2,
-        Some(_) => 0,
+    match request.first_ms.filter(|_| request.is_done) {
+        None => Cause::NotServed,
+        Some(first_ms) if first_ms > kind.limit_ms => Cause::NotServed,
+        Some(first_ms) if first_ms > kind.goal_ms => Cause::FirstEventLate,
+        Some(_) if request.longest_pause_ms > kind.pause_goal_ms => Cause::PauseTooLong,
+        Some(_) => Cause::InTime,
     }
 }
