Choose what a caller is told by three plain cases, and say what the pump's steps do

Four guarded arms and a catch-all said that a request is timed out once its time is over, and else failed if it may have run; the pump names every case that it passes on.

--- a/clayplank-forward/src/call.rs
+++ b/clayplank-forward/src/call.rs
@@ -100,12 +100,12 @@
     /// The answer to a caller whose request got none.
     pub(crate) fn give_up(&self, refusal: Refusal) -> Response<AnswerBody> {
         let is_over = Instant::now() >= self.deadline;
-        let may_have_run = self.may_have_run;
-        let told = match refusal {
-            _ if may_have_run && is_over => Refusal::TimedOut,
-            _ if may_have_run => Refusal::Failed,
-            _ if is_over => Refusal::TimedOut,
-            other => other,
+        let told = if is_over {
+            Refusal::TimedOut
+        } else if self.may_have_run {
+            Refusal::Failed
+        } else {
+            refusal
         };
         log::info!(target: "forward",
             request = self.facts.attempt_id, route = self.route.name, outcome = told.as_str(),
--- a/clayplank-forward/src/pump.rs
+++ b/clayplank-forward/src/pump.rs
@@ -103,6 +103,7 @@
         call.entry.figures.count(&call.route.name, end.as_str());
     }
 
+    /// Passes events on until the stream ends, breaks for good, or its caller leaves.
     async fn pass_on(&mut self, first: Option<StreamEvent>) -> StreamEnd {
         let Some(first) = first else {
             return StreamEnd::Whole;
@@ -113,7 +114,7 @@
         loop {
             let next = match self.source.next(self.silence()).await {
                 Next::Silent => self.next_or_resumed().await,
-                next => next,
+                next @ (Next::Event(_) | Next::End | Next::Broken(_)) => next,
             };
             match next {
                 Next::Event(event) if self.follows(&event) => {
@@ -134,6 +135,7 @@
         }
     }
 
+    /// Blames the upstream for a stream that it did not end.
     fn note_broken(&mut self, cause: &'static str) {
         self.source.note_failed();
         log_broken(&self.call, &self.source.upstream, cause, self.last_event_id);
@@ -161,6 +163,7 @@
         }
     }
 
+    /// Silence after which another upstream is asked as well.
     fn silence(&self) -> Duration {
         let goal_ms = self.call.route.pause_goal_ms.unwrap_or_default();
         millis((goal_ms * SILENT_GOALS).max(MIN_SILENCE_MS))
@@ -174,6 +177,7 @@
         }
     }
 
+    /// Sends an event to the caller; `false` if the caller has left.
     async fn send(&mut self, event: StreamEvent) -> bool {
         self.last_event_id = event.id.or(self.last_event_id);
         self.longest_pause = self.longest_pause.max(self.sent_at.elapsed());
@@ -205,6 +209,7 @@
         }
     }
 
+    /// Goes on with a stream that was opened elsewhere; `false` if it goes on wrongly.
     async fn take_over(&mut self, begun: Begun) -> bool {
         self.source = begun.source;
         match begun.first {
