--- a/clayplankd/src/logging.rs
+++ b/clayplankd/src/logging.rs
@@ -34,12 +34,12 @@
 #[must_use = "logs end when this is dropped"]
 #[derive(Debug)]
 pub struct Logging {
-    dropped: ErrorCounter,
     _writer: WorkerGuard,
 }
 
 /// Writes log lines from now on, by a thread of its own: whoever logs never waits for
-/// a reader that is slow. Lines beyond those that may wait are dropped and counted.
+/// a reader that is slow. Lines beyond those that may wait are dropped, and a task of the
+/// runtime tells how many.
 ///
 /// # Errors
 /// Logging was started before.
@@ -55,7 +55,7 @@
     let (writer, guard) =
         NonBlockingBuilder::default().buffered_lines_limit(settings.buffered_lines).finish(output);
     let host = host.to_owned();
-    let logging = Logging { dropped: writer.error_counter(), _writer: guard };
+    let dropped = writer.error_counter();
     fern::Dispatch::new()
         .format(move |out, message, record| match format {
             LogFormat::Plain => out.finish(format_args!("{}", plain_line(message, record))),
@@ -66,7 +66,8 @@
         .chain(fern::Output::call(move |record| write_line(&writer, record)))
         .apply()?;
     set_log_level(settings.level);
-    Ok(logging)
+    tokio::spawn(tell_dropped(dropped));
+    Ok(Logging { _writer: guard })
 }
 
 /// Queues a line in one piece, so that it is dropped as a whole or not at all.
@@ -76,22 +77,16 @@
     writer.clone().write_all(line.as_bytes()).ok();
 }
 
-impl Logging {
-    /// Tells of dropped lines, again and again.
-    pub async fn tell_dropped(&self) {
-        let mut told = 0;
-        loop {
-            tokio::time::sleep(DROPPED_EVERY).await;
-            told = self.tell_dropped_after(told);
-        }
-    }
-
-    fn tell_dropped_after(&self, told: usize) -> usize {
-        let dropped = self.dropped.dropped_lines();
+/// Tells of dropped lines, again and again.
+async fn tell_dropped(counter: ErrorCounter) {
+    let mut told = 0;
+    loop {
+        tokio::time::sleep(DROPPED_EVERY).await;
+        let dropped = counter.dropped_lines();
         if dropped > told {
             log::warn!(target: part::DAEMON, lines = dropped - told; "Log lines were dropped");
         }
-        dropped
+        told = dropped;
     }
 }
 
