--- a/clayplank-placement/src/candidate.rs
+++ b/clayplank-placement/src/candidate.rs
@@ -82,9 +82,7 @@
     let read_ms =
         engine.spec.model.part_read_ms(ask.prompt_tokens, parts) * engine.health.slowness(now_ms);
     let part = Queued { tokens: ask.prompt_tokens as f64 / parts as f64, read_ms };
-    let before = engine.queued_before(parts > 1);
-    let until_read =
-        Queued { tokens: before.tokens + part.tokens, read_ms: before.read_ms + part.read_ms };
+    let until_read = engine.queued_before(parts > 1).and(part);
     Candidate {
         id,
         engine,
--- a/clayplank-placement/src/costs.rs
+++ b/clayplank-placement/src/costs.rs
@@ -25,16 +25,20 @@
 /// pause would harm too, it is spared with them.
 const EXPOSURE_LOSS: f64 = 0.5;
 
+/// What a delay of others counts, as a multiple of what they lose by it: prompts that come
+/// later will delay them as well. From the policy bench: of 1, 1.5 and 2.5 the best at the
+/// worst windows.
+const PREEMPTED_FACTOR: f64 = 1.5;
+
 /// What streams on the engine lose by the pause while it reads.
 pub(crate) fn pause_harm(engine: &Engine, part: Queued) -> f64 {
     let queued = engine.queued();
     let pass_ms = engine.pass_ms();
-    let pause = |tokens: f64, read_ms: f64| {
-        let share = engine.spec.model.pass_read_tokens() as f64 / tokens.max(1.0);
-        pass_ms + read_ms * share.min(1.0)
+    let pause_ms = |reads: Queued| {
+        let share = engine.spec.model.pass_read_tokens() as f64 / reads.tokens.max(1.0);
+        pass_ms + reads.read_ms * share.min(1.0)
     };
-    let before_ms = pause(queued.tokens, queued.read_ms);
-    let after_ms = pause(queued.tokens + part.tokens, queued.read_ms + part.read_ms);
+    let (before_ms, after_ms) = (pause_ms(queued), pause_ms(queued.and(part)));
     let written = engine.jobs.iter().filter(|job| job.kind == JobKind::Primary);
     let harmed = written.filter(|job| {
         let safe_ms = job.pause_goal_ms * SAFE_PAUSE_SHARE;
@@ -43,23 +47,17 @@
     harmed.map(|job| job.weight * LATE_LOSS).sum()
 }
 
-/// What a delay of others counts, as a multiple of what they lose by it: prompts that come
-/// later will delay them as well. From the policy bench: of 1, 1.5 and 2.5 the best at the
-/// worst windows.
-const PREEMPTED_FACTOR: f64 = 1.5;
-
 /// What prompts that wait on the engine lose: a part of a split prompt is read before them,
 /// parts of earlier split prompts among them. What each of its parts loses on several engines
 /// is added up, though the prompt is late only once: prompts that share few engines with
 /// others hold each other up less.
 pub(crate) fn delay_harm(engine: &Engine, now_ms: f64, read_ms: f64) -> f64 {
-    let mut before = Queued::default();
+    let mut until_read = Queued::default();
     let mut harm = 0.0;
     for job in engine.in_reading_order() {
-        before.tokens += job.left_tokens;
-        before.read_ms += job.left_ms;
+        until_read = until_read.and(job.queued());
         let goals_at = |at_ms: f64| 1.0 + (at_ms - job.first_token_due_ms) / job.goal_ms.max(1.0);
-        let read_at_ms = now_ms + engine.time_to_read_ms(before);
+        let read_at_ms = now_ms + engine.time_to_read_ms(until_read);
         let loss = late_loss(goals_at(read_at_ms + read_ms)) - late_loss(goals_at(read_at_ms));
         harm += PREEMPTED_FACTOR * job.weight * loss;
     }
--- a/clayplank-placement/src/engine.rs
+++ b/clayplank-placement/src/engine.rs
@@ -85,10 +85,7 @@
 
     /// All reads that wait.
     pub(crate) fn queued(&self) -> Queued {
-        self.in_reading_order().fold(Queued::default(), |sum, job| Queued {
-            tokens: sum.tokens + job.left_tokens,
-            read_ms: sum.read_ms + job.left_ms,
-        })
+        self.in_reading_order().fold(Queued::default(), |sum, job| sum.and(job.queued()))
     }
 
     /// Reads that wait, in the order in which the engine takes them: parts of split prompts,
@@ -136,7 +133,7 @@
         self.jobs.iter_mut().for_each(|job| job.left_ms *= ratio);
     }
 
-    /// Takes a job; its reading comes after what is queued before it.
+    /// Takes a job; when it is read, [`Engine::in_reading_order`] says.
     pub(crate) fn take(&mut self, now_ms: f64, job: Job) {
         self.advance(now_ms);
         self.jobs.push(job);
--- a/clayplank-placement/src/job.rs
+++ b/clayplank-placement/src/job.rs
@@ -34,6 +34,11 @@
     pub(crate) fn is_queued(&self) -> bool {
         self.is_reading && self.left_ms > 0.0
     }
+
+    /// What is left to be read.
+    pub(crate) fn queued(&self) -> Queued {
+        Queued { tokens: self.left_tokens, read_ms: self.left_ms }
+    }
 }
 
 /// Reads that wait on an engine.
@@ -42,3 +47,10 @@
     pub(crate) tokens: f64,
     pub(crate) read_ms: f64,
 }
+
+impl Queued {
+    /// Both, one after the other.
+    pub(crate) fn and(self, other: Self) -> Self {
+        Self { tokens: self.tokens + other.tokens, read_ms: self.read_ms + other.read_ms }
+    }
+}
