--- a/clayplank-ctl/src/explain.rs
+++ b/clayplank-ctl/src/explain.rs
@@ -29,7 +29,7 @@
     pub(crate) time: String,
     pub(crate) host: String,
     pub(crate) message: String,
-    /// For what a host believed: how old that was when the request's first line was written.
+    /// For what a host believed: how old that was when the request came.
     pub(crate) age_ms: Option<u64>,
     pub(crate) fields: Map<String, Value>,
 }
@@ -57,13 +57,13 @@
         own.iter().filter_map(|line| line.fields.get("upstream").and_then(Value::as_str)).collect();
     // A request's line is written at its end: what was believed counts when it came.
     let waited_ms = first.fields.get("waited_ms").and_then(Value::as_u64).unwrap_or(0);
-    let came_ms = first.at_ms().saturating_sub(waited_ms);
+    let came_ms = first.at_ms.saturating_sub(waited_ms);
     let believed = hosts.into_iter().flat_map(|host| find_beliefs(lines, host, came_ms));
-    let told = upstreams.into_iter().filter_map(|id| find_standing(lines, id, last.at_ms()));
+    let told = upstreams.into_iter().filter_map(|id| find_standing(lines, id, last.at_ms));
     let mut beliefs: Vec<_> = believed.chain(told).collect();
-    beliefs.sort_by_key(|line| line.at_ms());
+    beliefs.sort_by_key(|line| line.at_ms);
     let aged =
-        beliefs.into_iter().map(|line| Event::of(line, Some(came_ms.saturating_sub(line.at_ms()))));
+        beliefs.into_iter().map(|line| Event::of(line, Some(came_ms.saturating_sub(line.at_ms))));
     aged.chain(own.iter().map(|line| Event::of(line, None))).collect()
 }
 
@@ -73,7 +73,7 @@
     host: &str,
     until_ms: u64,
 ) -> impl Iterator<Item = &'a LogLine> {
-    let of_host = move |line: &&LogLine| line.host == host && line.at_ms() <= until_ms;
+    let of_host = move |line: &&LogLine| line.host == host && line.at_ms <= until_ms;
     BELIEFS.into_iter().filter_map(move |message| {
         lines.iter().filter(of_host).rfind(|line| line.message == message)
     })
@@ -83,11 +83,11 @@
 fn find_standing<'a>(lines: &'a [LogLine], upstream: &str, until_ms: u64) -> Option<&'a LogLine> {
     lines.iter().rfind(|line| {
         let is_of = line.message == STANDING && line.says("upstream", upstream);
-        is_of && line.at_ms() <= until_ms
+        is_of && line.at_ms <= until_ms
     })
 }
 
-/// All lines of an upstream, or of plans up to a version and what held them up.
+/// All lines of an upstream that belong to no request, or of a plan.
 pub(crate) fn timeline(subject: &Subject, lines: &[LogLine]) -> Vec<Event> {
     let is_of = |line: &&LogLine| match subject {
         Subject::Upstream { upstream } => {
--- a/clayplank-ctl/src/log_line.rs
+++ b/clayplank-ctl/src/log_line.rs
@@ -1,7 +1,7 @@
 //! Lines of the hosts' logs.
 
 use std::path::{Path, PathBuf};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::UNIX_EPOCH;
 
 use serde::Deserialize;
 use serde_json::{Map, Value};
@@ -15,18 +15,15 @@
     #[serde(default)]
     pub(crate) host: String,
     pub(crate) message: String,
+    /// When it was written by the host's own clock, in ms; hosts' clocks differ a little.
+    #[serde(skip)]
+    pub(crate) at_ms: u64,
     /// What decided, and the outcome.
     #[serde(flatten)]
     pub(crate) fields: Map<String, Value>,
 }
 
 impl LogLine {
-    /// When it was written by the host's own clock, in ms; hosts' clocks differ a little.
-    pub(crate) fn at_ms(&self) -> u64 {
-        let time = humantime::parse_rfc3339(&self.time).unwrap_or(UNIX_EPOCH);
-        time.duration_since(SystemTime::UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
-    }
-
     /// Whether a field has this value.
     pub(crate) fn says(&self, field: &str, value: &str) -> bool {
         self.fields.get(field).is_some_and(|held| match held {
@@ -44,7 +41,7 @@
         let text = read(file)?;
         lines.extend(text.lines().filter_map(|line| scan_line(line, &name)));
     }
-    lines.sort_by_key(LogLine::at_ms);
+    lines.sort_by_key(|line| line.at_ms);
     Ok(lines)
 }
 
@@ -59,5 +56,12 @@
     if line.host.is_empty() {
         line.host = file_host.to_owned();
     }
+    line.at_ms = scan_time_ms(&line.time);
     Some(line)
 }
+
+/// A line's time in ms since 1970; 0 if it is none, so that the line comes first.
+fn scan_time_ms(text: &str) -> u64 {
+    let time = humantime::parse_rfc3339(text).unwrap_or(UNIX_EPOCH);
+    time.duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
+}
--- a/clayplank-ctl/src/options.rs
+++ b/clayplank-ctl/src/options.rs
@@ -58,7 +58,7 @@
         #[bpaf(positional("FILE"), some("at least one FILE"))]
         files: Vec<PathBuf>,
     },
-    /// Tell what hosts believed of an upstream, or of plans, from their logs
+    /// Tell what hosts believed of an upstream, or of a plan, from their logs
     #[bpaf(command)]
     Timeline {
         #[bpaf(external(subject))]
