Let stand-ins and tests use one heartbeat and one small call; a host that has served waits for no plan

The stand-in engine had its own copy of a call, and the tests their own copy of a heartbeat. A host that has had its first plan looks at that before it sets up a wait.

--- a/clayplank-forward/src/gate.rs
+++ b/clayplank-forward/src/gate.rs
@@ -55,6 +55,9 @@
 
     /// Waits for the first confirmed plan of a host that has just started, but not for long.
     pub async fn wait_for_first_plan(&self, patience: Duration) {
+        if *self.has_served.borrow() {
+            return;
+        }
         let mut has_served = self.has_served.subscribe();
         // Without one in time the caller is refused, as by a host that has lost its plan.
         tokio::time::timeout(patience, has_served.wait_for(|has_served| *has_served)).await.ok();
--- a/clayplank-standin/src/call.rs
+++ b/clayplank-standin/src/call.rs
@@ -10,16 +10,6 @@
 use serde::Serialize;
 use tokio::net::TcpStream;
 
-/// Posts a value; the status of the answer once that has come whole, or `None`.
-pub(crate) async fn post_json<T: Serialize>(
-    address: SocketAddr,
-    path: &str,
-    value: T,
-    patience: Duration,
-) -> Option<StatusCode> {
-    send_json(address, Method::POST, path, &value, patience).await
-}
-
 /// Sends a value; the status of the answer once that has come whole, or `None`.
 pub(crate) async fn send_json<T: Serialize>(
     address: SocketAddr,
@@ -38,7 +28,11 @@
     tokio::time::timeout(patience, exchange(address, request)).await.ok()?
 }
 
-async fn exchange(address: SocketAddr, request: Request<Full<Bytes>>) -> Option<StatusCode> {
+/// Sends a request; the status of the answer once that has come whole, or `None`.
+pub(crate) async fn exchange(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Option<StatusCode> {
     let stream = TcpStream::connect(address).await.ok()?;
     let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) = handshake.ok()?;
--- a/clayplank-standin/src/engine.rs
+++ b/clayplank-standin/src/engine.rs
@@ -8,14 +8,15 @@
 use bytes::Bytes;
 use clayplank_types::{AttemptId, EnginePriority, Incarnation, prefix_hashes};
 use http::{Method, Request, Response, StatusCode};
-use http_body_util::BodyExt;
 use http_body_util::channel::{Channel, Sender};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use siphasher::sip::SipHasher13;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
+use crate::call::exchange;
 use crate::core::{BeginError, EngineCore, EngineModel, Job, JobKind, StepEvent};
 use crate::fault::{Fault, FaultKind};
 use crate::http_util::{Body, ServeError, empty, json, read_body, serve};
@@ -510,18 +511,11 @@
 }
 
 async fn fetch_kv(import: &KvHandle) -> bool {
-    let Ok(stream) = tokio::net::TcpStream::connect(import.address).await else {
+    let request = Request::get(format!("/kv/{}", import.handle))
+        .header("host", import.address.to_string())
+        .body(Full::default());
+    let Ok(request) = request else {
         return false;
     };
-    let io = hyper_util::rt::TokioIo::new(stream);
-    let Ok((mut sender, connection)) = hyper::client::conn::http1::handshake(io).await else {
-        return false;
-    };
-    tokio::spawn(connection);
-    let request =
-        Request::get(format!("/kv/{}", import.handle)).header("host", import.address.to_string());
-    let Ok(request) = request.body(http_body_util::Empty::<Bytes>::new()) else {
-        return false;
-    };
-    sender.send_request(request).await.is_ok_and(|response| response.status().is_success())
+    exchange(import.address, request).await.is_some_and(|status| status.is_success())
 }
--- a/clayplank-standin/src/heartbeats.rs
+++ b/clayplank-standin/src/heartbeats.rs
@@ -27,7 +27,8 @@
 }
 
 impl Registration {
-    fn body(&self, sequence: u64, standing: &str) -> Value {
+    /// One heartbeat; `sequence` rises with each.
+    pub fn heartbeat(&self, sequence: u64, standing: &str) -> Value {
         json!({
             "id": self.id,
             "sequence": sequence,
@@ -49,7 +50,7 @@
     let path = format!("/v1/upstreams/{}", registration.id);
     let mut keeper = 0;
     for sequence in 1.. {
-        let body = registration.body(sequence, "ready");
+        let body = registration.heartbeat(sequence, "ready");
         for _ in 0..keepers.len() {
             let address = keepers[keeper % keepers.len()];
             let status = send_json(address, Method::PUT, &path, &body, PATIENCE).await;
--- a/clayplank-standin/src/pass_answer.rs
+++ b/clayplank-standin/src/pass_answer.rs
@@ -6,11 +6,11 @@
 
 use bytes::Bytes;
 use http::request::Parts;
-use http::{HeaderMap, Response, StatusCode};
+use http::{HeaderMap, Method, Response, StatusCode};
 use http_body_util::BodyExt;
 use http_body_util::channel::{Channel, Sender};
 
-use crate::call::post_json;
+use crate::call::send_json;
 use crate::http_util::{Body, ServeError, empty};
 use crate::pass_run::{PassRun, Place};
 use crate::pass_server::{PARTS_PATH, PartCall};
@@ -88,10 +88,13 @@
 /// Reads the own part while the helpers read theirs; `Err` names the first that did not.
 async fn read_together(place: &mut Place, prompt: &Prompt) -> Result<(), SocketAddr> {
     let (prompt_tokens, parts) = (prompt.prompt_tokens, prompt.parts());
-    let read_elsewhere = futures_util::future::join_all(prompt.helpers.iter().map(|helper| {
-        let call = PartCall { prompt_tokens, parts, ticket: helper.ticket.clone() };
-        post_json(helper.address, PARTS_PATH, call, PART_PATIENCE)
-    }));
+    let read_elsewhere =
+        futures_util::future::join_all(prompt.helpers.iter().map(|helper| {
+            let call = PartCall { prompt_tokens, parts, ticket: helper.ticket.clone() };
+            async move {
+                send_json(helper.address, Method::POST, PARTS_PATH, &call, PART_PATIENCE).await
+            }
+        }));
     let (answers, ()) = tokio::join!(read_elsewhere, place.read(prompt_tokens, parts));
     let is_read = |status: &Option<StatusCode>| status.is_some_and(|status| status.is_success());
     match answers.iter().position(|status| !is_read(status)) {
--- a/clayplankd/tests/seeded/upstreams.rs
+++ b/clayplankd/tests/seeded/upstreams.rs
@@ -5,13 +5,16 @@
 
 use clayplank_placement::EngineModel;
 use clayplank_standin::{Registration, send_heartbeats, serve_pass_engine, serve_upstream};
-use serde_json::{Value, json};
+use serde_json::Value;
 
 use crate::answer::Answer;
 use crate::client::call;
 use crate::host::{Host, UPSTREAM};
 use crate::system::{System, behind_proxy};
 
+/// Requests that an upstream of the service `app` runs at once.
+const APP_SLOTS: u32 = 4;
+
 impl System {
     pub fn upstream_ip(&self, last: u8) -> Ipv4Addr {
         Ipv4Addr::new(127, self.net[0], self.net[1], last)
@@ -38,15 +41,19 @@
 
     /// Sends heartbeats of an engine, whether it is there or not.
     pub fn register_engine(&self, id: &str, last: u8) {
-        let registration = Registration {
+        let registration = self.registration(id, "pool", last, EngineModel::default().slots);
+        let keepers = self.keepers.iter().map(Host::control).collect();
+        self.runtime.spawn(send_heartbeats(registration, keepers, Duration::from_millis(300)));
+    }
+
+    fn registration(&self, id: &str, service: &str, last: u8, slots: u32) -> Registration {
+        Registration {
             id: id.to_owned(),
-            service: "pool".to_owned(),
+            service: service.to_owned(),
             address: self.upstream_address(last),
             data_centre: "hall".to_owned(),
-            slots: EngineModel::default().slots,
-        };
-        let keepers = self.keepers.iter().map(Host::control).collect();
-        self.runtime.spawn(send_heartbeats(registration, keepers, Duration::from_millis(300)));
+            slots,
+        }
     }
 
     fn upstream_address(&self, last: u8) -> SocketAddr {
@@ -76,14 +83,6 @@
     }
 
     fn heartbeat(&self, id: &str, last: u8, sequence: u64, standing: &str) -> Value {
-        json!({
-            "id": id,
-            "sequence": sequence,
-            "service": "app",
-            "address": self.upstream_address(last),
-            "data_centre": "hall",
-            "slots": 4,
-            "standing": standing,
-        })
+        self.registration(id, "app", last, APP_SLOTS).heartbeat(sequence, standing)
     }
 }
