Deflate the edits of plans, and send whole plans as edits from none

An edit is as large as what is new: 336 kB to 80 hosts at once take longer than the 1.2 s that each waits, so all gave up and asked again, and the plan was in force 2 to 3.4 s after its acknowledgement. Ruled out: the log (acknowledged after 0.18 s), the hosts' reading of it. Edits are packed once and shared, and a host whose plan is not known gets the whole one the same way.

--- a/clayplank-state/src/lib.rs
+++ b/clayplank-state/src/lib.rs
@@ -39,6 +39,6 @@
     encode,
 };
 pub use machine::{Counts, Machine};
-pub use plan_edit::{EditError, PlanEdit};
+pub use plan_edit::{EditError, PackError, PlanEdit};
 pub use settings::{Delta, SettingKey, SettingValue, Versioned};
 pub use view::{SettingsView, StaleDelta};
--- a/clayplank-state/src/plan_edit.rs
+++ b/clayplank-state/src/plan_edit.rs
@@ -2,14 +2,32 @@
 //! of kilobytes, and hundreds of hosts get each of them.
 
 use std::collections::HashMap;
+use std::io::{Read, Write};
 
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
 use serde::{Deserialize, Serialize};
 
-use crate::command::PlanDocument;
+use crate::command::{CodecError, PlanDocument, decode, encode};
 
 /// Texts are compared in pieces that end before this byte: each object of a plan begins with it.
 const PIECE_START: u8 = b'{';
 
+/// The largest edit that is unpacked, in bytes: a few times the largest plan that keepers take.
+const MAX_EDIT_BYTES: u64 = 32 << 20;
+
+/// Why an edit cannot be packed, or read again.
+#[derive(Debug, thiserror::Error)]
+pub enum PackError {
+    /// The packed bytes are damaged.
+    #[error("the edit cannot be unpacked: {0}")]
+    Packed(#[from] std::io::Error),
+    /// What was packed is no edit.
+    #[error(transparent)]
+    Codec(#[from] CodecError),
+}
+
 /// Why an edit cannot be applied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum EditError {
@@ -38,9 +56,10 @@
     Insert(Vec<u8>),
 }
 
-/// Leads from one plan to another.
+/// Leads from one plan to another, or from none.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PlanEdit {
+    /// 0 for none: the edit holds the whole text.
     base_version: u64,
     version: u64,
     /// CRC-32 of the new text.
@@ -49,6 +68,11 @@
 }
 
 impl PlanEdit {
+    /// What leads to `next` from whatever is held.
+    pub fn whole(next: &PlanDocument) -> Self {
+        Self::between(&PlanDocument::default(), next)
+    }
+
     /// What leads from `base` to `next`.
     pub fn between(base: &PlanDocument, next: &PlanDocument) -> Self {
         let (old, new) = (base.text.as_bytes(), next.text.as_bytes());
@@ -71,12 +95,33 @@
         Self { base_version: base.version, version: next.version, checksum, steps }
     }
 
+    /// The edit as it is sent, deflated. Plans repeat their field names with each route:
+    /// hundreds of new ones take a fraction of their text, which all hosts get at once.
+    ///
+    /// # Errors
+    /// None that is known: the bytes are written to memory.
+    pub fn pack(&self) -> Result<Vec<u8>, PackError> {
+        let mut packer = DeflateEncoder::new(Vec::new(), Compression::fast());
+        packer.write_all(&encode(self)?)?;
+        Ok(packer.finish()?)
+    }
+
+    /// Reads an edit that was sent.
+    ///
+    /// # Errors
+    /// The bytes are damaged, or hold more than any plan.
+    pub fn unpack(bytes: &[u8]) -> Result<Self, PackError> {
+        let mut encoded = Vec::new();
+        DeflateDecoder::new(bytes).take(MAX_EDIT_BYTES).read_to_end(&mut encoded)?;
+        Ok(decode(&encoded)?)
+    }
+
     /// The text that the edit leads to.
     ///
     /// # Errors
     /// It was made from another text; nothing is known of the new one then.
     pub fn apply(&self, held: &PlanDocument) -> Result<PlanDocument, EditError> {
-        if held.version != self.base_version {
+        if self.base_version != 0 && held.version != self.base_version {
             return Err(EditError::OtherBase { base: self.base_version, held: held.version });
         }
         let other_text = EditError::OtherText { version: self.version };
--- a/clayplank-state/tests/plan_edit.rs
+++ b/clayplank-state/tests/plan_edit.rs
@@ -40,6 +40,31 @@
     assert_eq!(edit.apply(&other), Err(EditError::OtherText { version: 2 }));
 }
 
+#[test]
+fn a_whole_plan_replaces_whatever_is_held() {
+    let next = plan(3, 5, None);
+    let edit = PlanEdit::whole(&next);
+    for held in [PlanDocument::default(), plan(2, 4, None)] {
+        assert_eq!(edit.apply(&held).unwrap(), next);
+    }
+}
+
+#[test]
+fn many_new_routes_are_sent_in_a_fraction_of_their_text() {
+    let (base, next) = (plan(3, 10, None), plan(6, 1_410, None));
+    let edit = PlanEdit::between(&base, &next);
+    let packed = edit.pack().unwrap();
+    assert!(packed.len() * 10 < next.text.len(), "{} of {}", packed.len(), next.text.len());
+    assert_eq!(PlanEdit::unpack(&packed).unwrap(), edit);
+}
+
+#[test]
+fn damaged_edits_are_refused() {
+    let packed = PlanEdit::whole(&plan(1, 20, None)).pack().unwrap();
+    assert!(PlanEdit::unpack(&packed[..packed.len() / 2]).is_err());
+    assert!(PlanEdit::unpack(b"no edit").is_err());
+}
+
 proptest! {
     #[test]
     fn every_text_is_reached(old in "[ab{}]{0,40}", new in "[ab{}é]{0,40}") {
--- a/clayplankd/src/fleet_keeper.rs
+++ b/clayplankd/src/fleet_keeper.rs
@@ -207,7 +207,7 @@
         lock(&self.fleet).renew(fleet_now_ms(), life, renewed);
     }
 
-    /// Takes the plan out of a delta if an edit says it in less; empty if none does.
+    /// Takes the plan out of a delta, packed: an edit, or all of it. Empty if there is none.
     pub(crate) fn take_edit(&self, delta: &mut Delta, plan_version: u64) -> Vec<u8> {
         let Some(document) = &delta.plan else {
             return Vec::new();
--- a/clayplankd/src/following.rs
+++ b/clayplankd/src/following.rs
@@ -6,7 +6,7 @@
 use clayplank_forward::{Directory, Entry, Gate};
 use clayplank_registry::{Changes, Cursor};
 use clayplank_routes::PlanIndex;
-use clayplank_state::{CodecError, Delta, EditError, PlanDocument, PlanEdit, decode, encode};
+use clayplank_state::{Delta, EditError, PackError, PlanDocument, PlanEdit, decode, encode};
 use clayplank_types::HostId;
 use clayplank_wire::{FollowRequest, Followed, follow_reply};
 
@@ -182,7 +182,7 @@
     if plan_edit.is_empty() {
         return Ok(delta.plan.clone());
     }
-    let edit: PlanEdit = decode(plan_edit)?;
+    let edit = PlanEdit::unpack(plan_edit)?;
     Ok(Some(edit.apply(&position.plan)?))
 }
 
@@ -190,7 +190,7 @@
 #[derive(Debug, thiserror::Error)]
 enum EditFault {
     #[error(transparent)]
-    Unreadable(#[from] CodecError),
+    Unreadable(#[from] PackError),
     #[error(transparent)]
     Unfit(#[from] EditError),
 }
