One program for hosts that are entry host, keeper or both, by their settings

Change: every host that takes callers has the door for operators. One with a disk keeps a replica in the same process; one without asks the keepers and passes heartbeats on. A keeper starts beside its callers once its disk can be used, and waits, saying so once, while it is full; a write that finds the disk full is repeated instead of ending the process.

--- a/clayplank-agreement/src/store.rs
+++ b/clayplank-agreement/src/store.rs
@@ -71,6 +71,21 @@
     Unfit(#[from] UnfitRecord),
 }
 
+impl StoreError {
+    /// Whether the disk has no room: what failed may be tried again.
+    pub fn is_full(&self) -> bool {
+        use std::io::ErrorKind::{QuotaExceeded, StorageFull};
+        match self {
+            Self::Io { source, .. } => matches!(source.kind(), StorageFull | QuotaExceeded),
+            Self::InUse { .. }
+            | Self::OtherHost { .. }
+            | Self::Corrupt { .. }
+            | Self::Missing { .. }
+            | Self::Unfit(_) => false,
+        }
+    }
+}
+
 /// Whose folder it is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Identity {
@@ -144,18 +159,21 @@
     /// Starts the log, or starts to receive it. From now on the folder holds one.
     ///
     /// # Errors
-    /// Nothing may be assumed of the folder.
+    /// The folder does not count as one that holds a log; on a full disk it may be tried again.
     pub fn begin(&mut self, state: &StoredState, genesis: Configuration) -> Result<(), StoreError> {
         self.rewrite(state)?;
-        self.identity.genesis = Some(genesis);
-        self.identity.has_log = true;
-        replace_file(&self.dir, IDENTITY_FILE, &self.identity)
+        let identity =
+            Identity { id: self.identity.id.clone(), genesis: Some(genesis), has_log: true };
+        replace_file(&self.dir, IDENTITY_FILE, &identity)?;
+        self.identity = identity;
+        Ok(())
     }
 
     /// Writes and syncs what a [`Ready`] holds, with one sync for all of it.
     ///
     /// # Errors
-    /// It may or may not be on disk; the process has to stop.
+    /// It may or may not be on disk. On a full disk the same may be written again, and must
+    /// be before anything else; after any other error the process has to stop.
     pub fn write(&mut self, ready: &Ready, hard_state: &HardState) -> Result<(), StoreError> {
         if let Some(snapshot) = &ready.installed {
             let entries = ready.entries.clone();
@@ -177,12 +195,22 @@
             put_record(&mut buffer, &Record::Entry(entry.clone()))?;
         }
         let path = self.dir.join(LOG_FILE);
+        self.cut_unfinished().map_err(|source| io_error(&path, source))?;
         self.log.write_all(&buffer).map_err(|source| io_error(&path, source))?;
         self.log.sync_data().map_err(|source| io_error(&path, source))?;
         self.log_bytes += buffer.len() as u64;
         Ok(())
     }
 
+    /// Drops what a write left that found the disk full: records after half of one would
+    /// count as damage at the next start.
+    fn cut_unfinished(&mut self) -> Result<(), std::io::Error> {
+        if self.log.metadata()?.len() > self.log_bytes {
+            self.log.set_len(self.log_bytes)?;
+        }
+        Ok(())
+    }
+
     /// Replaces snapshot and log, after a compaction.
     ///
     /// # Errors
--- a/clayplank-agreement/tests/store.rs
+++ b/clayplank-agreement/tests/store.rs
@@ -130,3 +130,27 @@
     drop(store);
     assert_eq!(reopen(dir.path()).unwrap(), state);
 }
+
+#[test]
+fn a_write_drops_half_a_record_that_a_full_disk_left() {
+    let dir = tempfile::tempdir().unwrap();
+    folder_with_log(dir.path());
+    let (mut store, _) = Store::open(dir.path(), "a", 8).unwrap();
+    let mut bytes = fs::read(dir.path().join("log")).unwrap();
+    bytes.extend_from_slice(&bytes.clone()[..5]);
+    fs::write(dir.path().join("log"), bytes).unwrap();
+    store.write(&ready(vec![entry(5, "later")]), &HardState::default()).unwrap();
+    drop(store);
+    let held = vec![entry(2, "x"), entry(3, "y"), entry(4, "z"), entry(5, "later")];
+    assert_eq!(reopen(dir.path()).unwrap().entries, held);
+}
+
+#[test]
+fn a_full_disk_is_told_from_one_that_failed() {
+    let dir = tempfile::tempdir().unwrap();
+    std::os::unix::fs::symlink("/dev/full", dir.path().join("identity.new")).unwrap();
+    let refused = Store::open(dir.path(), "a", 7).unwrap_err();
+    assert!(refused.is_full(), "{refused}");
+    let missing = StoreError::Missing { path: dir.path().to_owned() };
+    assert!(!missing.is_full());
+}
--- a/clayplank-settings/src/seeded.rs
+++ b/clayplank-settings/src/seeded.rs
@@ -30,7 +30,8 @@
     /// Whether the whole system starts for the first time, on empty disks.
     #[serde(default)]
     pub is_first_start: bool,
-    /// Where a keeper stores its state.
+    /// Where a keeper stores its state; an entry host that has one, and listens for
+    /// operators, is a keeper too.
     #[serde(default)]
     pub data_dir: Option<PathBuf>,
     /// Keepers that may be lost at once without loss of what was acknowledged.
@@ -58,7 +59,7 @@
     /// An entry host: whether it takes new connections.
     #[serde(default)]
     pub readiness: Option<SocketAddr>,
-    /// A keeper: for operators and for heartbeats of upstreams.
+    /// For operators and for heartbeats of upstreams; a host without a disk asks the keepers.
     #[serde(default)]
     pub control: Option<SocketAddr>,
     /// For the other hosts.
@@ -100,6 +101,14 @@
     }
 }
 
+impl SeededSettings {
+    /// Whether this host holds a replica of the replicated state: an entry host does, beside
+    /// its callers, if it has a disk and a door for operators.
+    pub fn is_keeper(&self) -> bool {
+        self.data_dir.is_some() && self.listen.control.is_some()
+    }
+}
+
 impl Check for SeededSettings {
     fn check(&self, at: &str, faults: &mut Faults) {
         let listen = &self.listen;
--- a/clayplankd/src/control_door.rs
+++ b/clayplankd/src/control_door.rs
@@ -1,10 +1,13 @@
-//! A keeper's door for operators and for heartbeats of upstreams.
+//! The door for operators and for heartbeats of upstreams.
+//!
+//! Any host may have one. A keeper answers from what it holds; a host without a disk asks the
+//! keepers, and passes heartbeats on to them.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use clayplank_forward::now_ms;
+use clayplank_forward::{Directory, now_ms};
 use clayplank_registry::{Heartbeat, Standing};
 use clayplank_routes::ServingPlan;
 use clayplank_settings::Faults;
@@ -29,14 +32,30 @@
 /// Time for the keepers to take a plan, or to confirm one: callers move on after about a second.
 const PATIENCE: Duration = Duration::from_millis(900);
 
+/// Time for this host's own keeper to say who leads; one that waits for its disk says nothing.
+const OWN_KEEPER_PATIENCE: Duration = Duration::from_millis(100);
+
+/// Where a door finds the registered upstreams and who leads.
+#[derive(Clone)]
+pub(crate) enum Registered {
+    /// On a keeper.
+    Kept {
+        /// The keeper of this host.
+        keeper: Address<Keeper>,
+        /// Its registry.
+        fleet: Arc<FleetKeeper>,
+    },
+    /// On a host without a disk: what the keepers told it.
+    Followed(Arc<Directory>),
+}
+
 /// What the door needs.
 #[derive(Clone)]
 pub(crate) struct ControlDoor {
     pub(crate) own: HostId,
     pub(crate) contract: SharedContract,
-    pub(crate) keeper: Address<Keeper>,
     pub(crate) keepers: KeeperClient,
-    pub(crate) fleet: Arc<FleetKeeper>,
+    pub(crate) registered: Registered,
     pub(crate) spread: Spread,
 }
 
@@ -99,7 +118,9 @@
 
     async fn take_heartbeat(&self, heartbeat: Heartbeat) -> Answer {
         let takes_work = heartbeat.standing == Standing::Ready;
-        self.fleet.apply(std::slice::from_ref(&heartbeat));
+        if let Registered::Kept { fleet, .. } = &self.registered {
+            fleet.apply(std::slice::from_ref(&heartbeat));
+        }
         if !takes_work {
             return self.tell_leader(&heartbeat).await;
         }
@@ -111,12 +132,27 @@
         }
     }
 
+    /// Who leads, as far as this host knows.
     async fn leader(&self) -> Option<HostId> {
-        self.keeper.send(WhoLeads).await.ok().flatten()
+        let Registered::Kept { keeper, .. } = &self.registered else {
+            return self.keepers.leader();
+        };
+        match tokio::time::timeout(OWN_KEEPER_PATIENCE, keeper.send(WhoLeads)).await {
+            Ok(leader) => leader.ok().flatten(),
+            Err(_) => self.keepers.leader().filter(|leader| *leader != self.own),
+        }
     }
 
     async fn take_leave(&self, id: &UpstreamId) -> Answer {
-        let gone = self.fleet.leave(id);
+        let gone = match &self.registered {
+            Registered::Kept { fleet, .. } => fleet.leave(id),
+            Registered::Followed(directory) => {
+                let known = directory.record(id).map(|record| record.heartbeat);
+                let known =
+                    known.unwrap_or_else(|| Heartbeat { id: id.clone(), ..Heartbeat::default() });
+                Heartbeat { standing: Standing::Gone, ..known }
+            }
+        };
         self.tell_leader(&gone).await
     }
 
--- a/clayplankd/src/daemon.rs
+++ b/clayplankd/src/daemon.rs
@@ -70,6 +70,9 @@
     /// The data folder cannot be used.
     #[error("the data folder cannot be used: {0}")]
     Store(#[source] StoreError),
+    /// Opening the data folder ended without a result.
+    #[error("the data folder was not opened")]
+    Opening(#[source] tokio::task::JoinError),
     /// The settings name no address for a door that the role needs.
     #[error("the settings have no address for {0}")]
     NoListen(&'static str),
--- a/clayplankd/src/keeper.rs
+++ b/clayplankd/src/keeper.rs
@@ -14,6 +14,7 @@
 use xtra::Context;
 
 use crate::clock::now_ms;
+use crate::full_disk::FullDisk;
 use crate::keeper_messages::{Executed, Watched};
 use crate::logging::part;
 
@@ -196,24 +197,33 @@
         true
     }
 
-    /// Writes off the runtime's threads; the process has to stop if that fails.
-    async fn write(&mut self, ready: Ready) -> Option<Ready> {
+    /// Writes off the runtime's threads. While the disk is full this keeper says nothing, as
+    /// one whose disk stalls: the others go on without it. Any other failure ends the process.
+    async fn write(&mut self, mut ready: Ready) -> Option<Ready> {
         if !ready.must_sync() {
             return Some(ready);
         }
-        let mut store = self.store.take()?;
-        let hard_state = self.replica.as_ref()?.hard_state().clone();
-        let task = tokio::task::spawn_blocking(move || {
-            let result = store.write(&ready, &hard_state);
-            (store, ready, result)
-        });
-        let (store, ready, result) = task.await.ok()?;
-        self.store = Some(store);
-        match result {
-            Ok(()) => Some(ready),
-            Err(error) => {
-                self.fail(error);
-                None
+        let mut full = FullDisk::default();
+        loop {
+            let mut store = self.store.take()?;
+            let hard_state = self.replica.as_ref()?.hard_state().clone();
+            let task = tokio::task::spawn_blocking(move || {
+                let result = store.write(&ready, &hard_state);
+                (store, ready, result)
+            });
+            let (store, tried, result) = task.await.ok()?;
+            self.store = Some(store);
+            ready = tried;
+            match result {
+                Ok(()) => {
+                    full.note_room();
+                    return Some(ready);
+                }
+                Err(error) if error.is_full() => full.wait(&error).await,
+                Err(error) => {
+                    self.fail(error);
+                    return None;
+                }
             }
         }
     }
@@ -348,6 +358,10 @@
             Ok(()) => {
                 log::info!(target: part::KEEPER, "Compacted the log at {}.", self.applied_index)
             }
+            // The former files hold all of it still; the next entry brings the next try.
+            Err(error) if error.is_full() => {
+                log::warn!(target: part::KEEPER, cause:% = error; "The log was not compacted");
+            }
             Err(error) => self.fail(error),
         }
     }
--- a/clayplankd/src/keeper_messages.rs
+++ b/clayplankd/src/keeper_messages.rs
@@ -186,6 +186,10 @@
                 self.load(&state);
                 self.replica = Some(Replica::new(id, state, self.options, now_ms()));
             }
+            // Whoever begins or joins tries again.
+            Err(error) if error.is_full() => {
+                log::warn!(target: part::KEEPER, cause:% = error; "The log was not begun");
+            }
             Err(error) => self.fail(error),
         }
     }
--- a/clayplankd/src/lib.rs
+++ b/clayplankd/src/lib.rs
@@ -29,6 +29,7 @@
 mod fleet_keeper;
 mod fleet_link;
 mod following;
+mod full_disk;
 mod host;
 mod inner;
 mod keeper;
--- a/clayplankd/src/seeded.rs
+++ b/clayplankd/src/seeded.rs
@@ -1,9 +1,13 @@
-//! A host that finds the others from seeds: starts the parts of its role, and stops in order.
+//! A host that finds the others from seeds: starts what its settings ask for, and stops in order.
+//!
+//! A host with callers' addresses is an entry host; one with a disk and a door for operators
+//! is a keeper; one may be both, in one process, so that a host pays for one runtime and its
+//! keeper goes on while its callers are drained.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use clayplank_agreement::StoreError;
 use clayplank_forward::serve_simple;
 use clayplank_settings::{Role, SeededSettings};
 use clayplank_types::HostId;
@@ -14,11 +18,13 @@
 use tokio::time::Instant;
 
 use crate::contract::SharedContract;
-use crate::daemon::StartError;
+use crate::daemon::{StartError, bind};
+use crate::fleet_keeper::FleetKeeper;
 use crate::keeper_client::KeeperClient;
 use crate::logging::{part, set_log_level};
 use crate::peers::Peers;
 use crate::seeded_entry::EntryHost;
+use crate::seeded_keeper::run_keeper_start;
 
 /// The balancer asks every second, and turns away after two misses: until then new
 /// connections come. Requests that come later could be cut off at the end of the grace.
@@ -37,11 +43,11 @@
 pub struct SeededDaemon {
     settings: SeededSettings,
     keepers: KeeperClient,
-    /// `None` on a keeper.
+    /// `None` on a host without callers.
     entry: Option<EntryHost>,
     closing: watch::Sender<bool>,
-    /// Closed on an entry host, which has no disk that could fail.
-    failed: mpsc::Receiver<StoreError>,
+    /// Closed on a host without a disk, which nothing can end.
+    failed: mpsc::Receiver<StartError>,
 }
 
 impl std::fmt::Debug for SeededDaemon {
@@ -51,10 +57,11 @@
 }
 
 impl SeededDaemon {
-    /// Starts the parts of the host's role.
+    /// Starts the parts of the host. A keeper starts beside them as soon as its disk can be
+    /// used, so that a full one holds up no caller.
     ///
     /// # Errors
-    /// An address or the data folder cannot be used; nothing runs.
+    /// An address cannot be used; nothing runs.
     pub async fn start(
         settings: SeededSettings,
         contract: SharedContract,
@@ -64,21 +71,32 @@
         let (failed_sender, failed) = mpsc::channel(1);
         let (closing, closing_receiver) = watch::channel(false);
         let parts = Parts {
-            settings: &settings,
+            settings: Arc::new(settings.clone()),
             own: HostId::new(settings.ip.to_string()),
             contract,
             peers,
             keepers: keepers.clone(),
         };
+        let metrics = bind(settings.listen.metrics).await?;
         let entry = match settings.role {
             Role::Entry => Some(parts.start_entry(closing_receiver).await?),
-            Role::Keeper => {
-                parts.start_keeper(failed_sender).await?;
-                None
-            }
+            Role::Keeper => None,
         };
+        let figures = entry.as_ref().map(|entry| Arc::clone(&entry.figures));
+        let fleet = settings.is_keeper().then(|| parts.new_fleet());
+        if let Some(fleet) = &fleet {
+            tokio::spawn(run_keeper_start(parts, Arc::clone(fleet), failed_sender));
+        } else if let (Some(control), Some(entry)) = (settings.listen.control, &entry) {
+            parts.start_door_of_followed(bind(control).await?, Arc::clone(&entry.directory));
+        }
+        serve_metrics(metrics, move || {
+            let of_entry = figures.as_ref().map(|figures| figures.to_text()).unwrap_or_default();
+            let of_keeper = fleet.as_deref().map(FleetKeeper::to_text).unwrap_or_default();
+            of_entry + &of_keeper
+        });
         log::info!(target: part::DAEMON,
-            name = settings.name, role:? = settings.role, is_first_start = settings.is_first_start;
+            name = settings.name, role:? = settings.role, keeper = settings.is_keeper(),
+            is_first_start = settings.is_first_start;
             "Started");
         Ok(Self { settings, keepers, entry, closing, failed })
     }
@@ -86,7 +104,7 @@
     /// Waits until the daemon cannot go on.
     pub async fn failed(&mut self) -> StartError {
         match self.failed.recv().await {
-            Some(error) => StartError::DiskFailed(error),
+            Some(error) => error,
             None => std::future::pending().await,
         }
     }
@@ -145,8 +163,8 @@
 }
 
 /// What the parts of a host start from.
-pub(crate) struct Parts<'a> {
-    pub(crate) settings: &'a SeededSettings,
+pub(crate) struct Parts {
+    pub(crate) settings: Arc<SeededSettings>,
     pub(crate) own: HostId,
     pub(crate) contract: SharedContract,
     pub(crate) peers: Peers,
--- a/clayplankd/src/seeded_entry.rs
+++ b/clayplankd/src/seeded_entry.rs
@@ -16,7 +16,7 @@
 use crate::daemon::{StartError, bind};
 use crate::fleet_link::{FleetLink, run_reports};
 use crate::following::{Following, run_following};
-use crate::seeded::{Parts, plain_text, serve_metrics};
+use crate::seeded::{Parts, plain_text};
 
 /// Share of the time until a revoked key must be without effect for which a
 /// confirmation holds; the rest is for requests that are on their way.
@@ -26,6 +26,10 @@
 pub(crate) struct EntryHost {
     /// Whether it takes requests.
     pub(crate) gate: Arc<Gate>,
+    /// The upstreams that it knows.
+    pub(crate) directory: Arc<Directory>,
+    /// What it counts.
+    pub(crate) figures: Arc<Figures>,
     entry: Arc<Entry>,
 }
 
@@ -37,21 +41,20 @@
     }
 }
 
-impl Parts<'_> {
+impl Parts {
     /// Starts an entry host.
     pub(crate) async fn start_entry(
-        self,
+        &self,
         closing: watch::Receiver<bool>,
     ) -> Result<EntryHost, StartError> {
         let listen = &self.settings.listen;
         let callers = bind(listen.callers.ok_or(StartError::NoListen("callers"))?).await?;
         let readiness = bind(listen.readiness.ok_or(StartError::NoListen("readiness"))?).await?;
-        let metrics = bind(listen.metrics).await?;
         let bounds = &self.settings.bounds;
         let gate = Arc::new(Gate::new(lease_ms(bounds)));
         let directory = Arc::new(Directory::default());
         let figures = Arc::new(Figures::default());
-        let (link, events) = FleetLink::new(self.peers, self.keepers.clone());
+        let (link, events) = FleetLink::new(self.peers.clone(), self.keepers.clone());
         let link = Arc::new(link);
         let entry = EntryBuilder::default()
             .names(self.contract.header_names())
@@ -63,18 +66,17 @@
         let entry = Arc::new(entry);
         tokio::spawn(run_reports(Arc::clone(&link), events));
         tokio::spawn(run_following(Following {
-            host: self.own,
+            host: self.own.clone(),
             contract: Arc::clone(&self.contract),
-            keepers: self.keepers,
+            keepers: self.keepers.clone(),
             link,
             gate: Arc::clone(&gate),
-            directory,
+            directory: Arc::clone(&directory),
             entry: Arc::clone(&entry),
         }));
         tokio::spawn(serve_callers(callers, Arc::clone(&entry), closing));
-        serve_readiness(readiness, self.contract, Arc::clone(&gate));
-        serve_metrics(metrics, move || figures.to_text());
-        Ok(EntryHost { gate, entry })
+        serve_readiness(readiness, Arc::clone(&self.contract), Arc::clone(&gate));
+        Ok(EntryHost { gate, directory, figures, entry })
     }
 }
 
--- a/clayplankd/src/seeded_keeper.rs
+++ b/clayplankd/src/seeded_keeper.rs
@@ -2,19 +2,21 @@
 
 use std::sync::Arc;
 
-use clayplank_agreement::{Options, Store, StoreError};
-use clayplank_forward::serve_simple;
+use clayplank_agreement::{Options, Store, StoreError, StoredState};
+use clayplank_forward::{Directory, serve_simple};
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use xtra::Mailbox;
 
-use crate::control_door::ControlDoor;
+use crate::control_door::{ControlDoor, Registered};
 use crate::daemon::{MAILBOX, StartError, bind, serve_inner};
 use crate::engine_watch::run_engine_watch;
 use crate::fleet_keeper::{FleetKeeper, run_fleet};
+use crate::full_disk::FullDisk;
 use crate::inner::InnerService;
 use crate::keeper::{Keeper, Sizing};
 use crate::keeper_join::{Joining, run_join, run_outbox, run_ticks};
-use crate::seeded::{Parts, seed_hosts, serve_metrics};
+use crate::seeded::{Parts, seed_hosts};
 use crate::spread::{Spread, run_spread};
 
 /// An election follows after a leader was silent for this long, in ms, up to twice: a
@@ -33,28 +35,86 @@
 const _: () =
     assert!(ELECTION_MS >= 3 * LEADER_HEARTBEAT_MS, "an election waits for several heartbeats");
 
-impl Parts<'_> {
-    /// Starts a keeper; a disk that fails is told to `failed`.
-    pub(crate) async fn start_keeper(
+/// Starts a keeper once its disk can be used; what ends it is told to `failed`.
+pub(crate) async fn run_keeper_start(
+    parts: Parts,
+    fleet: Arc<FleetKeeper>,
+    failed: mpsc::Sender<StartError>,
+) {
+    let opened = parts.open_store().await;
+    let started = match opened {
+        Ok((store, state)) => parts.start_keeper(store, state, fleet).await,
+        Err(error) => Err(error),
+    };
+    let error = match started {
+        Ok(mut disk_failed) => match disk_failed.recv().await {
+            Some(error) => StartError::DiskFailed(error),
+            None => return,
+        },
+        Err(error) => error,
+    };
+    failed.send(error).await.ok();
+}
+
+impl Parts {
+    /// The registry and the fleet of a keeper on this host.
+    pub(crate) fn new_fleet(&self) -> Arc<FleetKeeper> {
+        let heartbeat_ms = self.settings.bounds.heartbeat_ms;
+        let contract = Arc::clone(&self.contract);
+        Arc::new(FleetKeeper::new(contract, self.keepers.clone(), heartbeat_ms))
+    }
+
+    /// Serves operators and upstreams on a host without a disk, by way of the keepers.
+    pub(crate) fn start_door_of_followed(self, control: TcpListener, directory: Arc<Directory>) {
+        let spread = Spread::new(self.own.clone(), self.peers, self.keepers.clone());
+        tokio::spawn(run_spread(spread.clone()));
+        serve_control(
+            control,
+            ControlDoor {
+                own: self.own,
+                contract: self.contract,
+                keepers: self.keepers,
+                registered: Registered::Followed(directory),
+                spread,
+            },
+        );
+    }
+
+    /// Opens the data folder, off the runtime's threads: a disk may stall. Waits while it is full.
+    async fn open_store(&self) -> Result<(Store, Option<StoredState>), StartError> {
+        let dir = self.settings.data_dir.clone().ok_or(StartError::NoDataDir)?;
+        let mut full = FullDisk::default();
+        loop {
+            let (dir, own) = (dir.clone(), self.own.clone());
+            let open = move || Store::open(&dir, own.as_str(), rand::random());
+            let opened = tokio::task::spawn_blocking(open).await.map_err(StartError::Opening)?;
+            match opened {
+                Ok(opened) => {
+                    full.note_room();
+                    return Ok(opened);
+                }
+                Err(error) if error.is_full() => full.wait(&error).await,
+                Err(error) => return Err(StartError::Store(error)),
+            }
+        }
+    }
+
+    /// Starts a keeper on what its disk holds; a disk that fails later is told by the channel.
+    async fn start_keeper(
         self,
-        failed: mpsc::Sender<StoreError>,
-    ) -> Result<(), StartError> {
+        store: Store,
+        state: Option<StoredState>,
+        fleet: Arc<FleetKeeper>,
+    ) -> Result<mpsc::Receiver<StoreError>, StartError> {
         let listen = &self.settings.listen;
         let control = bind(listen.control.ok_or(StartError::NoListen("control"))?).await?;
         let inner = bind(listen.inner).await?;
-        let metrics = bind(listen.metrics).await?;
-        let dir = self.settings.data_dir.as_deref().ok_or(StartError::NoDataDir)?;
-        let (store, state) =
-            Store::open(dir, self.own.as_str(), rand::random()).map_err(StartError::Store)?;
         let sizing = Sizing::of_plans(self.settings.tolerated_losses);
         let (outbox, outbox_receiver) = mpsc::unbounded_channel();
-        let keeper = Keeper::new(store, state, agreement_options(), sizing, outbox, failed);
+        let (disk_failed, disk_failed_receiver) = mpsc::channel(1);
+        let keeper = Keeper::new(store, state, agreement_options(), sizing, outbox, disk_failed);
         let plans = keeper.plans();
         let keeper = xtra::spawn_tokio(keeper, Mailbox::bounded(MAILBOX));
-        let heartbeat_ms = self.settings.bounds.heartbeat_ms;
-        let fleet =
-            FleetKeeper::new(Arc::clone(&self.contract), self.keepers.clone(), heartbeat_ms);
-        let fleet = Arc::new(fleet);
         let spread = Spread::new(self.own.clone(), self.peers.clone(), self.keepers.clone());
         tokio::spawn(run_outbox(outbox_receiver, self.peers.clone()));
         tokio::spawn(run_ticks(keeper.clone()));
@@ -72,27 +132,31 @@
                 fleet: Some(Arc::clone(&fleet)),
             },
         ));
-        let door = ControlDoor {
-            own: self.own,
-            contract: self.contract,
-            keeper,
-            keepers: self.keepers,
-            fleet: Arc::clone(&fleet),
-            spread,
-        };
-        tokio::spawn(serve_simple(control, move |request| door.clone().answer(request)));
-        serve_metrics(metrics, move || fleet.to_text());
-        Ok(())
+        serve_control(
+            control,
+            ControlDoor {
+                own: self.own,
+                contract: self.contract,
+                keepers: self.keepers,
+                registered: Registered::Kept { keeper, fleet },
+                spread,
+            },
+        );
+        Ok(disk_failed_receiver)
     }
 
     fn joining(&self) -> Joining {
-        let seeds: Vec<_> = seed_hosts(self.settings).collect();
+        let seeds: Vec<_> = seed_hosts(&self.settings).collect();
         let may_begin = self.settings.is_first_start && seeds.contains(&self.own);
         let seeds = seeds.into_iter().filter(|seed| *seed != self.own).collect();
         Joining { seeds, may_begin, keepers: Some(self.keepers.clone()) }
     }
 }
 
+fn serve_control(listener: TcpListener, door: ControlDoor) {
+    tokio::spawn(serve_simple(listener, move |request| door.clone().answer(request)));
+}
+
 fn agreement_options() -> Options {
     Options {
         election_ms: ELECTION_MS,
--- /dev/null
+++ b/clayplankd/tests/seeded/both.rs
@@ -0,0 +1,103 @@
+//! Hosts that are entry hosts and keepers at once, beside hosts without a disk.
+
+use std::fs;
+use std::os::unix::fs::symlink;
+
+use serde_json::{Value, json};
+
+use crate::client::call;
+use crate::host::Host;
+use crate::system::{KEY, Shape, System, plan, publish, wait_for};
+
+/// A file that is written before any other in an empty data folder.
+const FIRST_FILE: &str = "identity.new";
+
+/// A device that has room for nothing.
+const FULL_DEVICE: &str = "/dev/full";
+
+fn start() -> System {
+    System::start_as(Shape { all_serve: true, ..Shape::default() })
+}
+
+/// The seal of the upstream that answered a request at a host.
+fn served_by(system: &System, host: &Host, attempt: &str) -> Option<String> {
+    let key = format!("Bearer {KEY}");
+    let headers = [
+        ("authorization", key.as_str()),
+        ("x-clayplank-attempt-id", attempt),
+        ("x-clayplank-deadline-ms", "9000"),
+    ];
+    let answer = system.send_to(host.callers(), "/repeatable/x", &headers);
+    let seal = answer.header("x-clayplank-seal").map(str::to_owned);
+    seal.filter(|_| answer.status == 200)
+}
+
+fn held_plan(host: &Host) -> Option<Value> {
+    let answer = call(host.control(), "GET", "/v1/plan", &[], "");
+    (answer.status == 200).then(|| serde_json::from_str(&answer.text()).unwrap())
+}
+
+#[test]
+fn every_host_serves_callers_and_operators_and_the_loss_of_one_stops_nothing() {
+    let mut system = start();
+    let hosts = || system.keepers.iter().chain(&system.entries);
+    for host in hosts() {
+        wait_for("readiness", || host.is_ready());
+        let attempt = format!("b-{}", host.ip);
+        wait_for("service", || served_by(&system, host, &attempt).is_some());
+    }
+    let mut second = plan(5);
+    second["routes"][0]["path_prefix"] = json!("/renamed/");
+    assert_eq!(publish(&system.entries[1], &second).status, 200, "at a host without a disk");
+    assert_eq!(publish(&system.entries[0], &plan(5)).status, 409, "another plan of this version");
+    for host in hosts() {
+        wait_for("a confirmed read", || held_plan(host).is_some());
+        assert_eq!(held_plan(host).unwrap_or_else(|| second.clone()), second);
+    }
+    assert_eq!(publish(&system.entries[1], &plan(7)).status, 200);
+
+    system.keepers[0].kill();
+    assert_eq!(publish(&system.entries[0], &plan(9)).status, 200);
+    for (number, host) in system.keepers[1..].iter().chain(&system.entries).enumerate() {
+        wait_for("the newest plan", || held_plan(host) == Some(plan(9)));
+        wait_for("service", || served_by(&system, host, &format!("c{number}")).is_some());
+    }
+}
+
+#[test]
+fn an_upstream_that_drains_by_way_of_a_host_without_a_disk_gets_nothing_more() {
+    let mut system = start();
+    wait_for("the acknowledgement", || system.beat_at_entry(0, "u1", "draining").status == 200);
+    for (number, host) in system.keepers.iter().chain(&system.entries).enumerate() {
+        wait_for("news at the host", || {
+            served_by(&system, host, &format!("d{number}")).as_deref() == Some("u2")
+        });
+        for again in 0..8 {
+            let by = served_by(&system, host, &format!("e{number}-{again}"));
+            assert_eq!(by.as_deref(), Some("u2"));
+        }
+    }
+}
+
+#[test]
+fn a_keeper_that_starts_on_a_full_disk_serves_its_callers_and_joins_when_there_is_room() {
+    let mut system = start();
+    let host = &mut system.keepers[2];
+    host.kill();
+    fs::remove_dir_all(&host.data).unwrap();
+    fs::create_dir(&host.data).unwrap();
+    let first_file = host.data.join(FIRST_FILE);
+    symlink(FULL_DEVICE, &first_file).unwrap();
+    host.change_settings_file(|settings| settings["is_first_start"] = json!(false));
+    host.start();
+    let host = &system.keepers[2];
+    wait_for("readiness without a disk", || host.is_ready());
+    assert!(served_by(&system, host, "f1").is_some());
+    let log = host.log();
+    assert_eq!(log.matches("The disk is full; waits for room").count(), 1, "it is told once");
+
+    fs::remove_file(&first_file).unwrap();
+    wait_for("room", || host.log().contains("The disk has room again"));
+    wait_for("the plan at its door", || held_plan(host) == Some(plan(1)));
+    assert!(!system.keepers[2].has_ended());
+}
--- a/clayplankd/tests/seeded/host.rs
+++ b/clayplankd/tests/seeded/host.rs
@@ -16,13 +16,25 @@
 pub const METRICS: u16 = 18_084;
 pub const UPSTREAM: u16 = 18_085;
 
+/// What a host is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    Keeper,
+    /// An entry host; one that has a door for operators asks the keepers.
+    Entry {
+        has_door: bool,
+    },
+    /// An entry host with a disk, and so a keeper too.
+    Both,
+}
+
 /// One process, on an address of its own.
 pub struct Host {
     /// Where others reach it.
     pub ip: Ipv4Addr,
     /// Where it listens for other hosts and operators: behind a proxy, perhaps.
     pub bind_ip: Ipv4Addr,
-    pub role: &'static str,
+    pub part: Part,
     pub settings: PathBuf,
     pub data: PathBuf,
     pub child: Option<Child>,
@@ -105,21 +117,23 @@
     pub fn write_settings(&self, seeds: &[SocketAddr], is_first_start: bool) {
         let behind = |port| SocketAddr::new(IpAddr::V4(self.bind_ip), port);
         let mut listen = json!({ "inner": behind(INNER), "metrics": self.at(METRICS) });
-        if self.role == "keeper" {
+        if self.part != (Part::Entry { has_door: false }) {
             listen["control"] = json!(behind(CONTROL));
-        } else {
+        }
+        if self.part != Part::Keeper {
             listen["callers"] = json!(self.at(CALLERS));
             listen["readiness"] = json!(self.at(READINESS));
         }
+        let has_disk = matches!(self.part, Part::Keeper | Part::Both);
         let settings = json!({
             "name": self.ip.to_string(),
-            "role": self.role,
+            "role": if self.part == Part::Keeper { "keeper" } else { "entry" },
             "ip": self.ip,
             "data_centre": "hall",
             "listen": listen,
             "seeds": seeds,
             "is_first_start": is_first_start,
-            "data_dir": self.data,
+            "data_dir": has_disk.then_some(&self.data),
             "tolerated_losses": (seeds.len() - 1) / 2,
             "bounds": { "heartbeat_ms": 300, "revoke_ms": 4000, "grace_s": 6.0 },
         });
@@ -128,11 +142,11 @@
 
     /// Changes its settings file, and tells it so by SIGHUP.
     pub fn change_settings(&self, change: impl FnOnce(&mut Value)) {
-        self.write_changed_settings(change);
+        self.change_settings_file(change);
         self.signal("-HUP");
     }
 
-    pub fn write_changed_settings(&self, change: impl FnOnce(&mut Value)) {
+    pub fn change_settings_file(&self, change: impl FnOnce(&mut Value)) {
         let text = std::fs::read_to_string(&self.settings).unwrap();
         let mut settings: Value = serde_json::from_str(&text).unwrap();
         change(&mut settings);
@@ -154,7 +168,7 @@
         if std::thread::panicking() {
             let log = self.log();
             let last: Vec<_> = log.lines().rev().take(15).collect();
-            eprintln!("{} {}:", self.role, self.ip);
+            eprintln!("{:?} {}:", self.part, self.ip);
             last.iter().rev().for_each(|line| eprintln!("  {line}"));
         }
     }
--- a/clayplankd/tests/seeded/main.rs
+++ b/clayplankd/tests/seeded/main.rs
@@ -5,6 +5,7 @@
 
 #[path = "../harness/answer.rs"]
 mod answer;
+mod both;
 mod client;
 mod host;
 mod promises;
--- a/clayplankd/tests/seeded/promises.rs
+++ b/clayplankd/tests/seeded/promises.rs
@@ -262,7 +262,7 @@
     let mut system = System::start();
     let entry = &mut system.entries[0];
     entry.kill();
-    entry.write_changed_settings(|settings| settings["log"] = json!({ "buffered_lines": 16 }));
+    entry.change_settings_file(|settings| settings["log"] = json!({ "buffered_lines": 16 }));
     let pipe = entry.start_with_pipe();
     wait_for("readiness", || system.entries[0].is_ready());
     // A refusal at the door is always named: these lines are more than a pipe takes.
--- a/clayplankd/tests/seeded/soak/run.rs
+++ b/clayplankd/tests/seeded/soak/run.rs
@@ -47,7 +47,7 @@
 /// Plays a seed; `Err` tells the schedule and all broken promises.
 pub fn run_seed(seed: u64) -> Result<String, String> {
     let schedule = draw_schedule(seed);
-    let shape = Shape { keepers: KEEPERS, entries: ENTRIES, has_proxies: true };
+    let shape = Shape { keepers: KEEPERS, entries: ENTRIES, has_proxies: true, ..Shape::default() };
     let system = System::start_as(shape);
     // A keeper with an empty disk joins the others from now on.
     system.write_settings(false);
--- a/clayplankd/tests/seeded/system.rs
+++ b/clayplankd/tests/seeded/system.rs
@@ -12,7 +12,7 @@
 
 use crate::answer::Answer;
 use crate::client::call;
-use crate::host::{CONTROL, Host, INNER, UPSTREAM};
+use crate::host::{CONTROL, Host, INNER, Part, UPSTREAM};
 use crate::proxy::Proxy;
 
 pub const KEY: &str = "timekeeper-key";
@@ -34,11 +34,13 @@
     pub keepers: usize,
     pub entries: usize,
     pub has_proxies: bool,
+    /// Whether the keepers take callers too, and the entry hosts have doors for operators.
+    pub all_serve: bool,
 }
 
 impl Default for Shape {
     fn default() -> Self {
-        Self { keepers: 3, entries: 2, has_proxies: false }
+        Self { keepers: 3, entries: 2, has_proxies: false, all_serve: false }
     }
 }
 
@@ -72,15 +74,17 @@
         static NEXT: AtomicU8 = AtomicU8::new(1);
         let net = [(std::process::id() % 200) as u8 + 20, NEXT.fetch_add(1, Ordering::SeqCst)];
         let dir = tempfile::tempdir().unwrap();
-        let host = |role, last: usize| {
+        let host = |part, last: usize| {
             let ip = Ipv4Addr::new(127, net[0], net[1], last as u8);
             let bind_ip = if shape.has_proxies { behind_proxy(ip) } else { ip };
             let settings = dir.path().join(format!("{last}.json"));
             let data = dir.path().join(format!("data-{last}"));
-            Host { ip, bind_ip, role, settings, data, child: None }
+            Host { ip, bind_ip, part, settings, data, child: None }
         };
-        let keepers: Vec<_> = (0..shape.keepers).map(|n| host("keeper", n + 1)).collect();
-        let entries: Vec<_> = (0..shape.entries).map(|n| host("entry", n + 11)).collect();
+        let keeper = if shape.all_serve { Part::Both } else { Part::Keeper };
+        let entry = Part::Entry { has_door: shape.all_serve };
+        let keepers: Vec<_> = (0..shape.keepers).map(|n| host(keeper, n + 1)).collect();
+        let entries: Vec<_> = (0..shape.entries).map(|n| host(entry, n + 11)).collect();
         let mut system = Self {
             shape,
             keepers,
@@ -182,9 +186,14 @@
             ("x-clayplank-deadline-ms", "9000"),
         ];
         all.extend_from_slice(headers);
+        self.send_to(self.entries[entry].callers(), path, &all)
+    }
+
+    /// The same, to any host that takes callers.
+    pub fn send_to(&self, host: SocketAddr, path: &str, headers: &[(&str, &str)]) -> Answer {
         let mut answer = Answer::default();
         wait_for("a confirmed plan", || {
-            answer = call(self.entries[entry].callers(), "POST", path, &all, "body");
+            answer = call(host, "POST", path, headers, "body");
             !(answer.status == 503 && answer.text().contains("no_plan"))
         });
         answer
--- a/clayplankd/tests/seeded/upstreams.rs
+++ b/clayplankd/tests/seeded/upstreams.rs
@@ -62,11 +62,20 @@
 
     /// One heartbeat of an upstream, at one keeper.
     pub fn beat(&mut self, keeper: usize, id: &str, standing: &str) -> Answer {
+        self.beat_at(self.keepers[keeper].control(), id, standing)
+    }
+
+    /// The same, at the door of an entry host.
+    pub fn beat_at_entry(&mut self, entry: usize, id: &str, standing: &str) -> Answer {
+        self.beat_at(self.entries[entry].control(), id, standing)
+    }
+
+    fn beat_at(&mut self, door: SocketAddr, id: &str, standing: &str) -> Answer {
         self.beats += 1;
         let last = if id == "u1" { 21 } else { 22 };
         let body = self.heartbeat(id, last, self.beats, standing);
         let path = format!("/v1/upstreams/{id}");
-        call(self.keepers[keeper].control(), "PUT", &path, &[], &body.to_string())
+        call(door, "PUT", &path, &[], &body.to_string())
     }
 
     /// Calls that carry heartbeats of both upstreams to every keeper.
