After a loss of power the new leader chooses engines at once

Cause: a keeper that had just started refused to choose for two heartbeats, so hosts chose alone, each among the few engines heard first: 27 of 30 silent attempts went to 3 of 18 engines. Ruled out: engines still at work for former callers (they answered the first prompts in time). Change: it waits only while a host follows that knew another registry and may know more. The test fails on the former code (seen).

--- a/clayplankd/src/fleet_followers.rs
+++ b/clayplankd/src/fleet_followers.rs
@@ -27,6 +27,7 @@
     let cursor: Cursor = decode(&request.cursor).map_err(malformed)?;
     let renewed: Vec<Renewed> = decode(&request.renewed).map_err(malformed)?;
     let known: Vec<Heartbeat> = decode(&request.known).map_err(malformed)?;
+    fleet.note_follower(cursor);
     fleet.learn(&known);
     let host = HostId::new(request.from_host);
     let (revision, plan_version) = (request.applied_revision, request.plan_version);
--- a/clayplankd/src/fleet_keeper.rs
+++ b/clayplankd/src/fleet_keeper.rs
@@ -39,6 +39,8 @@
     keepers: KeeperClient,
     heartbeat_ms: u64,
     started_ms: u64,
+    /// Whether an entry host follows that knows upstreams from another keeper's registry.
+    is_told_more: AtomicBool,
     /// Whether an entry host has told which upstreams it knows.
     has_learned: AtomicBool,
     registry: Mutex<Registry>,
@@ -60,6 +62,7 @@
             keepers,
             heartbeat_ms,
             started_ms: now_ms(),
+            is_told_more: AtomicBool::new(false),
             has_learned: AtomicBool::new(false),
             registry: Mutex::new(Registry::new(rand::random())),
             has_news: AtomicBool::new(false),
@@ -90,6 +93,15 @@
         }
     }
 
+    /// Notes up to where a follower knows upstreams: one that followed another registry may
+    /// know more than this one, and tells it with its next question.
+    pub(crate) fn note_follower(&self, cursor: Cursor) {
+        let own = lock(&self.registry).cursor();
+        if cursor.life != 0 && cursor.life != own.life {
+            self.is_told_more.store(true, Ordering::SeqCst);
+        }
+    }
+
     /// Takes in what an entry host knows, which it tells to a keeper that knows less.
     pub(crate) fn learn(&self, known: &[Heartbeat]) {
         if !known.is_empty() {
@@ -154,15 +166,22 @@
 
     /// Chooses engines; `None` while too little is known of them.
     pub(crate) fn place(&self, ask: &Ask) -> Option<Placed> {
-        // Every upstream has told of itself once, or this keeper would send all to a few.
-        let is_young = now_ms() < self.started_ms + 2 * self.heartbeat_ms
-            && !self.has_learned.load(Ordering::SeqCst);
-        if is_young || self.plan.load().is_none() {
+        if self.lacks_upstreams() || self.plan.load().is_none() {
             return None;
         }
         Some(lock(&self.fleet).place(fleet_now_ms(), ask))
     }
 
+    /// Whether hosts know upstreams that this keeper has not heard of: it would send all to a
+    /// few. Where no host knows more, as after a loss of power, this keeper chooses from the
+    /// first moment on; hosts that choose alone would all take the few engines heard first.
+    fn lacks_upstreams(&self) -> bool {
+        let is_young = now_ms() < self.started_ms + 2 * self.heartbeat_ms;
+        is_young
+            && self.is_told_more.load(Ordering::SeqCst)
+            && !self.has_learned.load(Ordering::SeqCst)
+    }
+
     /// Takes in what became of placements.
     pub(crate) fn note(&self, events: &[(PlacementId, Event)]) {
         let mut fleet = lock(&self.fleet);
--- a/clayplankd/tests/seeded/both.rs
+++ b/clayplankd/tests/seeded/both.rs
@@ -2,11 +2,14 @@
 
 use std::fs;
 use std::os::unix::fs::symlink;
+use std::time::Duration;
 
+use clayplank_placement::EngineModel;
 use serde_json::{Value, json};
 
 use crate::client::call;
 use crate::host::Host;
+use crate::promises::plan_with_engines;
 use crate::system::{KEY, Shape, System, plan, publish, wait_for};
 
 /// A file that is written before any other in an empty data folder.
@@ -101,3 +104,42 @@
     wait_for("the plan at its door", || held_plan(host) == Some(plan(1)));
     assert!(!system.keepers[2].has_ended());
 }
+
+/// Prompts in a row, and the pause before each: a host that the leader does not serve chooses
+/// by itself, and asks again several times within them.
+const STREAK: usize = 12;
+const STREAK_PAUSE: Duration = Duration::from_millis(100);
+
+/// Between two heartbeats, in ms: so long that none is expected within a test.
+const RARE_HEARTBEAT_MS: u64 = 600_000;
+
+#[test]
+fn after_a_loss_of_power_the_new_leader_chooses_engines_at_once() {
+    let mut system = start();
+    system.start_engine("e1", 31, EngineModel::default());
+    system.wait_for_plan(&plan_with_engines(2, &EngineModel::default()));
+    let short = [("x-clayplank-tokens", "2000,90")];
+    wait_for("an answer", || system.send(0, "w", "/prompt/x", &short).status == 200);
+
+    let System { keepers, entries, .. } = &mut system;
+    for host in keepers.iter_mut().chain(entries.iter_mut()) {
+        host.kill();
+        host.change_settings_file(|settings| {
+            settings["is_first_start"] = json!(false);
+            settings["bounds"]["heartbeat_ms"] = json!(RARE_HEARTBEAT_MS);
+        });
+    }
+    keepers.iter_mut().chain(entries.iter_mut()).for_each(Host::start);
+    let entry = &system.entries[0];
+    let choices_alone = || entry.log().matches("Chooses engines by itself").count();
+    let mut number = 0;
+    let mut is_placed_by_leader = || {
+        number += 1;
+        std::thread::sleep(STREAK_PAUSE);
+        system.send(0, &format!("l{number}"), "/prompt/x", &short).status == 200
+    };
+    wait_for("choices of the leader alone", || {
+        let before = choices_alone();
+        (0..STREAK).all(|_| is_placed_by_leader()) && choices_alone() == before
+    });
+}
--- a/clayplankd/tests/seeded/promises.rs
+++ b/clayplankd/tests/seeded/promises.rs
@@ -187,7 +187,7 @@
 }
 
 /// A plan with a route to a pool of engines.
-fn plan_with_engines(version: u64, model: &EngineModel) -> Value {
+pub fn plan_with_engines(version: u64, model: &EngineModel) -> Value {
     let mut plan = plan(version);
     plan["services"].as_array_mut().unwrap().push(json!({ "name": "pool", "engine": model }));
     plan["routes"].as_array_mut().unwrap().push(json!({
