Give connections between hosts up after 150 ms; tell of each change of a keeper's role

Cause: after a loss of power the first calls of a keeper go to hosts that have no power yet; their opening packets are lost and sent again after a second, and all messages to that host wait for the connection: 500 ms. The votes then met at one moment and were split (leader 0.85 s after the last start; votes at 36.32 s on all three, first calls at 35.82 s).

--- a/clayplank-agreement/src/replica.rs
+++ b/clayplank-agreement/src/replica.rs
@@ -237,6 +237,16 @@
         matches!(self.role, Role::Leader(_))
     }
 
+    /// The name of what this replica is doing, for logs.
+    pub fn role_name(&self) -> &'static str {
+        match self.role {
+            Role::Follower => "follower",
+            Role::PreCandidate { .. } => "pre_candidate",
+            Role::Candidate { .. } => "candidate",
+            Role::Leader(_) => "leader",
+        }
+    }
+
     /// Who leads, as far as it is known.
     pub fn leader(&self) -> Option<&ReplicaId> {
         self.leader.as_ref()
--- a/clayplankd/src/keeper.rs
+++ b/clayplankd/src/keeper.rs
@@ -67,6 +67,16 @@
     sizing: Sizing,
     plans: watch::Sender<Option<PlanDocument>>,
     led_since_ms: Option<u64>,
+    /// What the log told last of its role.
+    told: Option<ToldRole>,
+}
+
+/// What lines of the log tell of a keeper's role.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct ToldRole {
+    name: &'static str,
+    term: u64,
+    leader: Option<HostId>,
 }
 
 /// What a keeper does not find in the log itself.
@@ -118,6 +128,7 @@
             sizing,
             plans: watch::Sender::new(None),
             led_since_ms: None,
+            told: None,
         };
         if let Some(state) = state {
             keeper.load(&state);
@@ -254,7 +265,28 @@
         }
     }
 
+    /// Tells of a change of role, term or leader.
+    fn tell_role(&mut self) {
+        let Some(replica) = &self.replica else {
+            return;
+        };
+        let told = ToldRole {
+            name: replica.role_name(),
+            term: replica.term(),
+            leader: self.leader_host(),
+        };
+        if self.told.as_ref() == Some(&told) {
+            return;
+        }
+        log::info!(target: part::KEEPER,
+            role = told.name, term = told.term, last_index = replica.last_index(),
+            leader = told.leader.as_ref().map_or("", HostId::as_str);
+            "A keeper's role changed");
+        self.told = Some(told);
+    }
+
     fn note_leadership(&mut self) {
+        self.tell_role();
         let leads = self.replica.as_ref().is_some_and(Replica::is_leader);
         self.led_since_ms = match (leads, self.led_since_ms) {
             (true, None) => {
--- a/clayplankd/src/peers.rs
+++ b/clayplankd/src/peers.rs
@@ -11,8 +11,11 @@
 use clayplank_wire::inner_client::InnerClient;
 use tonic::transport::{Channel, Endpoint};
 
-/// Time to open a connection to another host.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time to open a connection to another host: many times the way to the farthest data centre
+/// of a region. Calls to a host wait for its connection; one to a host without power gives no
+/// answer at all, and its opening packet is sent again only after a second. With 500 ms the
+/// first votes after a loss of power met half a second late, and were split.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// A connection whose peer is silent for this long and one more is given up.
 const KEEP_ALIVE: Duration = Duration::from_secs(1);
