Keepers remember upstreams over a restart; cut-off hosts take no heartbeats

Cause: after a loss of power callers were all placed on the few engines heard first (16 requests each on 4 of 18). Ruled out: engines still at work for former callers (their reports show 0 to 5 requests the leader did not know, on 4 engines). Change: keepers save the registered upstreams and start from them. A host without a disk takes heartbeats only while the leader answers (before: engines counted as silent beside cut-off hosts, a fault of the new doors). A second heartbeat of a newer life retires former lives at its address. The leader tells what it saw when it refuses a prompt.

--- a/clayplank-agreement/src/lib.rs
+++ b/clayplank-agreement/src/lib.rs
@@ -42,4 +42,4 @@
 pub use replica::{
     HardState, NotLeader, Options, ProposeError, ReadId, Ready, Replica, StoredState, Written,
 };
-pub use store::{Identity, Store, StoreError};
+pub use store::{Identity, Notes, Store, StoreError};
--- a/clayplank-agreement/src/store.rs
+++ b/clayplank-agreement/src/store.rs
@@ -211,6 +211,11 @@
         Ok(())
     }
 
+    /// The folder of this replica, for what a keeper remembers beside its log.
+    pub fn notes(&self) -> Notes {
+        Notes { dir: self.dir.clone() }
+    }
+
     /// Replaces snapshot and log, after a compaction.
     ///
     /// # Errors
@@ -229,6 +234,33 @@
     }
 }
 
+/// Small files beside the log. They are synced, but nothing promised rests on them.
+#[derive(Clone, Debug)]
+pub struct Notes {
+    dir: PathBuf,
+}
+
+impl Notes {
+    /// Replaces a note.
+    ///
+    /// # Errors
+    /// The former one, or the new one, is there.
+    pub fn save<T: Serialize>(&self, name: &str, value: &T) -> Result<(), StoreError> {
+        replace_file(&self.dir, name, value)
+    }
+
+    /// Reads a note; `None` if it was never saved.
+    ///
+    /// # Errors
+    /// It cannot be read, or is damaged.
+    pub fn load<T: serde::de::DeserializeOwned>(
+        &self,
+        name: &str,
+    ) -> Result<Option<T>, StoreError> {
+        read_single(&self.dir.join(name))
+    }
+}
+
 fn lock_dir(dir: &Path) -> Result<File, StoreError> {
     let path = dir.join(LOCK_FILE);
     let lock = File::create(&path).map_err(|source| io_error(&path, source))?;
--- a/clayplank-placement/src/fleet.rs
+++ b/clayplank-placement/src/fleet.rs
@@ -21,6 +21,25 @@
 /// Time, in ms, in which split prompts lose half of their weight in the load.
 const SPLIT_LOAD_HALF_LIFE_MS: f64 = 2_000.0;
 
+/// The engines of a pool at one moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Outlook {
+    /// Engines that take new work.
+    pub engines: usize,
+    /// Slots that are taken, of all of them.
+    pub taken_slots: usize,
+    /// Parts of split prompts that they read for others.
+    pub helped_parts: usize,
+    /// Reads that wait on an engine, in the mean.
+    pub queued_ms: f64,
+    /// How many times longer their work takes than the model says, in the mean.
+    pub slowness: f64,
+    /// Engines that failed lately.
+    pub avoided: usize,
+    /// Engines of which neither heartbeats nor answers came lately.
+    pub doubtful: usize,
+}
+
 /// Engines and placements.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
@@ -96,6 +115,25 @@
         placed
     }
 
+    /// What the engines of a pool look like from here, for those who ask why a prompt was refused.
+    pub fn outlook(&self, now_ms: f64, pool: &str) -> Outlook {
+        let open = self.engines.values().filter(|one| one.is_open && one.spec.pool == pool);
+        let mut outlook = Outlook::default();
+        for engine in open {
+            outlook.engines += 1;
+            outlook.taken_slots += engine.primaries();
+            outlook.helped_parts += engine.helped();
+            outlook.queued_ms += engine.queued().read_ms;
+            outlook.slowness += engine.health.slowness(now_ms);
+            outlook.avoided += usize::from(engine.health.is_avoided(now_ms));
+            outlook.doubtful += usize::from(engine.is_doubtful(now_ms));
+        }
+        let engines = outlook.engines.max(1) as f64;
+        outlook.queued_ms /= engines;
+        outlook.slowness /= engines;
+        outlook
+    }
+
     /// How many requests are placed.
     pub fn placed_count(&self) -> usize {
         self.placements.len()
--- a/clayplank-placement/src/lib.rs
+++ b/clayplank-placement/src/lib.rs
@@ -37,5 +37,5 @@
 pub use avoid::avoid_ms;
 pub use engine::EngineSpec;
 pub use event::{Event, Renewed};
-pub use fleet::Fleet;
+pub use fleet::{Fleet, Outlook};
 pub use model::EngineModel;
--- a/clayplank-registry/src/registry.rs
+++ b/clayplank-registry/src/registry.rs
@@ -25,8 +25,13 @@
 #[derive(Clone, Debug)]
 struct Entry {
     record: Record,
+    first_heard_ms: u64,
     heard_ms: u64,
     changed_at: u64,
+    /// Whether more than one heartbeat came: a single one may have been delayed for long.
+    is_confirmed: bool,
+    /// Known from a former life, and not heard in this one.
+    is_remembered: bool,
 }
 
 /// Up to where somebody knows a registry.
@@ -77,20 +82,81 @@
             return false;
         }
         entry.heard_ms = now_ms;
+        entry.is_remembered = false;
         let is_change = entry.record.is_silent || !is_same_state(held, heartbeat);
         entry.record = Record { heartbeat: heartbeat.clone(), is_silent: false };
         if is_change {
             self.change += 1;
             entry.changed_at = self.change;
         }
-        is_change
+        let is_second = !std::mem::replace(&mut entry.is_confirmed, true);
+        let retires = is_second && self.retire_former(heartbeat);
+        is_change || retires
+    }
+
+    /// An upstream that goes on sending heartbeats has its address for itself: those that were
+    /// heard there only before it have ended without a word. A heartbeat of theirs that was held
+    /// up on its way must not bring them back.
+    fn retire_former(&mut self, newer: &Heartbeat) -> bool {
+        let Some(since_ms) = self.entries.get(&newer.id).map(|entry| entry.first_heard_ms) else {
+            return false;
+        };
+        let before = self.change;
+        for (id, entry) in &mut self.entries {
+            let heartbeat = &mut entry.record.heartbeat;
+            let is_former = *id != newer.id
+                && heartbeat.address == newer.address
+                && heartbeat.standing != Standing::Gone
+                && entry.heard_ms < since_ms;
+            if is_former {
+                heartbeat.standing = Standing::Gone;
+                self.change += 1;
+                entry.changed_at = self.change;
+            }
+        }
+        self.change != before
     }
 
     fn put(&mut self, now_ms: u64, heartbeat: Heartbeat) {
         self.change += 1;
         let record = Record { heartbeat, is_silent: false };
         let id = record.heartbeat.id.clone();
-        self.entries.insert(id, Entry { record, heard_ms: now_ms, changed_at: self.change });
+        let entry = Entry {
+            record,
+            first_heard_ms: now_ms,
+            heard_ms: now_ms,
+            changed_at: self.change,
+            is_confirmed: false,
+            is_remembered: false,
+        };
+        self.entries.insert(id, entry);
+    }
+
+    /// Takes in what a former life knew, unless something newer was heard.
+    pub fn remember(&mut self, now_ms: u64, heartbeats: &[Heartbeat]) {
+        for heartbeat in heartbeats {
+            if self.entries.contains_key(&heartbeat.id) {
+                continue;
+            }
+            self.put(now_ms, heartbeat.clone());
+            if let Some(entry) = self.entries.get_mut(&heartbeat.id) {
+                entry.is_remembered = true;
+            }
+        }
+    }
+
+    /// Sends nothing new to upstreams that were remembered and not heard for `unheard_ms`:
+    /// they may have left meanwhile. A heartbeat brings them back.
+    pub fn doubt_remembered(&mut self, now_ms: u64, unheard_ms: u64) {
+        let unheard = self.entries.values_mut().filter(|entry| {
+            let is_ready = entry.record.heartbeat.standing == Standing::Ready;
+            entry.is_remembered && is_ready && now_ms > entry.heard_ms + unheard_ms
+        });
+        for entry in unheard {
+            self.change += 1;
+            entry.changed_at = self.change;
+            entry.record.heartbeat.standing = Standing::Draining;
+        }
     }
 
     /// Notes that an upstream left; returns its record, for the other keepers.
--- a/clayplank-registry/tests/records.rs
+++ b/clayplank-registry/tests/records.rs
@@ -64,3 +64,51 @@
     let changes = registry.changes_after(Cursor { life: 1, change: 1_000 });
     assert_eq!(changes.records.len(), 1);
 }
+
+fn beat_of(id: &str, sequence: u64, port: u16) -> Heartbeat {
+    let address = std::net::SocketAddr::from(([10, 0, 0, 1], port));
+    Heartbeat { id: UpstreamId::new(id), sequence, address, ..Heartbeat::default() }
+}
+
+fn standing_of(registry: &Registry, id: &str) -> Standing {
+    registry.record(&UpstreamId::new(id)).unwrap().heartbeat.standing
+}
+
+#[test]
+fn a_late_heartbeat_of_a_former_life_at_an_address_brings_nothing_back() {
+    let mut registry = Registry::new(1);
+    registry.apply(0, &beat_of("former", 7, 80));
+    registry.apply(5_000, &beat_of("newer", 1, 80));
+    assert!(registry.apply(6_000, &beat_of("newer", 2, 80)), "the former one is gone: news");
+    registry.apply(6_500, &beat_of("former", 8, 80));
+    assert_eq!(standing_of(&registry, "former"), Standing::Gone);
+    assert_eq!(standing_of(&registry, "newer"), Standing::Ready);
+}
+
+#[test]
+fn a_single_late_heartbeat_of_an_unknown_life_displaces_nobody() {
+    let mut registry = Registry::new(1);
+    registry.apply(0, &beat_of("alive", 1, 80));
+    registry.apply(1_000, &beat_of("alive", 2, 80));
+    registry.apply(1_500, &beat_of("former", 90, 80));
+    registry.apply(2_000, &beat_of("alive", 3, 80));
+    assert_eq!(standing_of(&registry, "alive"), Standing::Ready);
+    registry.apply(2_500, &beat_of("elsewhere", 1, 81));
+    registry.apply(3_500, &beat_of("elsewhere", 2, 81));
+    assert_eq!(standing_of(&registry, "alive"), Standing::Ready, "another address");
+}
+
+#[test]
+fn what_is_remembered_gives_way_to_what_is_heard_and_is_doubted_without() {
+    let mut registry = Registry::new(2);
+    registry.apply(0, &beat_of("heard", 9, 80));
+    let old = Heartbeat { standing: Standing::Draining, ..beat_of("heard", 3, 80) };
+    registry.remember(0, &[old, beat_of("back", 5, 81), beat_of("lost", 5, 82)]);
+    assert_eq!(standing_of(&registry, "heard"), Standing::Ready, "it is newer");
+    registry.apply(900, &beat_of("back", 6, 81));
+    registry.doubt_remembered(1_001, 1_000);
+    assert_eq!(standing_of(&registry, "back"), Standing::Ready);
+    assert_eq!(standing_of(&registry, "lost"), Standing::Draining, "it gets nothing new");
+    registry.apply(2_000, &beat_of("lost", 6, 82));
+    assert_eq!(standing_of(&registry, "lost"), Standing::Ready);
+}
--- a/clayplankd/src/contract.rs
+++ b/clayplankd/src/contract.rs
@@ -29,6 +29,12 @@
 pub struct EngineReport {
     /// How many times longer its work takes than its cost model says.
     pub pace: f64,
+    /// Requests that it runs, for whichever host.
+    pub running: usize,
+    /// Requests that wait there.
+    pub waiting: usize,
+    /// Tokens of memory that its requests hold.
+    pub used_tokens: u64,
 }
 
 /// Why a call is not taken.
--- a/clayplankd/src/control_door.rs
+++ b/clayplankd/src/control_door.rs
@@ -35,6 +35,12 @@
 /// Time for this host's own keeper to say who leads; one that waits for its disk says nothing.
 const OWN_KEEPER_PATIENCE: Duration = Duration::from_millis(100);
 
+/// A host without a disk takes heartbeats only if the leader answered it within this time, in
+/// ms: it asks about every half a second. Those that a host takes that is cut off are lost; with
+/// a leader that was heard at any time, prompts were refused beside idle engines, which all
+/// counted as silent.
+const LEADER_HEARD_MS: u64 = 1_200;
+
 /// Where a door finds the registered upstreams and who leads.
 #[derive(Clone)]
 pub(crate) enum Registered {
@@ -135,7 +141,7 @@
     /// Who leads, as far as this host knows.
     async fn leader(&self) -> Option<HostId> {
         let Registered::Kept { keeper, .. } = &self.registered else {
-            return self.keepers.leader();
+            return self.keepers.leader_heard_within(LEADER_HEARD_MS);
         };
         match tokio::time::timeout(OWN_KEEPER_PATIENCE, keeper.send(WhoLeads)).await {
             Ok(leader) => leader.ok().flatten(),
--- a/clayplankd/src/engine_watch.rs
+++ b/clayplankd/src/engine_watch.rs
@@ -7,6 +7,7 @@
 use clayplank_forward::{CallError, call_whole};
 use clayplank_types::UpstreamId;
 
+use crate::contract::EngineReport;
 use crate::fleet_keeper::FleetKeeper;
 use crate::logging::part;
 
@@ -28,10 +29,13 @@
 }
 
 async fn ask(fleet: &FleetKeeper, id: &UpstreamId, address: SocketAddr) {
-    match ask_pace(fleet, address).await {
-        Ok(pace) => {
-            log::info!(target: part::KEEPER, upstream = id.as_str(), pace = pace; "An engine told its pace");
-            fleet.note_pace(id, pace);
+    match ask_report(fleet, address).await {
+        Ok(report) => {
+            log::info!(target: part::KEEPER,
+                upstream = id.as_str(), pace = report.pace, running = report.running,
+                waiting = report.waiting, used_tokens = report.used_tokens;
+                "An engine told its load");
+            fleet.note_report(id, &report);
         }
         Err(error) => {
             log::info!(target: part::KEEPER, upstream = id.as_str(), cause:% = error; "An engine told nothing of itself");
@@ -39,7 +43,7 @@
     }
 }
 
-/// Why an engine's pace is not known.
+/// Why an engine's load is not known.
 #[derive(Debug, thiserror::Error)]
 enum ReportError {
     #[error(transparent)]
@@ -48,8 +52,8 @@
     Unreadable(#[from] serde_json::Error),
 }
 
-async fn ask_pace(fleet: &FleetKeeper, address: SocketAddr) -> Result<f64, ReportError> {
+async fn ask_report(fleet: &FleetKeeper, address: SocketAddr) -> Result<EngineReport, ReportError> {
     let contract = fleet.contract();
     let (_, body) = call_whole(address, contract.report_request(), PATIENCE).await?;
-    Ok(contract.scan_report(&body)?.pace)
+    Ok(contract.scan_report(&body)?)
 }
--- a/clayplankd/src/fleet_keeper.rs
+++ b/clayplankd/src/fleet_keeper.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwapOption;
-use clayplank_placement::{Ask, Event, Fleet, Placed, PlacementId, Renewed};
+use clayplank_placement::{Ask, Event, Fleet, Outlook, Placed, PlacementId, Renewed};
 use clayplank_registry::{Changes, Cursor, Heartbeat, Registry, Standing};
 use clayplank_routes::PlanIndex;
 use clayplank_state::{Delta, PlanDocument};
@@ -14,7 +14,7 @@
 use tokio::sync::watch;
 
 use crate::clock::{fleet_now_ms, millis, now_ms};
-use crate::contract::SharedContract;
+use crate::contract::{EngineReport, SharedContract};
 use crate::fleet_engines::set_engines;
 use crate::keeper_client::KeeperClient;
 use crate::lock::lock;
@@ -102,6 +102,19 @@
         }
     }
 
+    /// Takes in the upstreams that this keeper knew before it ended.
+    pub(crate) fn remember(&self, known: &[Heartbeat]) {
+        lock(&self.registry).remember(now_ms(), known);
+        self.tell_news();
+    }
+
+    /// The upstreams that are worth remembering, and the change up to which they count.
+    pub(crate) fn known_upstreams(&self) -> (Cursor, Vec<Heartbeat>) {
+        let registry = lock(&self.registry);
+        let known = registry.records().map(|record| record.heartbeat.clone());
+        (registry.cursor(), known.filter(|one| one.standing != Standing::Gone).collect())
+    }
+
     /// Takes in what an entry host knows, which it tells to a keeper that knows less.
     pub(crate) fn learn(&self, known: &[Heartbeat]) {
         if !known.is_empty() {
@@ -157,6 +170,7 @@
     fn age(&self, silent_ms: u64) {
         let before = lock(&self.registry).cursor();
         lock(&self.registry).age(now_ms(), silent_ms);
+        lock(&self.registry).doubt_remembered(now_ms(), 2 * self.heartbeat_ms);
         lock(&self.fleet).drop_lost(fleet_now_ms());
         let has_aged = lock(&self.registry).cursor() != before;
         if has_aged || self.has_news.load(Ordering::SeqCst) {
@@ -169,7 +183,12 @@
         if self.lacks_upstreams() || self.plan.load().is_none() {
             return None;
         }
-        Some(lock(&self.fleet).place(fleet_now_ms(), ask))
+        let mut fleet = lock(&self.fleet);
+        let placed = fleet.place(fleet_now_ms(), ask);
+        if let Placed::Full { retry_after_ms } = placed {
+            log_refused(ask, retry_after_ms, &fleet.outlook(fleet_now_ms(), &ask.pool));
+        }
+        Some(placed)
     }
 
     /// Whether hosts know upstreams that this keeper has not heard of: it would send all to a
@@ -198,9 +217,9 @@
         suspects.into_iter().filter_map(|id| Some((id.clone(), address(&id)?))).collect()
     }
 
-    /// Takes in the pace that an engine told.
-    pub(crate) fn note_pace(&self, id: &UpstreamId, pace: f64) {
-        lock(&self.fleet).note_pace(fleet_now_ms(), id, pace);
+    /// Takes in what an engine told of itself.
+    pub(crate) fn note_report(&self, id: &UpstreamId, report: &EngineReport) {
+        lock(&self.fleet).note_pace(fleet_now_ms(), id, report.pace);
     }
 
     pub(crate) fn contract(&self) -> &SharedContract {
@@ -264,6 +283,16 @@
     }
 }
 
+fn log_refused(ask: &Ask, retry_after_ms: u64, outlook: &Outlook) {
+    log::info!(target: part::KEEPER,
+        prompt_tokens = ask.prompt_tokens, is_returning = ask.is_returning,
+        retry_after_ms = retry_after_ms, engines = outlook.engines,
+        taken_slots = outlook.taken_slots, helped_parts = outlook.helped_parts,
+        queued_ms = outlook.queued_ms as u64, slowness = outlook.slowness,
+        avoided = outlook.avoided, doubtful = outlook.doubtful;
+        "Refused a prompt");
+}
+
 fn log_standing(heartbeat: &Heartbeat) {
     log::info!(target: part::KEEPER,
         upstream = heartbeat.id.as_str(), standing:? = heartbeat.standing,
@@ -278,6 +307,11 @@
 ) {
     let silent_ms = MISSED_HEARTBEATS * fleet.heartbeat_ms + LATE_HEARTBEAT_MS;
     loop {
+        let plan = plans.borrow_and_update().clone();
+        if let Some(document) = plan {
+            fleet.set_plan(&document);
+        }
+        fleet.age(silent_ms);
         tokio::select! {
             changed = plans.changed() => {
                 if changed.is_err() {
@@ -286,10 +320,5 @@
             }
             () = tokio::time::sleep(millis(AGE_EVERY_MS)) => {}
         }
-        let plan = plans.borrow_and_update().clone();
-        if let Some(document) = plan {
-            fleet.set_plan(&document);
-        }
-        fleet.age(silent_ms);
     }
 }
--- a/clayplankd/src/keeper_client.rs
+++ b/clayplankd/src/keeper_client.rs
@@ -38,6 +38,8 @@
 struct Known {
     hosts: Vec<HostId>,
     leader: Option<HostId>,
+    /// When the leader last answered.
+    answered_ms: u64,
 }
 
 /// A client of the keepers; commands are safe to send again.
@@ -62,7 +64,7 @@
 
     /// Starts from keepers that are known; more may be learned.
     pub(crate) fn of_hosts(hosts: impl IntoIterator<Item = HostId>, peers: Peers) -> Self {
-        let known = Known { hosts: hosts.into_iter().collect(), leader: None };
+        let known = Known { hosts: hosts.into_iter().collect(), ..Known::default() };
         Self { peers, known: Arc::new(Mutex::new(known)) }
     }
 
@@ -86,6 +88,12 @@
         lock(&self.known).leader.clone()
     }
 
+    /// Who led when it was last heard, if that was within this time, in ms.
+    pub(crate) fn leader_heard_within(&self, within_ms: u64) -> Option<HostId> {
+        let known = lock(&self.known);
+        known.leader.clone().filter(|_| now_ms() <= known.answered_ms + within_ms)
+    }
+
     /// Has a command applied. A resend of it must be harmless.
     pub(crate) async fn execute(
         &self,
@@ -170,7 +178,7 @@
             let asked = call(self.peers.clone(), keeper.clone(), left.min(CALL_PATIENCE)).await;
             let hint = match asked {
                 Ok(Asked::Answer(answer)) => {
-                    lock(&self.known).leader = Some(keeper);
+                    self.note_answer(keeper);
                     return Ok(answer);
                 }
                 Ok(Asked::NotLeader(hint)) => self.find(&hint),
@@ -190,6 +198,12 @@
         }
     }
 
+    fn note_answer(&self, keeper: HostId) {
+        let mut known = lock(&self.known);
+        known.leader = Some(keeper);
+        known.answered_ms = now_ms();
+    }
+
     /// The host that a hint names; a keeper that was not known is learned.
     fn find(&self, hint: &str) -> Option<HostId> {
         if hint.is_empty() {
--- a/clayplankd/src/lib.rs
+++ b/clayplankd/src/lib.rs
@@ -57,6 +57,7 @@
 mod services;
 mod settings_watch;
 mod spread;
+mod upstream_memory;
 mod upstreams;
 
 pub use contract::{Contract, ControlCall, ControlFault, EngineReport};
--- a/clayplankd/src/native.rs
+++ b/clayplankd/src/native.rs
@@ -24,6 +24,12 @@
 struct Report {
     #[serde(default = "usual_pace")]
     pace: f64,
+    #[serde(default)]
+    running: usize,
+    #[serde(default)]
+    waiting: usize,
+    #[serde(default)]
+    used_tokens: u64,
 }
 
 fn usual_pace() -> f64 {
@@ -93,7 +99,12 @@
 
     fn scan_report(&self, body: &[u8]) -> Result<EngineReport, serde_json::Error> {
         let report: Report = serde_json::from_slice(body)?;
-        Ok(EngineReport { pace: report.pace })
+        Ok(EngineReport {
+            pace: report.pace,
+            running: report.running,
+            waiting: report.waiting,
+            used_tokens: report.used_tokens,
+        })
     }
 
     fn is_readiness_call(&self, method: &Method, path: &str) -> bool {
--- a/clayplankd/src/seeded_keeper.rs
+++ b/clayplankd/src/seeded_keeper.rs
@@ -18,6 +18,7 @@
 use crate::keeper_join::{Joining, run_join, run_outbox, run_ticks};
 use crate::seeded::{Parts, seed_hosts};
 use crate::spread::{Spread, run_spread};
+use crate::upstream_memory::{recall_upstreams, run_upstream_memory};
 
 /// An election follows after a leader was silent for this long, in ms, up to twice: a
 /// change that waits for one is still acknowledged within about a second.
@@ -110,6 +111,9 @@
         let control = bind(listen.control.ok_or(StartError::NoListen("control"))?).await?;
         let inner = bind(listen.inner).await?;
         let sizing = Sizing::of_plans(self.settings.tolerated_losses);
+        let notes = store.notes();
+        recall_upstreams(&fleet, &notes);
+        tokio::spawn(run_upstream_memory(Arc::clone(&fleet), notes));
         let (outbox, outbox_receiver) = mpsc::unbounded_channel();
         let (disk_failed, disk_failed_receiver) = mpsc::channel(1);
         let keeper = Keeper::new(store, state, agreement_options(), sizing, outbox, disk_failed);
--- a/clayplankd/tests/seeded/both.rs
+++ b/clayplankd/tests/seeded/both.rs
@@ -143,3 +143,32 @@
         (0..STREAK).all(|_| is_placed_by_leader()) && choices_alone() == before
     });
 }
+
+#[test]
+fn a_host_that_hears_no_keeper_takes_no_heartbeats() {
+    let mut system = start();
+    assert_eq!(system.beat_at_entry(0, "u1", "ready").status, 200);
+    system.keepers.iter_mut().for_each(Host::kill);
+    wait_for("the refusal", || system.beat_at_entry(0, "u1", "ready").status == 503);
+}
+
+#[test]
+fn after_a_loss_of_power_upstreams_are_known_before_they_send_heartbeats() {
+    let mut system = start();
+    let is_saved = |host: &Host| {
+        let note = fs::read(host.data.join("upstreams")).unwrap_or_default();
+        ["u1", "u2"].iter().all(|id| note.windows(id.len()).any(|part| part == id.as_bytes()))
+    };
+    wait_for("the saved upstreams", || system.keepers.iter().all(is_saved));
+    let System { keepers, entries, .. } = &mut system;
+    for host in keepers.iter_mut().chain(entries.iter_mut()) {
+        host.kill();
+        host.change_settings_file(|settings| {
+            settings["is_first_start"] = json!(false);
+            settings["bounds"]["heartbeat_ms"] = json!(RARE_HEARTBEAT_MS);
+        });
+    }
+    keepers.iter_mut().chain(entries.iter_mut()).for_each(Host::start);
+    // No upstream has sent a heartbeat to these lives of the keepers.
+    wait_for("service", || served_by(&system, &system.entries[0], "m1").is_some());
+}
