Count an attempt before its first byte leaves

While a stream is silent a second upstream is asked; if the first goes on, the second attempt is dropped before it was counted, and a later break was resumed at a third. Change: attempts are counted as they are sent, and the count is taken back if nothing was sent.

--- a/clayplank-forward/src/attempt.rs
+++ b/clayplank-forward/src/attempt.rs
@@ -44,10 +44,16 @@
         let upstream = record.heartbeat.id.clone();
         let request = self.request_for(&upstream, &helpers, last_event_id);
         self.tried.push(upstream.clone());
+        let could_have_run = self.may_have_run;
+        self.count_sent();
         let sent = exchange(record.heartbeat.address, request);
         match tokio::time::timeout(patience, sent).await {
-            Ok(Ok((response, connection))) => self.take_head(&upstream, load, response, connection),
+            Ok(Ok((response, connection))) => {
+                self.take_head(&upstream, load, response, connection, could_have_run)
+            }
             Ok(Err(ExchangeError::Connect(error))) => {
+                self.sent_count -= 1;
+                self.may_have_run = could_have_run;
                 load.note_outcome(false);
                 self.log_attempt(&upstream, "unreached", &error.to_string());
                 Attempt::NotRun
@@ -66,6 +72,7 @@
         mut load: LoadGuard,
         response: Response<Incoming>,
         connection: Connection,
+        could_have_run: bool,
     ) -> Attempt {
         let (head, body) = response.into_parts();
         let names = &self.entry.names;
@@ -74,19 +81,18 @@
         }
         match judge(&head, names, &self.facts.attempt_id) {
             Verdict::Own => {
-                self.note_sent(true);
                 let response = Box::new(Response::from_parts(head, body));
                 Attempt::Answered(response, connection, load)
             }
             Verdict::NotRun => {
-                self.note_sent(false);
+                self.may_have_run = could_have_run;
                 let at_fault = text(&head.headers, &self.entry.names.at_fault);
                 self.note_at_fault(&mut load, at_fault.unwrap_or_default());
                 self.log_attempt(upstream, "not_run", head.status.as_str());
                 Attempt::NotRun
             }
             Verdict::Replaced => {
-                self.note_sent(false);
+                self.may_have_run = could_have_run;
                 self.entry.directory.note_replaced(upstream);
                 self.log_attempt(upstream, "replaced", head.status.as_str());
                 Attempt::NotRun
@@ -120,14 +126,15 @@
         cause: &str,
     ) -> Attempt {
         load.note_outcome(false);
-        self.note_sent(true);
         self.log_attempt(upstream, outcome, cause);
         Attempt::Lost
     }
 
-    fn note_sent(&mut self, may_have_run: bool) {
+    /// Counts an attempt before its first byte leaves: one that is dropped on its way, when a
+    /// silent stream goes on meanwhile, has been sent all the same.
+    fn count_sent(&mut self) {
         self.sent_count += 1;
-        self.may_have_run |= may_have_run;
+        self.may_have_run = true;
     }
 
     fn request_for(
--- a/clayplank-standin/src/upstream.rs
+++ b/clayplank-standin/src/upstream.rs
@@ -26,6 +26,9 @@
 /// Paths under this answer with as many events as the rest of the path says.
 const EVENTS_PATH: &str = "/events/";
 
+/// How long a stream falters: longer than hosts wait before they ask another upstream.
+const FALTER_PAUSE: Duration = Duration::from_millis(1_700);
+
 /// What all upstreams of a test ran.
 #[derive(Debug, Default)]
 pub struct Runs {
@@ -71,6 +74,10 @@
     Unsealed,
     /// Takes a second until its answer.
     Slow,
+    /// Is silent for a while after the second event, goes on, and breaks off inside the fourth.
+    Falter,
+    /// Gives no answer: the upstreams that get an attempt after the one that faltered.
+    Silent,
 }
 
 fn scan_wish(headers: &HeaderMap) -> Wish {
@@ -81,6 +88,7 @@
         Some(b"foreign") => Wish::Foreign,
         Some(b"unsealed") => Wish::Unsealed,
         Some(b"slow") => Wish::Slow,
+        Some(b"falter") => Wish::Falter,
         _ => Wish::None,
     }
 }
@@ -110,7 +118,9 @@
     match wish {
         Wish::Lose => return Err(ServeError::Broken),
         Wish::Slow => tokio::time::sleep(Duration::from_secs(1)).await,
-        Wish::None | Wish::Refuse | Wish::Break | Wish::Foreign | Wish::Unsealed => {}
+        Wish::Silent => std::future::pending().await,
+        Wish::None | Wish::Refuse | Wish::Break | Wish::Falter | Wish::Foreign | Wish::Unsealed => {
+        }
     }
     if let Some(count) = head.uri.path().split(EVENTS_PATH).nth(1) {
         let from = text("last-event-id").parse().unwrap_or(0);
@@ -123,10 +133,12 @@
 
 /// The fault to play now: each attempt fails once.
 fn take_wish(runs: &SharedRuns, attempt: &str, wish: Wish) -> Wish {
-    if wish != Wish::None && !runs.lock().faulty.insert(attempt.to_owned()) {
-        return Wish::None;
+    let is_first = wish == Wish::None || runs.lock().faulty.insert(attempt.to_owned());
+    match wish {
+        wish if is_first => wish,
+        Wish::Falter => Wish::Silent,
+        _ => Wish::None,
     }
-    wish
 }
 
 fn note_run(runs: &SharedRuns, id: &str, attempt: &str, headers: &HeaderMap) {
@@ -190,7 +202,15 @@
     wish: Wish,
 ) {
     for id in from + 1..=count {
-        if wish == Wish::Break && id == from + 3 {
+        if wish == Wish::Falter && id == from + 3 {
+            tokio::time::sleep(FALTER_PAUSE).await;
+        }
+        let breaks_at = match wish {
+            Wish::Break => Some(from + 3),
+            Wish::Falter => Some(from + 4),
+            _ => None,
+        };
+        if breaks_at == Some(id) {
             sender.send_data(Bytes::from(format!("id: {id}\nda"))).await.ok();
             sender.abort(ServeError::Broken);
             return;
--- a/clayplankd/tests/seeded/promises.rs
+++ b/clayplankd/tests/seeded/promises.rs
@@ -55,6 +55,19 @@
     assert!(later.text().starts_with("id: 4\n"));
 }
 
+#[test]
+fn a_stream_that_falters_and_then_breaks_is_sent_no_further_than_its_route_allows() {
+    let mut system = System::start();
+    system.start_upstream("u3", 23);
+    for keeper in 0..system.keepers.len() {
+        system.beat(keeper, "u3", "ready");
+    }
+    // While the first upstream is silent a second one is asked, and left when the first goes on.
+    let answer = system.send(0, "f1", "/stream/events/12", &[("x-standin-fault", "falter")]);
+    assert!(!answer.is_whole, "no third upstream may finish it");
+    assert_eq!(system.runs.count("f1"), 2);
+}
+
 #[test]
 fn plans_are_checked_and_the_highest_version_holds() {
     let system = System::start();
--- a/clayplankd/tests/seeded/upstreams.rs
+++ b/clayplankd/tests/seeded/upstreams.rs
@@ -72,7 +72,11 @@
 
     fn beat_at(&mut self, door: SocketAddr, id: &str, standing: &str) -> Answer {
         self.beats += 1;
-        let last = if id == "u1" { 21 } else { 22 };
+        let last = match id {
+            "u1" => 21,
+            "u2" => 22,
+            _ => 23,
+        };
         let body = self.heartbeat(id, last, self.beats, standing);
         let path = format!("/v1/upstreams/{id}");
         call(door, "PUT", &path, &[], &body.to_string())
