Let the test of posts under kills end by answers, not by time

Cause of the known red test: it played four kills in about six seconds and wanted more than ten answers; 20 lost answers hold its six callers up for over a second each, so 12 to 33 were answered on a quiet machine and 4 beside other work (5 runs: 12, 16, 33, 16, 4). No promise was broken. Change: each round goes on until three more posts are answered; all checks stay.

--- a/clayplankd/tests/faults.rs
+++ b/clayplankd/tests/faults.rs
@@ -299,6 +299,12 @@
         }
     }
 
+    /// How many were answered so far.
+    fn answered(&self) -> usize {
+        let outcomes = self.outcomes.lock().unwrap();
+        outcomes.values().flatten().filter(|outcome| *outcome == "answered").count()
+    }
+
     /// Compares what was told with what the service ran; returns how many were answered.
     fn check(self, runs: &BTreeMap<String, u64>) -> usize {
         assert!(runs.values().all(|&count| count == 1), "{runs:?}");
@@ -316,6 +322,10 @@
     }
 }
 
+/// Posts that are answered before the next kill. Each lost answer holds a caller up for over a
+/// second: how many get through in a given time depends on what else the machine does.
+const ANSWERED_A_ROUND: usize = 3;
+
 #[test]
 fn posts_run_at_most_once_and_not_run_is_true_under_kills() {
     let mut system = System::start(quick_engines());
@@ -340,6 +350,8 @@
             std::thread::sleep(Duration::from_millis(700));
             system.spawn(host);
             system.wait_healthy(host);
+            let wanted = told.answered() + ANSWERED_A_ROUND;
+            wait_for("answers between two kills", || told.answered() >= wanted);
         }
         is_over.store(true, Ordering::SeqCst);
     });
