Each caller that leaves before an answer has its line in the log

Cause: a request whose caller left before the first event was dropped with its task, and no line of any host named it. The line tells the upstream that had it, and for how long it waited. The test fails without it.

--- a/clayplank-forward/src/admit.rs
+++ b/clayplank-forward/src/admit.rs
@@ -104,6 +104,7 @@
             unfit_helpers: Vec::new(),
             sent_count: 0,
             may_have_run: false,
+            is_answered: false,
         })
     }
 }
--- a/clayplank-forward/src/call.rs
+++ b/clayplank-forward/src/call.rs
@@ -53,6 +53,24 @@
     pub(crate) sent_count: u32,
     /// Whether one of them may have run it.
     pub(crate) may_have_run: bool,
+    /// Whether its caller has an answer, or the head of one.
+    pub(crate) is_answered: bool,
+}
+
+/// A call that is dropped without an answer has lost its caller: the line says where it was.
+impl Drop for Call {
+    fn drop(&mut self) {
+        if self.is_answered {
+            return;
+        }
+        log::info!(target: "forward",
+            request = self.facts.attempt_id, route = self.route.name,
+            upstream = self.tried.last().map_or("", UpstreamId::as_str),
+            sent = self.sent_count, prompt_tokens = self.facts.prompt_tokens,
+            waited_ms = self.waited_ms(), left_ms = self.left().as_millis() as u64;
+            "The caller left before an answer");
+        self.entry.figures.count(&self.route.name, "caller_left_early");
+    }
 }
 
 impl Call {
--- a/clayplank-forward/src/plain.rs
+++ b/clayplank-forward/src/plain.rs
@@ -30,7 +30,9 @@
 /// Runs a request until it has an answer.
 pub(crate) async fn run(mut call: Call, _guard: ProgressGuard) -> Response<AnswerBody> {
     let deadline = call.deadline - GIVE_UP_MARGIN;
-    match tokio::time::timeout_at(deadline, try_upstreams(&mut call)).await {
+    let tried = tokio::time::timeout_at(deadline, try_upstreams(&mut call)).await;
+    call.is_answered = true;
+    match tried {
         Ok(Ok(response)) => response,
         Ok(Err(refusal)) => call.give_up(refusal),
         Err(_) => {
--- a/clayplankd/tests/seeded/promises.rs
+++ b/clayplankd/tests/seeded/promises.rs
@@ -1,6 +1,6 @@
 //! The promises of seeded hosts, over real processes.
 
-use std::io::BufRead;
+use std::io::{BufRead, Write};
 use std::net::SocketAddr;
 
 use clayplank_placement::EngineModel;
@@ -68,6 +68,26 @@
     assert_eq!(system.runs.count("f1"), 2);
 }
 
+#[test]
+fn a_caller_that_leaves_before_an_answer_has_its_line() {
+    let system = System::start();
+    let callers = system.entries[0].callers();
+    let mut caller = std::net::TcpStream::connect(callers).unwrap();
+    let request = format!(
+        "POST /once/x HTTP/1.1\r\nhost: dala.example\r\nauthorization: Bearer {KEY}\r\n\
+         x-clayplank-attempt-id: gone-1\r\nx-clayplank-deadline-ms: 9000\r\n\
+         x-standin-fault: slow\r\ncontent-length: 0\r\n\r\n"
+    );
+    caller.write_all(request.as_bytes()).unwrap();
+    wait_for("the run", || system.runs.count("gone-1") == 1);
+    drop(caller);
+    let line = "\"message\":\"The caller left before an answer\"";
+    wait_for("the line", || {
+        let log = system.entries[0].log();
+        log.lines().any(|one| one.contains(line) && one.contains("gone-1") && one.contains("\"u"))
+    });
+}
+
 #[test]
 fn plans_are_checked_and_the_highest_version_holds() {
     let system = System::start();
