--- a/clayplankd/tests/seeded/both.rs
+++ b/clayplankd/tests/seeded/both.rs
@@ -113,15 +113,9 @@
 /// Between two heartbeats, in ms: so long that none is expected within a test.
 const RARE_HEARTBEAT_MS: u64 = 600_000;
 
-#[test]
-fn after_a_loss_of_power_the_new_leader_chooses_engines_at_once() {
-    let mut system = start();
-    system.start_engine("e1", 31, EngineModel::default());
-    system.wait_for_plan(&plan_with_engines(2, &EngineModel::default()));
-    let short = [("x-clayplank-tokens", "2000,90")];
-    wait_for("an answer", || system.send(0, "w", "/prompt/x", &short).status == 200);
-
-    let System { keepers, entries, .. } = &mut system;
+/// Kills all hosts, and starts them as hosts that expect no heartbeat soon.
+fn restart_all_with_rare_heartbeats(system: &mut System) {
+    let System { keepers, entries, .. } = system;
     for host in keepers.iter_mut().chain(entries.iter_mut()) {
         host.kill();
         host.change_settings_file(|settings| {
@@ -130,6 +124,17 @@
         });
     }
     keepers.iter_mut().chain(entries.iter_mut()).for_each(Host::start);
+}
+
+#[test]
+fn after_a_loss_of_power_the_new_leader_chooses_engines_at_once() {
+    let mut system = start();
+    system.start_engine("e1", 31, EngineModel::default());
+    system.wait_for_plan(&plan_with_engines(2, &EngineModel::default()));
+    let short = [("x-clayplank-tokens", "2000,90")];
+    wait_for("an answer", || system.send(0, "w", "/prompt/x", &short).status == 200);
+
+    restart_all_with_rare_heartbeats(&mut system);
     let entry = &system.entries[0];
     let choices_alone = || entry.log().matches("Chooses engines by itself").count();
     let mut number = 0;
@@ -160,15 +165,7 @@
         ["u1", "u2"].iter().all(|id| note.windows(id.len()).any(|part| part == id.as_bytes()))
     };
     wait_for("the saved upstreams", || system.keepers.iter().all(is_saved));
-    let System { keepers, entries, .. } = &mut system;
-    for host in keepers.iter_mut().chain(entries.iter_mut()) {
-        host.kill();
-        host.change_settings_file(|settings| {
-            settings["is_first_start"] = json!(false);
-            settings["bounds"]["heartbeat_ms"] = json!(RARE_HEARTBEAT_MS);
-        });
-    }
-    keepers.iter_mut().chain(entries.iter_mut()).for_each(Host::start);
+    restart_all_with_rare_heartbeats(&mut system);
     // No upstream has sent a heartbeat to these lives of the keepers.
     wait_for("service", || served_by(&system, &system.entries[0], "m1").is_some());
 }
