Read again: one door, one way to say that an upstream left, no copies for nothing

No change of behaviour. The door for operators was put together twice (host with a disk, host without): one function now. What tells that an upstream left was built in the registry and again in the door: Heartbeat::gone serves both. The saved upstreams were copied out of the registry every half second though nothing had changed: the cursor is compared first. Aging takes the registry's lock once in place of four times. The project's own report of an engine was declared twice: it is read into EngineReport itself.

--- a/clayplank-registry/src/heartbeat.rs
+++ b/clayplank-registry/src/heartbeat.rs
@@ -50,3 +50,11 @@
         }
     }
 }
+
+impl Heartbeat {
+    /// What tells that an upstream left, with what was known of it.
+    pub fn gone(id: &UpstreamId, known: Option<Self>) -> Self {
+        let known = known.unwrap_or_else(|| Self { id: id.clone(), ..Self::default() });
+        Self { standing: Standing::Gone, ..known }
+    }
+}
--- a/clayplank-registry/src/registry.rs
+++ b/clayplank-registry/src/registry.rs
@@ -162,8 +162,7 @@
     /// Notes that an upstream left; returns its record, for the other keepers.
     pub fn leave(&mut self, now_ms: u64, id: &UpstreamId) -> Heartbeat {
         let held = self.entries.get(id).map(|entry| entry.record.heartbeat.clone());
-        let known = held.unwrap_or_else(|| Heartbeat { id: id.clone(), ..Heartbeat::default() });
-        let gone = Heartbeat { standing: Standing::Gone, ..known };
+        let gone = Heartbeat::gone(id, held);
         self.apply(now_ms, &gone);
         gone
     }
--- a/clayplankd/src/contract.rs
+++ b/clayplankd/src/contract.rs
@@ -10,6 +10,7 @@
 use clayplank_types::UpstreamId;
 use http::{Method, Request};
 use http_body_util::Full;
+use serde::Deserialize;
 
 /// A call to a keeper.
 #[derive(Clone, Debug, PartialEq)]
@@ -24,8 +25,10 @@
     Leave(UpstreamId),
 }
 
-/// What an engine tells of itself when it is asked.
-#[derive(Clone, Copy, Debug, PartialEq)]
+/// What an engine tells of itself when it is asked. Read as it stands under the project's own
+/// contract; what is missing is usual, and other fields are passed over.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(default)]
 pub struct EngineReport {
     /// How many times longer its work takes than its cost model says.
     pub pace: f64,
@@ -37,6 +40,12 @@
     pub used_tokens: u64,
 }
 
+impl Default for EngineReport {
+    fn default() -> Self {
+        Self { pace: 1.0, running: 0, waiting: 0, used_tokens: 0 }
+    }
+}
+
 /// Why a call is not taken.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ControlFault {
--- a/clayplankd/src/control_door.rs
+++ b/clayplankd/src/control_door.rs
@@ -153,10 +153,7 @@
         let gone = match &self.registered {
             Registered::Kept { fleet, .. } => fleet.leave(id),
             Registered::Followed(directory) => {
-                let known = directory.record(id).map(|record| record.heartbeat);
-                let known =
-                    known.unwrap_or_else(|| Heartbeat { id: id.clone(), ..Heartbeat::default() });
-                Heartbeat { standing: Standing::Gone, ..known }
+                Heartbeat::gone(id, directory.record(id).map(|record| record.heartbeat))
             }
         };
         self.tell_leader(&gone).await
--- a/clayplankd/src/fleet_keeper.rs
+++ b/clayplankd/src/fleet_keeper.rs
@@ -108,11 +108,17 @@
         self.tell_news();
     }
 
-    /// The upstreams that are worth remembering, and the change up to which they count.
-    pub(crate) fn known_upstreams(&self) -> (Cursor, Vec<Heartbeat>) {
+    /// The upstreams that are worth remembering, and the change up to which they count;
+    /// `None` if nothing has changed since then.
+    pub(crate) fn upstreams_after(&self, saved: Cursor) -> Option<(Cursor, Vec<Heartbeat>)> {
         let registry = lock(&self.registry);
-        let known = registry.records().map(|record| record.heartbeat.clone());
-        (registry.cursor(), known.filter(|one| one.standing != Standing::Gone).collect())
+        let cursor = registry.cursor();
+        if cursor == saved {
+            return None;
+        }
+        let known = registry.records().map(|record| &record.heartbeat);
+        let known = known.filter(|one| one.standing != Standing::Gone);
+        Some((cursor, known.cloned().collect()))
     }
 
     /// Takes in what an entry host knows, which it tells to a keeper that knows less.
@@ -168,11 +174,15 @@
     /// Marks upstreams that are silent for this long, drops what was lost, and tells what is
     /// new: one answer for each follower and look, not one for each upstream that registers.
     fn age(&self, silent_ms: u64) {
-        let before = lock(&self.registry).cursor();
-        lock(&self.registry).age(now_ms(), silent_ms);
-        lock(&self.registry).doubt_remembered(now_ms(), 2 * self.heartbeat_ms);
         lock(&self.fleet).drop_lost(fleet_now_ms());
-        let has_aged = lock(&self.registry).cursor() != before;
+        let has_aged = {
+            let now_ms = now_ms();
+            let mut registry = lock(&self.registry);
+            let before = registry.cursor();
+            registry.age(now_ms, silent_ms);
+            registry.doubt_remembered(now_ms, 2 * self.heartbeat_ms);
+            registry.cursor() != before
+        };
         if has_aged || self.has_news.load(Ordering::SeqCst) {
             self.tell_news();
         }
--- a/clayplankd/src/native.rs
+++ b/clayplankd/src/native.rs
@@ -8,7 +8,6 @@
 use clayplank_types::UpstreamId;
 use http::{HeaderValue, Method, Request, Uri, header};
 use http_body_util::Full;
-use serde::Deserialize;
 use serde_json::{Value, json};
 
 use crate::contract::{Contract, ControlCall, ControlFault, EngineReport};
@@ -19,23 +18,6 @@
 const REPORT_PATH: &str = "/v1/report";
 const RESERVATIONS_PATH: &str = "/v1/reservations";
 
-/// What an engine answers when it is asked; fields that mean nothing here are passed over.
-#[derive(Deserialize)]
-struct Report {
-    #[serde(default = "usual_pace")]
-    pace: f64,
-    #[serde(default)]
-    running: usize,
-    #[serde(default)]
-    waiting: usize,
-    #[serde(default)]
-    used_tokens: u64,
-}
-
-fn usual_pace() -> f64 {
-    1.0
-}
-
 /// What callers, operators and upstreams of the project itself speak.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct NativeContract;
@@ -98,13 +80,7 @@
     }
 
     fn scan_report(&self, body: &[u8]) -> Result<EngineReport, serde_json::Error> {
-        let report: Report = serde_json::from_slice(body)?;
-        Ok(EngineReport {
-            pace: report.pace,
-            running: report.running,
-            waiting: report.waiting,
-            used_tokens: report.used_tokens,
-        })
+        serde_json::from_slice(body)
     }
 
     fn is_readiness_call(&self, method: &Method, path: &str) -> bool {
--- a/clayplankd/src/seeded.rs
+++ b/clayplankd/src/seeded.rs
@@ -18,6 +18,7 @@
 use tokio::time::Instant;
 
 use crate::contract::SharedContract;
+use crate::control_door::Registered;
 use crate::daemon::{StartError, bind};
 use crate::fleet_keeper::FleetKeeper;
 use crate::keeper_client::KeeperClient;
@@ -87,7 +88,8 @@
         if let Some(fleet) = &fleet {
             tokio::spawn(run_keeper_start(parts, Arc::clone(fleet), failed_sender));
         } else if let (Some(control), Some(entry)) = (settings.listen.control, &entry) {
-            parts.start_door_of_followed(bind(control).await?, Arc::clone(&entry.directory));
+            let registered = Registered::Followed(Arc::clone(&entry.directory));
+            parts.start_door(bind(control).await?, registered);
         }
         serve_metrics(metrics, move || {
             let of_entry = figures.as_ref().map(|figures| figures.to_text()).unwrap_or_default();
--- a/clayplankd/src/seeded_keeper.rs
+++ b/clayplankd/src/seeded_keeper.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use clayplank_agreement::{Options, Store, StoreError, StoredState};
-use clayplank_forward::{Directory, serve_simple};
+use clayplank_forward::serve_simple;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use xtra::Mailbox;
@@ -65,20 +65,18 @@
         Arc::new(FleetKeeper::new(contract, self.keepers.clone(), heartbeat_ms))
     }
 
-    /// Serves operators and upstreams on a host without a disk, by way of the keepers.
-    pub(crate) fn start_door_of_followed(self, control: TcpListener, directory: Arc<Directory>) {
+    /// Serves operators and upstreams.
+    pub(crate) fn start_door(self, control: TcpListener, registered: Registered) {
         let spread = Spread::new(self.own.clone(), self.peers, self.keepers.clone());
         tokio::spawn(run_spread(spread.clone()));
-        serve_control(
-            control,
-            ControlDoor {
-                own: self.own,
-                contract: self.contract,
-                keepers: self.keepers,
-                registered: Registered::Followed(directory),
-                spread,
-            },
-        );
+        let door = ControlDoor {
+            own: self.own,
+            contract: self.contract,
+            keepers: self.keepers,
+            registered,
+            spread,
+        };
+        tokio::spawn(serve_simple(control, move |request| door.clone().answer(request)));
     }
 
     /// Opens the data folder, off the runtime's threads: a disk may stall. Waits while it is full.
@@ -119,33 +117,22 @@
         let keeper = Keeper::new(store, state, agreement_options(), sizing, outbox, disk_failed);
         let plans = keeper.plans();
         let keeper = xtra::spawn_tokio(keeper, Mailbox::bounded(MAILBOX));
-        let spread = Spread::new(self.own.clone(), self.peers.clone(), self.keepers.clone());
         tokio::spawn(run_outbox(outbox_receiver, self.peers.clone()));
         tokio::spawn(run_ticks(keeper.clone()));
         tokio::spawn(run_join(keeper.clone(), self.joining(), self.peers.clone()));
         tokio::spawn(run_fleet(Arc::clone(&fleet), plans));
         tokio::spawn(run_engine_watch(Arc::clone(&fleet)));
-        tokio::spawn(run_spread(spread.clone()));
         tokio::spawn(serve_inner(
             inner,
             InnerService {
                 owner: None,
                 keeper: Some(keeper.clone()),
                 membership: None,
-                peers: self.peers,
+                peers: self.peers.clone(),
                 fleet: Some(Arc::clone(&fleet)),
             },
         ));
-        serve_control(
-            control,
-            ControlDoor {
-                own: self.own,
-                contract: self.contract,
-                keepers: self.keepers,
-                registered: Registered::Kept { keeper, fleet },
-                spread,
-            },
-        );
+        self.start_door(control, Registered::Kept { keeper, fleet });
         Ok(disk_failed_receiver)
     }
 
@@ -157,10 +144,6 @@
     }
 }
 
-fn serve_control(listener: TcpListener, door: ControlDoor) {
-    tokio::spawn(serve_simple(listener, move |request| door.clone().answer(request)));
-}
-
 fn agreement_options() -> Options {
     Options {
         election_ms: ELECTION_MS,
--- a/clayplankd/src/upstream_memory.rs
+++ b/clayplankd/src/upstream_memory.rs
@@ -42,10 +42,9 @@
     let mut saved = Cursor::default();
     loop {
         tokio::time::sleep(SAVE_EVERY).await;
-        let (cursor, known) = fleet.known_upstreams();
-        if cursor == saved {
+        let Some((cursor, known)) = fleet.upstreams_after(saved) else {
             continue;
-        }
+        };
         if let Err(error) = save(notes.clone(), known).await {
             log::warn!(target: part::KEEPER, cause:% = error; "The upstreams were not saved");
             continue;
