Log who votes, who learns, and why nobody leads

The incident's record cannot tell a voter that is gone from a newcomer that never votes: a learner or blank keeper told nothing, a step of membership had no name, and an election that nobody wins said neither who granted its vote nor how many are wanted. Now each keeper tells its members when they change, every step, and, every two seconds, a wait for a vote or an election without a winner.

--- a/clayplank-agreement/src/bootstrap.rs
+++ b/clayplank-agreement/src/bootstrap.rs
@@ -20,6 +20,13 @@
     },
 }
 
+impl Introduction {
+    /// Whether the keeper that answers has no log.
+    pub fn is_blank(&self) -> bool {
+        matches!(self, Self::Blank(_))
+    }
+}
+
 /// What a keeper without a log does.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Join {
@@ -97,14 +104,12 @@
 
 impl crate::replica::Replica {
     /// Takes the next step that brings a joining replica in; to be called
-    /// again until it votes. Returns whether a step was begun.
-    pub fn admit(&mut self, now_ms: u64, joiner: &ReplicaId) -> bool {
+    /// again until it votes. Returns the step that was begun; only a leader begins one.
+    pub fn admit(&mut self, now_ms: u64, joiner: &ReplicaId) -> Option<Change> {
         let silent = self.silent_voter(now_ms);
         let state =
             JoinState { is_caught_up: self.is_caught_up(now_ms, joiner), silent: silent.as_ref() };
-        match plan_change(&self.configuration, joiner, state) {
-            Some(change) => self.propose_change(&change).is_ok(),
-            None => false,
-        }
+        let change = plan_change(&self.configuration, joiner, state)?;
+        self.propose_change(&change).is_ok().then_some(change)
     }
 }
--- a/clayplank-agreement/src/configuration.rs
+++ b/clayplank-agreement/src/configuration.rs
@@ -47,6 +47,16 @@
     Remove(ReplicaId),
 }
 
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::AddLearner(id) => write!(f, "add learner {id}"),
+            Self::Promote(id) => write!(f, "promote {id}"),
+            Self::Remove(id) => write!(f, "remove {id}"),
+        }
+    }
+}
+
 impl Configuration {
     /// A configuration without learners.
     pub fn of_voters(voters: impl IntoIterator<Item = ReplicaId>) -> Self {
--- a/clayplank-agreement/src/replica.rs
+++ b/clayplank-agreement/src/replica.rs
@@ -240,6 +240,7 @@
     /// The name of what this replica is doing, for logs.
     pub fn role_name(&self) -> &'static str {
         match self.role {
+            Role::Follower if !self.configuration.voters.contains(&self.id) => "learner",
             Role::Follower => "follower",
             Role::PreCandidate { .. } => "pre_candidate",
             Role::Candidate { .. } => "candidate",
@@ -247,6 +248,14 @@
         }
     }
 
+    /// Who granted its vote so far, while this replica asks for an election.
+    pub fn granted_votes(&self) -> Option<&BTreeSet<ReplicaId>> {
+        match &self.role {
+            Role::PreCandidate { granted } | Role::Candidate { granted } => Some(granted),
+            Role::Follower | Role::Leader(_) => None,
+        }
+    }
+
     /// Who leads, as far as it is known.
     pub fn leader(&self) -> Option<&ReplicaId> {
         self.leader.as_ref()
--- a/clayplank-agreement/tests/rules.rs
+++ b/clayplank-agreement/tests/rules.rs
@@ -118,17 +118,17 @@
     let mut replica = Replica::new(id("a"), stored, options, 0);
     lead(&mut replica, 10_000);
     tell_from(&mut replica, 10_002, "b", matched(2));
-    assert!(replica.admit(10_003, &id("d")), "it learns first");
+    assert!(replica.admit(10_003, &id("d")).is_some(), "it learns first");
     tell_from(&mut replica, 10_004, "b", matched(3));
     tell_from(&mut replica, 10_005, "d", matched(3));
     tell_from(&mut replica, 11_000, "b", matched(3));
     tell_from(&mut replica, 11_600, "b", matched(3));
     tell_from(&mut replica, 11_600, "d", matched(3));
-    assert!(replica.admit(11_601, &id("d")), "the silent one goes");
+    assert!(replica.admit(11_601, &id("d")).is_some(), "the silent one goes");
     assert_eq!(replica.configuration().voters, [id("a"), id("b")].into());
     tell_from(&mut replica, 11_602, "b", matched(4));
     tell_from(&mut replica, 11_603, "d", matched(4));
-    assert!(replica.admit(11_604, &id("d")), "the newcomer votes");
+    assert!(replica.admit(11_604, &id("d")).is_some(), "the newcomer votes");
     assert_eq!(replica.configuration().voters, [id("a"), id("b"), id("d")].into());
 }
 
--- a/clayplankd/src/keeper.rs
+++ b/clayplankd/src/keeper.rs
@@ -15,6 +15,7 @@
 
 use crate::clock::now_ms;
 use crate::full_disk::FullDisk;
+use crate::keeper_log::KeeperLog;
 use crate::keeper_messages::{Executed, Watched};
 use crate::logging::part;
 
@@ -75,16 +76,7 @@
     sizing: Sizing,
     plans: watch::Sender<Option<PlanDocument>>,
     led_since_ms: Option<u64>,
-    /// What the log told last of its role.
-    told: Option<ToldRole>,
-}
-
-/// What lines of the log tell of a keeper's role.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct ToldRole {
-    name: &'static str,
-    term: u64,
-    leader: Option<HostId>,
+    log: KeeperLog,
 }
 
 /// What a keeper does not find in the log itself.
@@ -137,7 +129,7 @@
             sizing,
             plans: watch::Sender::new(None),
             led_since_ms: None,
-            told: None,
+            log: KeeperLog::default(),
         };
         if let Some(state) = state {
             keeper.load(&state);
@@ -183,6 +175,7 @@
                 return;
             }
         }
+        self.log.tell(self.replica.as_ref(), now_ms());
         self.answer_leader_watches();
         self.compact_if_large().await;
     }
@@ -227,6 +220,7 @@
             self.apply(entry);
         }
         self.publish_plan();
+        self.log.tell(self.replica.as_ref(), now_ms());
         self.note_leadership();
         self.finish_reads(&ready.reads);
         self.drop_waiters_if_deposed();
@@ -291,28 +285,7 @@
         }
     }
 
-    /// Tells of a change of role, term or leader.
-    fn tell_role(&mut self) {
-        let Some(replica) = &self.replica else {
-            return;
-        };
-        let told = ToldRole {
-            name: replica.role_name(),
-            term: replica.term(),
-            leader: self.leader_host(),
-        };
-        if self.told.as_ref() == Some(&told) {
-            return;
-        }
-        log::info!(target: part::KEEPER,
-            role = told.name, term = told.term, last_index = replica.last_index(),
-            leader = told.leader.as_ref().map_or("", HostId::as_str);
-            "A keeper's role changed");
-        self.told = Some(told);
-    }
-
     fn note_leadership(&mut self) {
-        self.tell_role();
         let leads = self.replica.as_ref().is_some_and(Replica::is_leader);
         self.led_since_ms = match (leads, self.led_since_ms) {
             (true, None) => {
--- a/clayplankd/src/keeper_join.rs
+++ b/clayplankd/src/keeper_join.rs
@@ -8,6 +8,7 @@
 use clayplank_types::HostId;
 use clayplank_wire::{IntroduceRequest, StepRequest};
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 use xtra::Address;
 
 use crate::clock::millis;
@@ -108,8 +109,43 @@
     }
 }
 
+/// Between two lines of a keeper that still waits to vote: most vote within a second or two.
+const WAIT_LINE_EVERY: Duration = Duration::from_secs(2);
+
+/// Tells, now and then, that a keeper waits to vote, and what the others answered to it.
+#[derive(Debug, Default)]
+struct WaitLog {
+    began: Option<Instant>,
+    told: Option<Instant>,
+}
+
+impl WaitLog {
+    fn note(&mut self, stand: &Stand, answers: &BTreeMap<String, Introduction>) {
+        let now = Instant::now();
+        if stand.votes {
+            *self = Self::default();
+            return;
+        }
+        let began = *self.began.get_or_insert(now);
+        let told = *self.told.get_or_insert(began);
+        if now < told + WAIT_LINE_EVERY {
+            return;
+        }
+        self.told = Some(now);
+        let answered = |is_blank: bool| {
+            let hosts = answers.iter().filter(|(_, answer)| answer.is_blank() == is_blank);
+            hosts.map(|(host, _)| host.as_str()).collect::<Vec<_>>().join(" ")
+        };
+        log::warn!(target: part::KEEPER,
+            waited_ms = (now - began).as_millis() as u64, has_log = stand.has_log,
+            members = answered(false), blank = answered(true);
+            "A keeper waits to vote");
+    }
+}
+
 /// Introduces this keeper to the others until it votes, and again when it hears no leader.
 pub(crate) async fn run_join(keeper: Address<Keeper>, joining: Joining, peers: Peers) {
+    let mut waits = WaitLog::default();
     loop {
         let Ok(Some(stand)) = keeper.send(Standing).await else {
             return;
@@ -121,6 +157,7 @@
                 begin_if_planned(&keeper, &stand.id, &joining, &answers).await;
             }
         }
+        waits.note(&stand, &answers);
         joining.learn(&stand, &answers);
         tokio::time::sleep(INTRODUCE_EVERY).await;
     }
--- a/clayplankd/src/keeper_messages.rs
+++ b/clayplankd/src/keeper_messages.rs
@@ -154,8 +154,10 @@
             return Some(Introduction::Blank(identity.id));
         };
         let members = replica.configuration().clone();
-        if replica.is_leader() && replica.admit(now_ms(), &introduce.0) {
-            log::info!(target: part::KEEPER, "Takes in keeper {}.", introduce.0);
+        if let Some(change) = replica.admit(now_ms(), &introduce.0) {
+            log::info!(target: part::KEEPER,
+                joiner:% = introduce.0, change:% = change;
+                "Takes a step to take in a keeper");
             self.flush(context).await;
         }
         Some(Introduction::Member { genesis: identity.genesis.unwrap_or_default(), members })
--- a/clayplankd/src/lib.rs
+++ b/clayplankd/src/lib.rs
@@ -35,6 +35,7 @@
 mod keeper;
 mod keeper_client;
 mod keeper_join;
+mod keeper_log;
 mod keeper_messages;
 mod lock;
 mod logging;
