Take out a voter that is gone without being asked by another one

Cause: members were changed only when a keeper introduced itself, so a voter that was replaced stayed one for good. Class: a count of members that nobody brings back to those that are there. Of six voters four decide; two lost disks left three, and of four (three and the newcomer) three, where one lost disk left two.

The leader now takes the steps by itself at each tick: a learner that has caught up votes; beyond the voters that the tolerated losses need, one that stops or is silent goes. A keeper that gets SIGTERM first asks the leader whether its vote is needed, and ends once it is taken out (two seconds at most). A newcomer is promoted first, and the silent one goes then: the test of the former order is replaced by one that checks each step.

--- a/clayplank-agreement/src/leader.rs
+++ b/clayplank-agreement/src/leader.rs
@@ -4,6 +4,7 @@
 
 use crate::configuration::ReplicaId;
 use crate::log::EntryId;
+use crate::membership::Health;
 use crate::message::{AppendResult, Message};
 use crate::replica::{NotLeader, ReadId, Replica, Role};
 
@@ -69,6 +70,8 @@
     read_round: u64,
     reads: VecDeque<PendingRead>,
     last_read: u64,
+    /// Hosts that are about to stop, and until when that counts.
+    leaving: BTreeMap<String, u64>,
 }
 
 impl Leadership {
@@ -80,6 +83,7 @@
             read_round: 0,
             reads: VecDeque::new(),
             last_read: 0,
+            leaving: BTreeMap::new(),
         }
     }
 }
@@ -283,20 +287,43 @@
         }
     }
 
-    /// A voter that did not answer for `replace_silent_ms`, if one more may be taken out.
-    pub(crate) fn silent_voter(&self, now_ms: u64) -> Option<ReplicaId> {
+    /// What the leader knows of a member; nothing bad of any while another replica leads.
+    pub(crate) fn health(&self, now_ms: u64, id: &ReplicaId) -> Health {
         let Role::Leader(leadership) = &self.role else {
-            return None;
+            return Health::default();
         };
-        let patience_ms = self.options.replace_silent_ms?;
-        if now_ms < leadership.began_ms + patience_ms {
-            return None;
+        let is_leaving = leadership.leaving.get(&id.host).is_some_and(|until| now_ms < *until);
+        Health {
+            is_caught_up: self.is_caught_up(now_ms, id),
+            is_silent: *id != self.id && self.is_silent(leadership, now_ms, id),
+            is_leaving,
         }
-        let is_silent = |id: &&ReplicaId| {
-            let heard_ms = leadership.progress.get(*id).map_or(0, |progress| progress.heard_ms);
-            **id != self.id && now_ms >= heard_ms + patience_ms
+    }
+
+    /// Whether a member did not answer for `replace_silent_ms`. A new leader gives all of them
+    /// that time.
+    fn is_silent(&self, leadership: &Leadership, now_ms: u64, id: &ReplicaId) -> bool {
+        let Some(patience_ms) = self.options.replace_silent_ms else {
+            return false;
         };
-        self.configuration.voters.iter().find(is_silent).cloned()
+        let heard_ms = leadership.progress.get(id).map_or(0, |progress| progress.heard_ms);
+        now_ms >= heard_ms.max(leadership.began_ms) + patience_ms
+    }
+
+    /// Notes that a host is about to stop. The note lapses when its silence would tell the same:
+    /// the host may come back under the same name.
+    pub fn note_leaving(&mut self, now_ms: u64, host: &str) {
+        let patience_ms = self.options.replace_silent_ms.unwrap_or_default();
+        if let Role::Leader(leadership) = &mut self.role {
+            leadership.leaving.insert(host.to_owned(), now_ms + patience_ms);
+        }
+    }
+
+    /// Notes that a host that was to stop is there again.
+    pub(crate) fn forget_leaving(&mut self, host: &str) {
+        if let Role::Leader(leadership) = &mut self.role {
+            leadership.leaving.remove(host);
+        }
     }
 
     /// Whether a follower has nearly all entries and answered lately.
--- a/clayplank-agreement/src/lib.rs
+++ b/clayplank-agreement/src/lib.rs
@@ -29,6 +29,7 @@
 mod election;
 mod leader;
 mod log;
+mod membership;
 mod message;
 mod record;
 mod replica;
--- a/clayplank-agreement/src/replica.rs
+++ b/clayplank-agreement/src/replica.rs
@@ -23,9 +23,11 @@
     pub max_batch_entries: usize,
     /// Entries kept before a snapshot, for slow followers.
     pub keep_entries: u64,
-    /// A voter that is silent for this long gives its place to a joiner that has
-    /// caught up; `None` where places are fixed by name.
+    /// Beyond the voters that are needed, one that is silent for this long is taken out; `None`
+    /// where places are fixed by name.
     pub replace_silent_ms: Option<u64>,
+    /// How many replicas may be lost at once.
+    pub tolerated_losses: usize,
 }
 
 impl Default for Options {
@@ -36,6 +38,7 @@
             max_batch_entries: 256,
             keep_entries: 1_000,
             replace_silent_ms: None,
+            tolerated_losses: 1,
         }
     }
 }
@@ -521,13 +524,18 @@
         if !self.is_leader() {
             return Err(NotLeader { hint: self.leader.clone() }.into());
         }
-        if !self.is_configuration_committed() || !self.has_committed_in_term() {
+        if !self.may_propose_change() {
             return Err(ProposeError::ChangeInProgress);
         }
         let next = self.configuration.after(change).ok_or(ProposeError::Unfit)?;
         Ok(self.append_own(Payload::Configuration(next))?)
     }
 
+    /// Whether a leader may begin a change: the former one, and an entry of its term, are committed.
+    pub(crate) fn may_propose_change(&self) -> bool {
+        self.is_leader() && self.is_configuration_committed() && self.has_committed_in_term()
+    }
+
     pub(crate) fn append_own(&mut self, payload: Payload) -> Result<EntryId, NotLeader> {
         if !self.is_leader() {
             return Err(NotLeader { hint: self.leader.clone() });
--- a/clayplank-agreement/tests/cluster/mod.rs
+++ b/clayplank-agreement/tests/cluster/mod.rs
@@ -198,6 +198,7 @@
         let ids: Vec<_> = self.nodes.values().map(|node| node.replica.id().clone()).collect();
         let committed = self.chosen.keys().last().copied().unwrap_or(0);
         let node = self.nodes.get_mut(&name).unwrap();
+        node.replica.keep_members(self.now_ms);
         if !self.is_quiet && self.rng.random_range(0..4) == 0 {
             self.next_command += 1;
             node.replica.propose(self.next_command.to_le_bytes().to_vec()).ok();
@@ -208,7 +209,7 @@
         }
         if self.rng.random_range(0..20) == 0 {
             let joiner = &ids[self.rng.random_range(0..ids.len())];
-            node.replica.admit(self.now_ms, joiner);
+            node.replica.admit(joiner);
         }
     }
 
--- a/clayplank-agreement/tests/rules.rs
+++ b/clayplank-agreement/tests/rules.rs
@@ -3,8 +3,8 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use clayplank_agreement::{
-    AppendResult, Configuration, Entry, EntryId, Envelope, HardState, Message, Options, Payload,
-    Replica, ReplicaId, Snapshot, StoredState,
+    AppendResult, Change, Configuration, Entry, EntryId, Envelope, HardState, Message, Options,
+    Payload, Replica, ReplicaId, Snapshot, StoredState,
 };
 
 fn id(host: &str) -> ReplicaId {
@@ -107,8 +107,8 @@
     replica.take_ready(now_ms);
 }
 
-#[test]
-fn a_newcomer_that_has_caught_up_takes_the_place_of_a_silent_voter() {
+/// A leader of three voters, one of which, c, never answers, at 10,001 ms.
+fn leads_with_a_silent_voter() -> Replica {
     let configuration = Configuration::of_voters([id("a"), id("b"), id("c")]);
     let stored = StoredState {
         hard_state: HardState { term: 2, vote: None },
@@ -118,20 +118,56 @@
     let mut replica = Replica::new(id("a"), stored, options, 0);
     lead(&mut replica, 10_000);
     tell_from(&mut replica, 10_002, "b", matched(2));
-    assert!(replica.admit(10_003, &id("d")).is_some(), "it learns first");
-    tell_from(&mut replica, 10_004, "b", matched(3));
-    tell_from(&mut replica, 10_005, "d", matched(3));
-    tell_from(&mut replica, 11_000, "b", matched(3));
-    tell_from(&mut replica, 11_600, "b", matched(3));
-    tell_from(&mut replica, 11_600, "d", matched(3));
-    assert!(replica.admit(11_601, &id("d")).is_some(), "the silent one goes");
-    assert_eq!(replica.configuration().voters, [id("a"), id("b")].into());
-    tell_from(&mut replica, 11_602, "b", matched(4));
-    tell_from(&mut replica, 11_603, "d", matched(4));
-    assert!(replica.admit(11_604, &id("d")).is_some(), "the newcomer votes");
+    replica
+}
+
+/// Nobody but the leader asks for a step once the newcomer has made itself known.
+#[test]
+fn a_newcomer_that_has_caught_up_takes_the_place_of_a_silent_voter() {
+    let mut replica = leads_with_a_silent_voter();
+    let learns = Some(Change::AddLearner(id("d")));
+    assert_eq!(replica.admit(&id("d")), learns);
+    assert_eq!(replica.keep_members(10_004), None, "the newcomer has no entries yet");
+    tell_from(&mut replica, 10_005, "b", matched(3));
+    tell_from(&mut replica, 10_006, "d", matched(3));
+    assert_eq!(replica.keep_members(10_007), Some(Change::Promote(id("d"))));
+    assert_eq!(replica.keep_members(10_008), None, "one change at a time");
+    tell_from(&mut replica, 10_009, "b", matched(4));
+    tell_from(&mut replica, 10_010, "d", matched(4));
+    assert_eq!(replica.keep_members(11_000), None, "c may have paused");
+    tell_from(&mut replica, 11_600, "b", matched(4));
+    tell_from(&mut replica, 11_600, "d", matched(4));
+    assert_eq!(replica.keep_members(11_601), Some(Change::Remove(id("c"))));
     assert_eq!(replica.configuration().voters, [id("a"), id("b"), id("d")].into());
 }
 
+/// Without it the two that are left would both have to answer, and hold all that there is.
+#[test]
+fn a_silent_voter_stays_while_nobody_votes_in_its_place() {
+    let mut replica = leads_with_a_silent_voter();
+    tell_from(&mut replica, 11_600, "b", matched(2));
+    assert_eq!(replica.keep_members(11_601), None);
+    assert!(replica.may_stop(11_602, "b"), "a restart takes no vote away");
+}
+
+#[test]
+fn a_voter_that_stops_is_taken_out_before_it_ends_if_another_one_votes_in_its_place() {
+    let mut replica = leads_with_a_silent_voter();
+    replica.admit(&id("d"));
+    tell_from(&mut replica, 10_005, "b", matched(3));
+    replica.note_leaving(10_006, "b");
+    assert!(!replica.may_stop(10_006, "b"), "the newcomer is about to vote");
+    tell_from(&mut replica, 10_006, "d", matched(3));
+    assert_eq!(replica.keep_members(10_007), Some(Change::Promote(id("d"))));
+    tell_from(&mut replica, 10_009, "b", matched(4));
+    tell_from(&mut replica, 10_010, "d", matched(4));
+    assert!(!replica.may_stop(10_011, "b"), "it is one of four");
+    assert_eq!(replica.keep_members(10_011), Some(Change::Remove(id("b"))));
+    assert!(!replica.may_stop(10_012, "b"), "that is not committed yet");
+    tell_from(&mut replica, 10_013, "d", matched(5));
+    assert!(replica.may_stop(10_014, "b"));
+}
+
 #[test]
 fn a_silent_follower_is_probed_without_entries() {
     let mut replica = with_former_entry();
--- a/clayplankd/src/inner.rs
+++ b/clayplankd/src/inner.rs
@@ -17,8 +17,9 @@
     FirstTokenReply, FirstTokenRequest, FollowReply, FollowRequest, Granted, InspectReply,
     InspectRequest, IntroduceReply, IntroduceRequest, NotOwner, PlaceReply, PlaceRequest,
     ProbeReply, ProbeRequest, Refused, RenewReply, RenewRequest, ReportReply, ReportRequest,
-    ReserveReply, ReserveRequest, SpreadReply, SpreadRequest, StepReply, StepRequest, WatchReply,
-    WatchRequest, execute_reply, inspect_reply, reserve_reply, watch_reply,
+    ReserveReply, ReserveRequest, SpreadReply, SpreadRequest, StepReply, StepRequest,
+    StoppingReply, StoppingRequest, WatchReply, WatchRequest, execute_reply, inspect_reply,
+    reserve_reply, stopping_reply, watch_reply,
 };
 use tonic::{Request, Response, Status};
 use xtra::Address;
@@ -28,7 +29,8 @@
 use crate::fleet_keeper::FleetKeeper;
 use crate::keeper::{Keeper, KeeperAddress};
 use crate::keeper_messages::{
-    Execute, Executed, FindLeader, Inspect, Introduce, Step, WATCH_WAIT_MS, Watch, Watched,
+    Execute, Executed, FindLeader, Inspect, Introduce, MayStop, Step, Stopping, WATCH_WAIT_MS,
+    Watch, Watched,
 };
 use crate::membership::{Gossip, Membership};
 use crate::owner::{Finish, FirstToken, Owner, Renew, Reserve, ReserveAnswer, Reserved};
@@ -168,6 +170,15 @@
         }))
     }
 
+    async fn stopping(&self, request: Request<StoppingRequest>) -> Answer<StoppingReply> {
+        let stopping = Stopping(HostId::new(request.into_inner().from_host));
+        let result = match self.keeper()?.send(stopping).await.map_err(gone)? {
+            MayStop::Known(may_stop) => stopping_reply::Result::MayStop(may_stop),
+            MayStop::NotLeader(hint) => stopping_reply::Result::NotLeaderHint(hint_text(hint)),
+        };
+        Ok(Response::new(StoppingReply { result: Some(result) }))
+    }
+
     async fn inspect(&self, _: Request<InspectRequest>) -> Answer<InspectReply> {
         let result = match self.keeper()?.send(Inspect).await.map_err(gone)? {
             Ok(status) => {
--- a/clayplankd/src/keeper_client.rs
+++ b/clayplankd/src/keeper_client.rs
@@ -7,8 +7,8 @@
 use clayplank_state::{Body, Delta, Reply, decode, encode};
 use clayplank_types::HostId;
 use clayplank_wire::{
-    ExecuteRequest, FindLeaderRequest, InspectRequest, WatchRequest, execute_reply, inspect_reply,
-    watch_reply,
+    ExecuteRequest, FindLeaderRequest, InspectRequest, StoppingRequest, WatchRequest,
+    execute_reply, inspect_reply, stopping_reply, watch_reply,
 };
 use rand::seq::SliceRandom;
 use tokio::sync::{Notify, watch};
@@ -282,6 +282,28 @@
         .await
     }
 
+    /// Tells the leader that a keeper's host is about to stop; says whether it may.
+    pub(crate) async fn ask_to_stop(
+        &self,
+        host: &HostId,
+        patience: Duration,
+    ) -> Result<bool, KeeperError> {
+        self.ask(AnswerDue::AtOnce, patience, |peers, keeper, left| {
+            let request = StoppingRequest { from_host: host.to_string() };
+            async move {
+                let call = peers.call(&keeper, left, |mut client| async move {
+                    client.stopping(request).await
+                });
+                Ok(match call.await?.result {
+                    Some(stopping_reply::Result::MayStop(may_stop)) => Asked::Answer(may_stop),
+                    Some(stopping_reply::Result::NotLeaderHint(hint)) => Asked::NotLeader(hint),
+                    None => Asked::Again,
+                })
+            }
+        })
+        .await
+    }
+
     /// The connections to the keepers.
     pub(crate) fn peers(&self) -> &Peers {
         &self.peers
--- a/clayplankd/src/keeper_messages.rs
+++ b/clayplankd/src/keeper_messages.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use clayplank_agreement::{Configuration, Envelope, Introduction, Replica, ReplicaId, StoredState};
+use clayplank_agreement::{
+    Change, Configuration, Envelope, Introduction, Replica, ReplicaId, StoredState,
+};
 use clayplank_state::{Body, Command, Counts, Delta, Reply, encode};
 use clayplank_types::HostId;
 use serde::Serialize;
@@ -60,11 +62,18 @@
     async fn handle(&mut self, _: Tick, context: &mut Context<Self>) {
         if let Some(replica) = &mut self.replica {
             replica.tick(now_ms());
+            if let Some(change) = replica.keep_members(now_ms()) {
+                log_change(&change, "the members need it");
+            }
         }
         self.flush(context).await;
     }
 }
 
+fn log_change(change: &Change, cause: &str) {
+    log::info!(target: part::KEEPER, change:% = change, cause = cause; "Changes the keepers' members");
+}
+
 /// Messages of other replicas.
 pub(crate) struct Step(pub(crate) Vec<Envelope>);
 
@@ -154,16 +163,47 @@
             return Some(Introduction::Blank(identity.id));
         };
         let members = replica.configuration().clone();
-        if let Some(change) = replica.admit(now_ms(), &introduce.0) {
-            log::info!(target: part::KEEPER,
-                joiner:% = introduce.0, change:% = change;
-                "Takes a step to take in a keeper");
+        if let Some(change) = replica.admit(&introduce.0) {
+            log_change(&change, "a keeper made itself known");
             self.flush(context).await;
         }
         Some(Introduction::Member { genesis: identity.genesis.unwrap_or_default(), members })
     }
 }
 
+/// A keeper's host is about to stop.
+pub(crate) struct Stopping(pub(crate) HostId);
+
+/// Whether a host may stop.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum MayStop {
+    /// Nothing rests on its vote any more, or nobody can take its place; or not yet.
+    Known(bool),
+    /// Another keeper decides; who may lead.
+    NotLeader(Option<HostId>),
+}
+
+impl Handler<Stopping> for Keeper {
+    type Return = MayStop;
+
+    async fn handle(&mut self, stopping: Stopping, context: &mut Context<Self>) -> Self::Return {
+        let host = stopping.0.as_str();
+        let Some(replica) = &mut self.replica else {
+            return MayStop::NotLeader(None);
+        };
+        replica.note_leaving(now_ms(), host);
+        if let Some(change) = replica.keep_members(now_ms()) {
+            log_change(&change, "a keeper stops");
+            self.flush(context).await;
+        }
+        match &self.replica {
+            Some(replica) if replica.may_stop(now_ms(), host) => MayStop::Known(true),
+            Some(replica) if replica.is_leader() => MayStop::Known(false),
+            Some(_) | None => MayStop::NotLeader(self.leader_host()),
+        }
+    }
+}
+
 /// Starts the log, or starts to receive it.
 pub(crate) struct Begin(pub(crate) Option<Configuration>);
 
--- a/clayplankd/src/lib.rs
+++ b/clayplankd/src/lib.rs
@@ -37,6 +37,7 @@
 mod keeper_join;
 mod keeper_log;
 mod keeper_messages;
+mod keeper_stop;
 mod lock;
 mod logging;
 mod membership;
--- a/clayplankd/src/seeded.rs
+++ b/clayplankd/src/seeded.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use clayplank_forward::serve_simple;
+use clayplank_forward::{Gate, serve_simple};
 use clayplank_settings::{Role, SeededSettings};
 use clayplank_types::HostId;
 use http::{Response, StatusCode};
@@ -22,6 +22,7 @@
 use crate::daemon::{StartError, bind};
 use crate::fleet_keeper::FleetKeeper;
 use crate::keeper_client::{KeeperClient, run_leader_search};
+use crate::keeper_stop::give_up_vote;
 use crate::logging::{part, set_log_level};
 use crate::peers::Peers;
 use crate::seeded_entry::EntryHost;
@@ -145,12 +146,26 @@
         fields.into_iter().filter(|(_, is_changed)| *is_changed).map(|(name, _)| name).collect()
     }
 
-    /// A planned stop: turns new callers away, and waits for those that are served.
+    /// A planned stop: a keeper gives up its vote, an entry host waits for those that it serves.
     pub async fn leave_and_drain(&self) {
-        let Some(EntryHost { gate, .. }) = &self.entry else {
-            log::info!(target: part::DAEMON, "Stopped");
-            return;
+        let own = HostId::new(self.settings.ip.to_string());
+        let give_up_vote = async {
+            if self.settings.is_keeper() {
+                give_up_vote(&self.keepers, &own).await;
+            }
         };
+        let drain = async {
+            if let Some(EntryHost { gate, .. }) = &self.entry {
+                self.drain(gate).await;
+            }
+        };
+        tokio::join!(give_up_vote, drain);
+        let cut_off = self.entry.as_ref().map_or(0, |entry| entry.gate.in_progress());
+        log::info!(target: part::DAEMON, cut_off = cut_off; "Stopped");
+    }
+
+    /// Turns new callers away, and waits for those that are served.
+    async fn drain(&self, gate: &Gate) {
         let end =
             Instant::now() + Duration::from_secs_f64(self.settings.bounds.grace_s) - GRACE_MARGIN;
         log::info!(target: part::DAEMON, in_progress = gate.in_progress(); "Stops");
@@ -162,7 +177,6 @@
             tokio::time::sleep(DRAIN_POLL).await;
         }
         tokio::time::sleep(LINGER).await;
-        log::info!(target: part::DAEMON, cut_off = gate.in_progress(); "Stopped");
     }
 }
 
--- a/clayplankd/src/seeded_keeper.rs
+++ b/clayplankd/src/seeded_keeper.rs
@@ -28,7 +28,8 @@
 /// Between two heartbeats of the leader, in ms: several fit into the shortest election time.
 const LEADER_HEARTBEAT_MS: u64 = 80;
 
-/// A voter that is silent for this long, in ms, gives its place to a newcomer that has caught up.
+/// A voter beyond those that are needed is taken out when it was silent for this long, in ms:
+/// several times an election, so that a restart seldom costs a place.
 const REPLACE_SILENT_MS: u64 = 1_500;
 
 /// Entries kept in memory for slow followers: each may be a whole plan.
@@ -122,7 +123,8 @@
         tokio::spawn(run_upstream_memory(Arc::clone(&fleet), notes));
         let (outbox, outbox_receiver) = mpsc::unbounded_channel();
         let (disk_failed, disk_failed_receiver) = mpsc::channel(1);
-        let keeper = Keeper::new(store, state, agreement_options(), sizing, outbox, disk_failed);
+        let options = agreement_options(self.settings.tolerated_losses);
+        let keeper = Keeper::new(store, state, options, sizing, outbox, disk_failed);
         let plans = keeper.plans();
         let keeper = xtra::spawn_tokio(keeper, Mailbox::bounded(MAILBOX));
         tokio::spawn(run_outbox(outbox_receiver, self.peers.clone()));
@@ -160,12 +162,13 @@
     }
 }
 
-fn agreement_options() -> Options {
+fn agreement_options(tolerated_losses: usize) -> Options {
     Options {
         election_ms: ELECTION_MS,
         heartbeat_ms: LEADER_HEARTBEAT_MS,
         keep_entries: KEEP_ENTRIES,
         replace_silent_ms: Some(REPLACE_SILENT_MS),
+        tolerated_losses,
         ..Options::default()
     }
 }
