--- a/clayplank-agreement/tests/cluster/mod.rs
+++ b/clayplank-agreement/tests/cluster/mod.rs
@@ -3,11 +3,13 @@
 use std::collections::BTreeMap;
 
 use clayplank_agreement::{
-    Configuration, Envelope, HardState, Options, Payload, Replica, ReplicaId, StoredState,
+    Configuration, Envelope, Options, Payload, Replica, ReplicaId, StoredState,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::disk::write;
+
 /// A replica with the disk below it.
 struct Node {
     replica: Replica,
@@ -296,25 +298,3 @@
         }
     }
 }
-
-fn write(synced: &mut StoredState, ready: &clayplank_agreement::Ready, hard_state: &HardState) {
-    if let Some(snapshot) = &ready.installed {
-        *synced = StoredState {
-            hard_state: hard_state.clone(),
-            snapshot: (**snapshot).clone(),
-            entries: Vec::new(),
-        };
-    }
-    if let Some(hard_state) = &ready.hard_state {
-        synced.hard_state = hard_state.clone();
-    }
-    for entry in &ready.entries {
-        if entry.index <= synced.snapshot.last.index {
-            continue;
-        }
-        let position = (entry.index - synced.snapshot.last.index - 1) as usize;
-        assert!(position <= synced.entries.len(), "the disk has no gap");
-        synced.entries.truncate(position);
-        synced.entries.push(entry.clone());
-    }
-}
--- /dev/null
+++ b/clayplank-agreement/tests/disk/mod.rs
@@ -0,0 +1,26 @@
+//! A disk that syncs at once.
+
+use clayplank_agreement::{HardState, Ready, StoredState};
+
+/// Does to what is synced what a store does to its files.
+pub fn write(synced: &mut StoredState, ready: &Ready, hard_state: &HardState) {
+    if let Some(snapshot) = &ready.installed {
+        *synced = StoredState {
+            hard_state: hard_state.clone(),
+            snapshot: (**snapshot).clone(),
+            entries: Vec::new(),
+        };
+    }
+    if let Some(hard_state) = &ready.hard_state {
+        synced.hard_state = hard_state.clone();
+    }
+    for entry in &ready.entries {
+        if entry.index <= synced.snapshot.last.index {
+            continue;
+        }
+        let position = (entry.index - synced.snapshot.last.index - 1) as usize;
+        assert!(position <= synced.entries.len(), "the disk has no gap");
+        synced.entries.truncate(position);
+        synced.entries.push(entry.clone());
+    }
+}
--- a/clayplank-agreement/tests/random.rs
+++ b/clayplank-agreement/tests/random.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod cluster;
+mod disk;
 
 use cluster::{Cluster, Faults};
 use proptest::prelude::*;
