A first keeper that comes back takes its place in the first log

Cause: only the first start of a process is told that the system starts for the first time, and a keeper might begin, or take its place among the first members, only then. One that had ended before it had begun its log stayed blank for good while the others counted it as a voter; with the first by name blank, nobody began at all. Class: as before, a member that is counted and not there.

A keeper notes on its disk that it was there at the first start. The first by name among those begins, if they are most of the seeds: the others may have lost a log (before, one that was cut off from its first start on could have begun a second log beside two emptied disks). What a member tells of the first configuration is taken whenever it names this keeper's disk.

--- a/clayplank-agreement/src/lib.rs
+++ b/clayplank-agreement/src/lib.rs
@@ -35,7 +35,7 @@
 mod replica;
 mod store;
 
-pub use bootstrap::{Introduction, Join, plan_join};
+pub use bootstrap::{BlankKeeper, Introduction, Join, plan_join};
 pub use configuration::{Change, Configuration, ReplicaId};
 pub use log::{Entry, EntryId, Payload, Snapshot};
 pub use message::{AppendResult, Envelope, Message};
--- a/clayplank-agreement/tests/join.rs
+++ b/clayplank-agreement/tests/join.rs
@@ -4,12 +4,21 @@
 
 use std::collections::BTreeMap;
 
-use clayplank_agreement::{Configuration, Introduction, Join, ReplicaId, plan_join};
+use clayplank_agreement::{BlankKeeper, Configuration, Introduction, Join, ReplicaId, plan_join};
 
 fn id(host: &str) -> ReplicaId {
     ReplicaId::new(host, 1)
 }
 
+fn blank(host: &str) -> BlankKeeper {
+    BlankKeeper { id: id(host), may_begin: true }
+}
+
+/// One that is not told that this is the first start.
+fn later(host: &str) -> BlankKeeper {
+    BlankKeeper { may_begin: false, ..blank(host) }
+}
+
 fn answers(list: &[(&str, Introduction)]) -> BTreeMap<String, Introduction> {
     list.iter().map(|(host, answer)| ((*host).to_owned(), answer.clone())).collect()
 }
@@ -24,35 +33,58 @@
 
 #[test]
 fn the_first_by_name_begins_once_all_are_blank() {
-    let blank =
-        answers(&[("b", Introduction::Blank(id("b"))), ("c", Introduction::Blank(id("c")))]);
+    let told =
+        answers(&[("b", Introduction::Blank(blank("b"))), ("c", Introduction::Blank(blank("c")))]);
     let all = Configuration::of_voters([id("a"), id("b"), id("c")]);
-    assert_eq!(plan_join(&id("a"), &others(), &blank), Join::Begin(all));
+    assert_eq!(plan_join(&blank("a"), &others(), &told), Join::Begin(all));
 }
 
 #[test]
 fn nobody_begins_while_one_cannot_be_asked() {
-    let partial = answers(&[("b", Introduction::Blank(id("b")))]);
-    assert_eq!(plan_join(&id("a"), &others(), &partial), Join::Wait);
+    let partial = answers(&[("b", Introduction::Blank(blank("b")))]);
+    assert_eq!(plan_join(&blank("a"), &others(), &partial), Join::Wait);
 }
 
 #[test]
 fn a_later_one_waits_for_the_first() {
-    let blank =
-        answers(&[("a", Introduction::Blank(id("a"))), ("c", Introduction::Blank(id("c")))]);
-    assert_eq!(plan_join(&id("b"), &["a".to_owned(), "c".to_owned()], &blank), Join::Wait);
+    let told =
+        answers(&[("a", Introduction::Blank(blank("a"))), ("c", Introduction::Blank(blank("c")))]);
+    assert_eq!(plan_join(&blank("b"), &["a".to_owned(), "c".to_owned()], &told), Join::Wait);
 }
 
 #[test]
 fn a_first_member_takes_the_genesis() {
     let genesis = Configuration::of_voters([id("a"), id("b")]);
     let told = answers(&[("b", member(genesis.clone()))]);
-    assert_eq!(plan_join(&id("a"), &others(), &told), Join::Begin(genesis));
+    assert_eq!(plan_join(&blank("a"), &others(), &told), Join::Begin(genesis));
 }
 
 #[test]
 fn a_lost_disk_never_begins_again() {
     let genesis = Configuration::of_voters([id("a"), id("b"), id("c")]);
     let told = answers(&[("b", member(genesis))]);
-    assert_eq!(plan_join(&ReplicaId::new("a", 2), &others(), &told), Join::Learn);
+    let lost = BlankKeeper { id: ReplicaId::new("a", 2), may_begin: false };
+    assert_eq!(plan_join(&lost, &others(), &told), Join::Learn);
+}
+
+#[test]
+fn a_first_member_that_came_back_takes_the_genesis() {
+    let genesis = Configuration::of_voters([id("a"), id("b"), id("c")]);
+    let told = answers(&[("b", member(genesis.clone()))]);
+    assert_eq!(plan_join(&later("a"), &others(), &told), Join::Begin(genesis));
+}
+
+#[test]
+fn the_next_one_begins_if_the_first_by_name_came_back() {
+    let told =
+        answers(&[("a", Introduction::Blank(later("a"))), ("c", Introduction::Blank(blank("c")))]);
+    let all = Configuration::of_voters([id("a"), id("b"), id("c")]);
+    assert_eq!(plan_join(&blank("b"), &["a".to_owned(), "c".to_owned()], &told), Join::Begin(all));
+}
+
+#[test]
+fn nobody_begins_beside_two_that_may_have_lost_a_log() {
+    let told =
+        answers(&[("b", Introduction::Blank(later("b"))), ("c", Introduction::Blank(later("c")))]);
+    assert_eq!(plan_join(&blank("a"), &others(), &told), Join::Wait);
 }
--- a/clayplank-agreement/tests/keepers/mod.rs
+++ b/clayplank-agreement/tests/keepers/mod.rs
@@ -6,8 +6,8 @@
 use std::collections::BTreeMap;
 
 use clayplank_agreement::{
-    Configuration, Envelope, Introduction, Join, Options, Payload, Replica, ReplicaId, StoredState,
-    plan_join,
+    BlankKeeper, Configuration, Envelope, Introduction, Join, Options, Payload, Replica, ReplicaId,
+    StoredState, plan_join,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -51,6 +51,7 @@
     disk: Option<StoredState>,
     life: Life,
     is_cut: bool,
+    /// Noted on its disk at the first start.
     may_begin: bool,
     introduce_ms: u64,
     back_ms: u64,
@@ -58,6 +59,10 @@
 }
 
 impl Keeper {
+    fn as_blank(&self) -> BlankKeeper {
+        BlankKeeper { id: self.id.clone(), may_begin: self.may_begin }
+    }
+
     fn is_reached(&self) -> bool {
         self.life == Life::Up && !self.is_cut
     }
@@ -127,7 +132,7 @@
         self.rng.random_range(range)
     }
 
-    fn tell(&mut self, what: String) {
+    fn tell(&mut self, what: &str) {
         self.told.push(format!("{:>6} ms: {what}", self.now_ms));
     }
 
@@ -238,7 +243,7 @@
                 continue;
             }
             let answer = match &mut asked.replica {
-                None => Introduction::Blank(asked.id.clone()),
+                None => Introduction::Blank(asked.as_blank()),
                 Some(replica) => {
                     replica.admit(&id);
                     let members = replica.configuration().clone();
@@ -259,12 +264,11 @@
         let names: Vec<_> = self.seeds.iter().filter(|seed| *seed != host).cloned().collect();
         let is_seed = self.seeds.iter().any(|seed| seed == host);
         let keeper = self.all.get_mut(host).unwrap();
-        let (state, genesis) = match plan_join(&keeper.id, &names, answers) {
-            Join::Begin(genesis) if keeper.may_begin && is_seed => {
-                (StoredState::genesis(genesis.clone(), Vec::new()), genesis)
-            }
+        let own = BlankKeeper { may_begin: keeper.may_begin && is_seed, ..keeper.as_blank() };
+        let (state, genesis) = match plan_join(&own, &names, answers) {
+            Join::Begin(genesis) => (StoredState::genesis(genesis.clone(), Vec::new()), genesis),
             Join::Learn => (StoredState::blank(), Configuration::default()),
-            Join::Begin(_) | Join::Wait => return,
+            Join::Wait => return,
         };
         keeper.genesis = Some(genesis);
         keeper.disk = Some(state.clone());
@@ -326,7 +330,6 @@
         let keeper = self.all.get_mut(host).unwrap();
         keeper.life = Life::Up;
         keeper.is_cut = false;
-        keeper.may_begin = false;
         keeper.back_ms = now_ms;
         keeper.introduce_ms = now_ms;
         let id = keeper.id.clone();
@@ -340,6 +343,7 @@
         keeper.id = ReplicaId::new(host, self.next);
         keeper.disk = None;
         keeper.genesis = None;
+        keeper.may_begin = false;
     }
 
     /// One keeper ends, and comes back; with an empty disk, perhaps.
@@ -351,7 +355,7 @@
 
     /// The same, with one that is named.
     pub fn restart_host(&mut self, host: &str, down_ms: u64, loses_disk: bool) {
-        self.tell(format!("{host} ends for {down_ms} ms, loses its disk: {loses_disk}"));
+        self.tell(&format!("{host} ends for {down_ms} ms, loses its disk: {loses_disk}"));
         self.end_process(host, Life::Down);
         if loses_disk {
             self.empty_disk(host);
@@ -367,7 +371,7 @@
         let Some(host) = self.pick() else {
             return;
         };
-        self.tell(format!("{host} is silent for {for_ms} ms, cut off: {is_cut}"));
+        self.tell(&format!("{host} is silent for {for_ms} ms, cut off: {is_cut}"));
         let keeper = self.all.get_mut(&host).unwrap();
         match is_cut {
             true => keeper.is_cut = true,
@@ -382,7 +386,7 @@
 
     /// All keepers lose power at once, and come back.
     pub fn power_off_all(&mut self, down_ms: u64) {
-        self.tell(format!("all lose power for {down_ms} ms"));
+        self.tell(&format!("all lose power for {down_ms} ms"));
         let hosts: Vec<_> = self.present();
         hosts.iter().for_each(|host| self.end_process(host, Life::Down));
         self.network.clear();
@@ -402,13 +406,13 @@
         let Some(host) = self.pick() else {
             return;
         };
-        self.tell(format!("{host} is gone, another one comes {gap_ms} ms later"));
+        self.tell(&format!("{host} is gone, another one comes {gap_ms} ms later"));
         self.end_process(&host, Life::Gone);
         // What comes in its place counts as lost by itself.
         self.replaced_until_ms.push(self.now_ms + gap_ms);
         self.run_for(gap_ms);
         let newcomer = self.add(false);
-        self.tell(format!("{newcomer} starts"));
+        self.tell(&format!("{newcomer} starts"));
     }
 
     /// An empty keeper comes first; the one that it replaces stops `after_ms` later.
@@ -417,7 +421,7 @@
             return;
         };
         let newcomer = self.add(false);
-        self.tell(format!("{newcomer} starts, to replace {host} {after_ms} ms later"));
+        self.tell(&format!("{newcomer} starts, to replace {host} {after_ms} ms later"));
         self.run_for(after_ms);
         if self.is_struck() || self.all[&host].life != Life::Up {
             return;
@@ -429,7 +433,7 @@
             }
             self.run_for(20);
         }
-        self.tell(format!("{host} stops"));
+        self.tell(&format!("{host} stops"));
         self.end_process(&host, Life::Gone);
     }
 
@@ -455,7 +459,7 @@
         for _ in 0..budget.min(sound.len()) {
             lost.push(sound.swap_remove(self.rng.random_range(0..sound.len())));
         }
-        self.tell(format!("all lose power, {lost:?} their disks"));
+        self.tell(&format!("all lose power, {lost:?} their disks"));
         let hosts = self.present();
         hosts.iter().for_each(|host| self.end_process(host, Life::Down));
         self.network.clear();
--- a/clayplankd/src/daemon.rs
+++ b/clayplankd/src/daemon.rs
@@ -237,7 +237,8 @@
         ..Options::default()
     };
     let (outbox, outbox_receiver) = mpsc::unbounded_channel();
-    let keeper = Keeper::new(store, state, options, Sizing::default(), outbox, failed);
+    let keeper =
+        Keeper::new(store, state, options, Sizing::default(), outbox, failed).with_may_begin(true);
     let keeper = xtra::spawn_tokio(keeper, Mailbox::bounded(MAILBOX));
     let is_other = |host: &HostId| *host != settings.host;
     let keepers =
@@ -245,7 +246,7 @@
     let others: Vec<_> = keepers.filter(is_other).collect();
     tokio::spawn(run_outbox(outbox_receiver, peers.clone()));
     tokio::spawn(run_ticks(keeper.clone()));
-    let join = Joining { seeds: others, may_begin: true, keepers: None };
+    let join = Joining { seeds: others, keepers: None };
     tokio::spawn(run_join(keeper.clone(), join, peers.clone()));
     Ok(Some(keeper))
 }
--- a/clayplankd/src/keeper.rs
+++ b/clayplankd/src/keeper.rs
@@ -61,6 +61,8 @@
 pub(crate) struct Keeper {
     pub(crate) store: Option<Store>,
     pub(crate) options: Options,
+    /// Whether this disk was there when the whole system started for the first time.
+    pub(crate) may_begin: bool,
     /// `None` until the log was begun or is received.
     pub(crate) replica: Option<Replica>,
     pub(crate) machine: Machine,
@@ -115,6 +117,7 @@
         let mut keeper = Self {
             store: Some(store),
             options,
+            may_begin: false,
             replica: None,
             machine: Machine::default(),
             applied_index: 0,
@@ -138,6 +141,12 @@
         keeper
     }
 
+    /// Lets this keeper begin a log, or be counted on when another one does.
+    pub(crate) fn with_may_begin(mut self, may_begin: bool) -> Self {
+        self.may_begin = may_begin;
+        self
+    }
+
     /// Takes the state over that a log begins with.
     pub(crate) fn load(&mut self, state: &StoredState) {
         self.machine = load_machine(&state.snapshot.data);
--- a/clayplankd/src/keeper_join.rs
+++ b/clayplankd/src/keeper_join.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use clayplank_agreement::{Envelope, Introduction, Join, ReplicaId, plan_join};
+use clayplank_agreement::{BlankKeeper, Envelope, Introduction, Join, ReplicaId, plan_join};
 use clayplank_state::{decode, encode};
 use clayplank_types::HostId;
 use clayplank_wire::{IntroduceRequest, StepRequest};
@@ -80,8 +80,6 @@
 pub(crate) struct Joining {
     /// Those that it was told of when it started, without itself.
     pub(crate) seeds: Vec<HostId>,
-    /// Whether it may begin a log with them.
-    pub(crate) may_begin: bool,
     /// Where more keepers are learned, and found.
     pub(crate) keepers: Option<KeeperClient>,
 }
@@ -154,7 +152,7 @@
         if !stand.votes {
             answers = introduce(&stand.id, &joining.others(&stand.id), &peers).await;
             if !stand.has_log {
-                begin_if_planned(&keeper, &stand.id, &joining, &answers).await;
+                begin_if_planned(&keeper, &stand.as_blank(), &joining, &answers).await;
             }
         }
         waits.note(&stand, &answers);
@@ -185,15 +183,15 @@
 
 async fn begin_if_planned(
     keeper: &Address<Keeper>,
-    own: &ReplicaId,
+    own: &BlankKeeper,
     joining: &Joining,
     answers: &BTreeMap<String, Introduction>,
 ) {
     let names: Vec<_> = joining.seeds.iter().map(ToString::to_string).collect();
     let begin = match plan_join(own, &names, answers) {
-        Join::Begin(configuration) if joining.may_begin => Begin(Some(configuration)),
+        Join::Begin(configuration) => Begin(Some(configuration)),
         Join::Learn => Begin(None),
-        Join::Begin(_) | Join::Wait => {
+        Join::Wait => {
             log::debug!(target: part::KEEPER, "Waits for the other keepers.");
             return;
         }
--- a/clayplankd/src/keeper_messages.rs
+++ b/clayplankd/src/keeper_messages.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use clayplank_agreement::{
-    Change, Configuration, Envelope, Introduction, Replica, ReplicaId, StoredState,
+    BlankKeeper, Change, Configuration, Envelope, Introduction, Replica, ReplicaId, StoredState,
 };
 use clayplank_state::{Body, Command, Counts, Delta, Reply, encode};
 use clayplank_types::HostId;
@@ -160,7 +160,8 @@
     async fn handle(&mut self, introduce: Introduce, context: &mut Context<Self>) -> Self::Return {
         let identity = self.store.as_ref()?.identity().clone();
         let Some(replica) = &mut self.replica else {
-            return Some(Introduction::Blank(identity.id));
+            let may_begin = self.may_begin;
+            return Some(Introduction::Blank(BlankKeeper { id: identity.id, may_begin }));
         };
         let members = replica.configuration().clone();
         if let Some(change) = replica.admit(&introduce.0) {
@@ -245,12 +246,20 @@
 pub(crate) struct Stand {
     pub(crate) id: ReplicaId,
     pub(crate) has_log: bool,
+    /// Whether it may begin a log.
+    pub(crate) may_begin: bool,
     /// Whether it votes, and hears a leader: one that was taken out hears none.
     pub(crate) votes: bool,
     /// All keepers that it knows from the log.
     pub(crate) members: Vec<HostId>,
 }
 
+impl Stand {
+    pub(crate) fn as_blank(&self) -> BlankKeeper {
+        BlankKeeper { id: self.id.clone(), may_begin: self.may_begin }
+    }
+}
+
 impl Handler<Standing> for Keeper {
     type Return = Option<Stand>;
 
@@ -264,7 +273,7 @@
         let members = replica.map_or_else(Vec::new, |replica| {
             replica.configuration().members().map(|id| HostId::new(id.host.clone())).collect()
         });
-        Some(Stand { id, has_log: replica.is_some(), votes, members })
+        Some(Stand { id, has_log: replica.is_some(), may_begin: self.may_begin, votes, members })
     }
 }
 
--- a/clayplankd/src/lib.rs
+++ b/clayplankd/src/lib.rs
@@ -24,6 +24,7 @@
 mod daemon;
 mod dispatch;
 mod engine_watch;
+mod first_start;
 mod fleet_engines;
 mod fleet_followers;
 mod fleet_keeper;
--- a/clayplankd/src/seeded_keeper.rs
+++ b/clayplankd/src/seeded_keeper.rs
@@ -11,6 +11,7 @@
 use crate::control_door::{ControlDoor, Registered};
 use crate::daemon::{MAILBOX, StartError, bind, serve_inner};
 use crate::engine_watch::run_engine_watch;
+use crate::first_start::recall_first_start;
 use crate::fleet_keeper::{FleetKeeper, run_fleet};
 use crate::full_disk::FullDisk;
 use crate::inner::InnerService;
@@ -38,6 +39,15 @@
 const _: () =
     assert!(ELECTION_MS >= 3 * LEADER_HEARTBEAT_MS, "an election waits for several heartbeats");
 
+/// What a keeper's disk holds.
+struct OpenedStore {
+    store: Store,
+    /// `None` if it has never held a log.
+    state: Option<StoredState>,
+    /// Whether this keeper may begin a log with the other seeds.
+    may_begin: bool,
+}
+
 /// Starts a keeper once its disk can be used; what ends it is told to `failed`.
 pub(crate) async fn run_keeper_start(
     parts: Parts,
@@ -46,7 +56,7 @@
 ) {
     let opened = parts.open_store().await;
     let started = match opened {
-        Ok((store, state)) => parts.start_keeper(store, state, fleet).await,
+        Ok(opened) => parts.start_keeper(opened, fleet).await,
         Err(error) => Err(error),
     };
     let error = match started {
@@ -89,13 +99,21 @@
     }
 
     /// Opens the data folder, off the runtime's threads: a disk may stall. Waits while it is full.
-    async fn open_store(&self) -> Result<(Store, Option<StoredState>), StartError> {
+    async fn open_store(&self) -> Result<OpenedStore, StartError> {
         let dir = self.settings.data_dir.clone().ok_or(StartError::NoDataDir)?;
+        let is_first_start = self.settings.is_first_start;
+        let is_seed = seed_hosts(&self.settings).any(|seed| seed == self.own);
         let mut full = FullDisk::default();
         loop {
             let (dir, own) = (dir.clone(), self.own.clone());
-            let open = move || Store::open(&dir, own.as_str(), rand::random());
-            let opened = tokio::task::spawn_blocking(open).await.map_err(StartError::Opening)?;
+            let open = move || {
+                let (store, state) = Store::open(&dir, own.as_str(), rand::random())?;
+                let is_candidate = state.is_none() && is_seed;
+                let may_begin = is_candidate && recall_first_start(&store.notes(), is_first_start)?;
+                Ok(OpenedStore { store, state, may_begin })
+            };
+            let opened: Result<_, StoreError> =
+                tokio::task::spawn_blocking(open).await.map_err(StartError::Opening)?;
             match opened {
                 Ok(opened) => {
                     full.note_room();
@@ -110,10 +128,10 @@
     /// Starts a keeper on what its disk holds; a disk that fails later is told by the channel.
     async fn start_keeper(
         self,
-        store: Store,
-        state: Option<StoredState>,
+        opened: OpenedStore,
         fleet: Arc<FleetKeeper>,
     ) -> Result<mpsc::Receiver<StoreError>, StartError> {
+        let OpenedStore { store, state, may_begin } = opened;
         let listen = &self.settings.listen;
         let control = bind(listen.control.ok_or(StartError::NoListen("control"))?).await?;
         let inner = bind(listen.inner).await?;
@@ -124,7 +142,8 @@
         let (outbox, outbox_receiver) = mpsc::unbounded_channel();
         let (disk_failed, disk_failed_receiver) = mpsc::channel(1);
         let options = agreement_options(self.settings.tolerated_losses);
-        let keeper = Keeper::new(store, state, options, sizing, outbox, disk_failed);
+        let keeper = Keeper::new(store, state, options, sizing, outbox, disk_failed)
+            .with_may_begin(may_begin);
         let plans = keeper.plans();
         let keeper = xtra::spawn_tokio(keeper, Mailbox::bounded(MAILBOX));
         tokio::spawn(run_outbox(outbox_receiver, self.peers.clone()));
@@ -155,10 +174,8 @@
     }
 
     fn joining(&self) -> Joining {
-        let seeds: Vec<_> = seed_hosts(&self.settings).collect();
-        let may_begin = self.settings.is_first_start && seeds.contains(&self.own);
-        let seeds = seeds.into_iter().filter(|seed| *seed != self.own).collect();
-        Joining { seeds, may_begin, keepers: Some(self.keepers.clone()) }
+        let seeds = seed_hosts(&self.settings).filter(|seed| *seed != self.own).collect();
+        Joining { seeds, keepers: Some(self.keepers.clone()) }
     }
 }
 
