Soak: replacements, and two lost disks at the end of each run

Keepers are replaced as planned (the empty one first, then SIGTERM) and suddenly; after everything else is calm for four seconds, all keepers end at once and two come back without their disks: every entry host has to serve again, and the plan that is read back is no older than what was acknowledged.

--- a/clayplankd/tests/seeded/replacement.rs
+++ b/clayplankd/tests/seeded/replacement.rs
@@ -20,7 +20,7 @@
 use crate::system::{Shape, System, plan, publish, wait_for};
 
 /// Time in which the keepers have to have repaired one loss before the next one comes.
-const CATCH_UP: Duration = Duration::from_secs(4);
+pub const CATCH_UP: Duration = Duration::from_secs(4);
 
 /// Whether a keeper knows from a committed entry that this one votes.
 fn votes(keeper: &Host) -> bool {
--- a/clayplankd/tests/seeded/soak/play.rs
+++ b/clayplankd/tests/seeded/soak/play.rs
@@ -43,6 +43,10 @@
     match (step.target, step.act) {
         (Target::Link(last), Act::Network(fault)) => system.proxy(last).set(fault),
         (Target::AllKeepers, _) => system.keepers.iter_mut().for_each(Host::kill),
+        (Target::Keeper(number), Act::Blow(Blow::ReplaceAsPlanned)) => {
+            system.start_newcomer(number);
+            return system.keepers[number].process();
+        }
         (Target::Keeper(number), Act::Blow(blow)) => {
             return strike(&mut system.keepers[number], blow);
         }
@@ -63,7 +67,7 @@
         return None;
     }
     match blow {
-        Blow::Kill => host.kill(),
+        Blow::Kill | Blow::ReplaceSuddenly => host.kill(),
         Blow::Stop => host.terminate(),
         Blow::Pause => host.signal("-STOP"),
         Blow::Reload => host.change_settings(|settings| {
@@ -76,6 +80,7 @@
             std::fs::remove_dir_all(&host.data).ok();
         }
         Blow::FillDisk => limit_files(host),
+        Blow::ReplaceAsPlanned => unreachable!("the newcomer starts first"),
     }
     process
 }
@@ -91,12 +96,34 @@
     match pending.step.target {
         Target::Link(last) => system.proxy(last).set(Fault::None),
         Target::AllKeepers => system.keepers.iter_mut().for_each(restart),
-        Target::Keeper(number) => return end_blow(&mut system.keepers[number], pending),
+        Target::Keeper(number) => match pending.step.act {
+            Act::Blow(Blow::ReplaceAsPlanned) => return end_replaced(system, number),
+            Act::Blow(Blow::ReplaceSuddenly) => {
+                system.keepers[number].kill();
+                system.start_newcomer(number);
+                system.take_newcomer(number);
+            }
+            Act::Blow(_) | Act::Network(_) => {
+                return end_blow(&mut system.keepers[number], pending);
+            }
+        },
         Target::Entry(number) => return end_blow(&mut system.entries[number], pending),
     }
     true
 }
 
+/// Stops a keeper for good; `false` while it is not down yet.
+fn end_replaced(system: &mut System, number: usize) -> bool {
+    let former = &mut system.keepers[number];
+    if !former.has_ended() {
+        former.signal("-CONT");
+        former.terminate();
+        return false;
+    }
+    system.take_newcomer(number);
+    true
+}
+
 fn end_blow(host: &mut Host, pending: &Pending) -> bool {
     let is_struck = pending.process.is_some() && host.process() == pending.process;
     match pending.step.act {
@@ -107,13 +134,29 @@
             restart(host);
         }
         Act::Blow(
-            Blow::Kill | Blow::Stop | Blow::Pause | Blow::Reload | Blow::LoseDisk | Blow::FillDisk,
+            Blow::Kill
+            | Blow::Stop
+            | Blow::Pause
+            | Blow::Reload
+            | Blow::LoseDisk
+            | Blow::FillDisk
+            | Blow::ReplaceAsPlanned
+            | Blow::ReplaceSuddenly,
         )
         | Act::Network(_) => restart(host),
     }
     true
 }
 
+/// All keepers end at once; two of them come back without their disks.
+pub fn play_closing(system: &mut System, lost: [usize; 2]) {
+    system.keepers.iter_mut().for_each(Host::kill);
+    for number in lost {
+        std::fs::remove_dir_all(&system.keepers[number].data).unwrap();
+    }
+    system.keepers.iter_mut().for_each(Host::start);
+}
+
 /// Starts a process that is down.
 fn restart(host: &mut Host) {
     if host.has_ended() {
--- a/clayplankd/tests/seeded/soak/run.rs
+++ b/clayplankd/tests/seeded/soak/run.rs
@@ -10,10 +10,11 @@
 use super::callers::run_caller;
 use super::checks::{check_cut_off, check_plan, wait_until_served};
 use super::operators::{run_heartbeats, run_operator};
-use super::play::play;
+use super::play::{play, play_closing};
 use super::record::{Record, check_seen};
-use super::schedule::{ENTRIES, KEEPERS, Step, draw_schedule};
+use super::schedule::{ENTRIES, KEEPERS, Step, draw_closing, draw_schedule};
 use crate::host::Host;
+use crate::replacement::CATCH_UP;
 use crate::system::{Shape, System};
 
 /// Callers of each entry host.
@@ -76,6 +77,9 @@
         let _ends = EndsRun(&shared.is_over);
         play(&shared, &schedule, began);
         wait_until_served(&shared, seed);
+        std::thread::sleep(CATCH_UP);
+        play_closing(&mut shared.system.lock().unwrap(), draw_closing(seed));
+        wait_until_served(&shared, seed);
     });
     let shared = Arc::into_inner(shared).unwrap();
     check_plan(&shared);
--- a/clayplankd/tests/seeded/soak/schedule.rs
+++ b/clayplankd/tests/seeded/soak/schedule.rs
@@ -30,6 +30,17 @@
     LoseDisk,
     /// It cannot write to its disk any more, and ends over it.
     FillDisk,
+    /// An empty keeper starts; this one gets SIGTERM afterwards, and is gone for good.
+    ReplaceAsPlanned,
+    /// SIGKILL, and it is gone for good; an empty keeper starts afterwards.
+    ReplaceSuddenly,
+}
+
+impl Blow {
+    /// Whether a disk is lost with it.
+    fn takes_disk(self) -> bool {
+        matches!(self, Self::LoseDisk | Self::ReplaceAsPlanned | Self::ReplaceSuddenly)
+    }
 }
 
 /// What a step is done to.
@@ -60,7 +71,7 @@
 impl Step {
     /// Whether callers may notice: a planned stop and a reload must cut off nothing.
     pub fn is_planned(&self) -> bool {
-        matches!(self.act, Act::Blow(Blow::Stop | Blow::Reload))
+        matches!(self.act, Act::Blow(Blow::Stop | Blow::Reload | Blow::ReplaceAsPlanned))
     }
 }
 
@@ -71,6 +82,8 @@
     let is_planned_only = rng.random_range(0..4) == 0;
     let count = rng.random_range(6..16);
     let mut steps: Vec<_> = (0..count).map(|_| draw_step(&mut rng, is_planned_only)).collect();
+    let replaced = rng.random_range(0..3);
+    steps.extend((0..replaced).map(|_| draw_replacement(&mut rng, is_planned_only)));
     steps.sort_by_key(|step| step.at_ms);
     space_disks(&mut steps);
     steps
@@ -98,6 +111,24 @@
     Step { at_ms, for_ms, target, act }
 }
 
+fn draw_replacement(rng: &mut SmallRng, is_planned: bool) -> Step {
+    let is_planned = is_planned || rng.random_range(0..2) == 0;
+    let blow = if is_planned { Blow::ReplaceAsPlanned } else { Blow::ReplaceSuddenly };
+    Step {
+        at_ms: rng.random_range(0..SPAN_MS),
+        for_ms: rng.random_range(200..4_000),
+        target: Target::Keeper(rng.random_range(0..KEEPERS)),
+        act: Act::Blow(blow),
+    }
+}
+
+/// The keepers whose disks are lost when all of them end at once, after everything else.
+pub fn draw_closing(seed: u64) -> [usize; 2] {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let first = rng.random_range(0..KEEPERS);
+    [first, (first + rng.random_range(1..KEEPERS)) % KEEPERS]
+}
+
 /// A keeper, an entry host or an upstream.
 fn draw_link(rng: &mut SmallRng) -> Target {
     let last = match rng.random_range(0..3) {
@@ -121,12 +152,13 @@
 /// Lost disks that come too soon after one another become kills.
 fn space_disks(steps: &mut [Step]) {
     let mut last_ms = None;
-    for step in steps.iter_mut().filter(|step| step.act == Act::Blow(Blow::LoseDisk)) {
+    let takes_disk = |step: &&mut Step| matches!(step.act, Act::Blow(blow) if blow.takes_disk());
+    for step in steps.iter_mut().filter(takes_disk) {
         let is_soon = last_ms.is_some_and(|last_ms| step.at_ms < last_ms + DISK_GAP_MS);
         if is_soon {
             step.act = Act::Blow(Blow::Kill);
         } else {
-            last_ms = Some(step.at_ms);
+            last_ms = Some(step.at_ms + step.for_ms);
         }
     }
 }
--- a/clayplankd/tests/seeded/system.rs
+++ b/clayplankd/tests/seeded/system.rs
@@ -55,6 +55,10 @@
     proxies: BTreeMap<Ipv4Addr, Proxy>,
     dir: tempfile::TempDir,
     pub keepers: Vec<Host>,
+    /// Keepers that are to replace others, by the place of those.
+    newcomers: BTreeMap<usize, Host>,
+    /// Keepers that were started after the first ones.
+    added: u8,
     pub entries: Vec<Host>,
     pub runs: SharedRuns,
     pub runtime: Runtime,
@@ -89,6 +93,8 @@
             shape,
             keepers,
             entries,
+            newcomers: BTreeMap::new(),
+            added: 0,
             proxies: BTreeMap::new(),
             runs: SharedRuns::default(),
             runtime: Runtime::new().unwrap(),
@@ -119,12 +125,33 @@
 
     /// Starts one more keeper, with an empty disk and the seeds of the others; returns its place.
     pub fn add_keeper(&mut self) -> usize {
-        let last = self.keepers.len() + 1;
+        let keeper = self.new_keeper();
+        self.keepers.push(keeper);
+        self.keepers.len() - 1
+    }
+
+    /// Starts an empty keeper that is to replace another one.
+    pub fn start_newcomer(&mut self, replaced: usize) {
+        let keeper = self.new_keeper();
+        self.newcomers.insert(replaced, keeper);
+    }
+
+    /// The newcomer takes the place of the keeper that it replaces.
+    pub fn take_newcomer(&mut self, replaced: usize) {
+        self.keepers[replaced] = self.newcomers.remove(&replaced).unwrap();
+    }
+
+    fn new_keeper(&mut self) -> Host {
+        self.added += 1;
+        let last = (self.shape.keepers as u8) + self.added;
         let seeds: Vec<_> = self.keepers.iter().map(Host::control).collect();
-        let ip = Ipv4Addr::new(127, self.net[0], self.net[1], last as u8);
+        let ip = self.upstream_ip(last);
+        if self.shape.has_proxies {
+            self.start_proxy(ip, &[INNER, CONTROL]);
+        }
         let mut keeper = Host {
             ip,
-            bind_ip: ip,
+            bind_ip: if self.shape.has_proxies { behind_proxy(ip) } else { ip },
             part: self.keepers[0].part,
             settings: self.dir.path().join(format!("{last}.json")),
             data: self.dir.path().join(format!("data-{last}")),
@@ -132,8 +159,7 @@
         };
         keeper.write_settings(&seeds, false);
         keeper.start();
-        self.keepers.push(keeper);
-        self.keepers.len() - 1
+        keeper
     }
 
     /// One proxy before each host and each upstream.
@@ -145,14 +171,18 @@
         let of_hosts = hosts.map(|host| (host.ip, vec![INNER, CONTROL]));
         let upstreams = [21, 22].map(|last| (self.upstream_ip(last), vec![UPSTREAM]));
         for (ip, ports) in of_hosts.chain(upstreams).collect::<Vec<_>>() {
-            let proxy = Proxy::default();
-            for port in ports {
-                let near = SocketAddr::new(IpAddr::V4(ip), port);
-                let far = SocketAddr::new(IpAddr::V4(behind_proxy(ip)), port);
-                proxy.start(&self.runtime, near, far);
-            }
-            self.proxies.insert(ip, proxy);
+            self.start_proxy(ip, &ports);
+        }
+    }
+
+    fn start_proxy(&mut self, ip: Ipv4Addr, ports: &[u16]) {
+        let proxy = Proxy::default();
+        for port in ports {
+            let near = SocketAddr::new(IpAddr::V4(ip), *port);
+            let far = SocketAddr::new(IpAddr::V4(behind_proxy(ip)), *port);
+            proxy.start(&self.runtime, near, far);
         }
+        self.proxies.insert(ip, proxy);
     }
 
     /// The proxy before a host or an upstream, by the last byte of its address.
