--- a/clayplank-forward/src/lib.rs
+++ b/clayplank-forward/src/lib.rs
@@ -54,4 +54,4 @@
 pub use gate::Gate;
 pub use names::HeaderNames;
 pub use placer::{BoxFuture, Placer};
-pub use reserve::OrderFormat;
+pub use reserve::{OrderFormat, Reservation, Ticket};
--- a/clayplank-forward/src/reserve.rs
+++ b/clayplank-forward/src/reserve.rs
@@ -32,14 +32,17 @@
 
 /// Memory at one engine.
 #[derive(Clone, Debug)]
-pub(crate) struct Ticket {
-    pub(crate) address: SocketAddr,
-    pub(crate) name: String,
-    pub(crate) tokens: u64,
+pub struct Ticket {
+    /// Where the engine takes orders.
+    pub address: SocketAddr,
+    /// Its name, which no other prompt uses.
+    pub name: String,
+    /// How much memory it holds.
+    pub tokens: u64,
 }
 
 /// All memory that other engines hold for one prompt; released when dropped.
-pub(crate) struct Reservation {
+pub struct Reservation {
     orders: Arc<dyn OrderFormat>,
     tickets: Arc<[Ticket]>,
     renewal: JoinHandle<()>,
@@ -48,7 +51,7 @@
 impl Reservation {
     /// Reserves at all engines at once; `None` if one of them has no room. What was
     /// reserved is given back then.
-    pub(crate) async fn make(orders: Arc<dyn OrderFormat>, tickets: Vec<Ticket>) -> Option<Self> {
+    pub async fn make(orders: Arc<dyn OrderFormat>, tickets: Vec<Ticket>) -> Option<Self> {
         let tickets: Arc<[Ticket]> = tickets.into();
         let renewal = tokio::spawn(renew(Arc::clone(&orders), Arc::clone(&tickets)));
         // From here on dropping it releases what may be held.
