--- a/clayplank-forward/tests/late_orders.rs
+++ b/clayplank-forward/tests/late_orders.rs
@@ -74,7 +74,7 @@
     };
     if !is_answered {
         // The connection stays open without an answer, until the caller gives it up.
-        stream.read(&mut head).await.ok();
+        let _closed = stream.read(&mut head).await;
         return;
     }
     stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}").await.ok();
