Test that fails: an upstream that starts again under its name is never used

Its heartbeats count from the start, so that they are taken for late ones of the former life, which had said that it drains.

--- a/clayplankd/tests/seeded/main.rs
+++ b/clayplankd/tests/seeded/main.rs
@@ -12,6 +12,7 @@
 mod promises;
 mod proxy;
 mod replacement;
+mod returning;
 mod soak;
 mod system;
 mod upstreams;
--- a/clayplankd/tests/seeded/upstreams.rs
+++ b/clayplankd/tests/seeded/upstreams.rs
@@ -95,7 +95,7 @@
         [of_upstream("u1", 21), of_upstream("u2", 22)].concat()
     }
 
-    fn heartbeat(&self, id: &str, last: u8, sequence: u64, standing: &str) -> Value {
+    pub fn heartbeat(&self, id: &str, last: u8, sequence: u64, standing: &str) -> Value {
         self.registration(id, "app", last, APP_SLOTS).heartbeat(sequence, standing)
     }
 }
