A name and the time of its start name a life of an upstream

Cause: an id was taken for one life of an upstream. One that starts again under its id counts its heartbeats from the start, so that they were late ones of the former life, whose draining, leaving, blame and load stayed in force.

The id of a life is now made of the name and the start that the upstream tells, so that whatever is kept by id (registry, directory, engines, placements, mirrors, notes) begins anew. A later life ends the former ones, and nothing that comes of those counts any more, in any order; a word without a start is the newest life's, or, soon after it took the place of one that had not left, the former's. A report that another life gave changes nothing, and a later one ends this one. Upstreams are still told to be expected by their name.

--- a/clayplank-forward/src/attempt.rs
+++ b/clayplank-forward/src/attempt.rs
@@ -42,7 +42,7 @@
     ) -> Attempt {
         let Chosen { record, helpers, mut load, .. } = chosen;
         let upstream = record.heartbeat.id.clone();
-        let request = self.request_for(&upstream, &helpers, last_event_id);
+        let request = self.request_for(&record.heartbeat.name, &helpers, last_event_id);
         self.tried.push(upstream.clone());
         let could_have_run = self.may_have_run;
         self.count_sent();
@@ -139,13 +139,13 @@
 
     fn request_for(
         &self,
-        upstream: &UpstreamId,
+        upstream: &str,
         helpers: &str,
         last_event_id: Option<u64>,
     ) -> Request<Full<Bytes>> {
         let told = Told {
             account: self.account.as_deref(),
-            upstream: upstream.as_str(),
+            upstream,
             left_ms: self.left().as_millis() as u64,
             last_event_id,
             helpers,
--- a/clayplank-forward/src/directory.rs
+++ b/clayplank-forward/src/directory.rs
@@ -104,16 +104,17 @@
         self.lock().records.get(id).cloned()
     }
 
-    /// The upstream that a text names, by its id or its address.
+    /// The upstream that a text names, by its name or its address, in its newest life.
     pub fn find(&self, name: &str) -> Option<UpstreamId> {
         let inner = self.lock();
         let address = name.parse().ok();
-        let is_named = |record: &&Record| {
-            let heartbeat = &record.heartbeat;
+        let is_named = |heartbeat: &&Heartbeat| {
             let is_at = heartbeat.standing != Standing::Gone && address == Some(heartbeat.address);
-            heartbeat.id.as_str() == name || is_at
+            heartbeat.name == name || is_at
         };
-        inner.records.values().find(is_named).map(|record| record.heartbeat.id.clone())
+        let heartbeats = inner.records.values().map(|record| &record.heartbeat);
+        let newest = heartbeats.filter(is_named).max_by_key(|one| one.born_ms)?;
+        Some(newest.id.clone())
     }
 
     /// All records.
--- a/clayplank-forward/tests/broken_stream.rs
+++ b/clayplank-forward/tests/broken_stream.rs
@@ -94,14 +94,9 @@
 }
 
 fn record(id: &str, address: SocketAddr) -> Record {
-    let heartbeat = Heartbeat {
-        id: UpstreamId::new(id),
-        address,
-        service: "pool".to_owned(),
-        slots: 4,
-        ..Heartbeat::default()
-    };
-    Record { heartbeat, is_silent: false }
+    let heartbeat =
+        Heartbeat { address, service: "pool".to_owned(), slots: 4, ..Heartbeat::default() };
+    Record { heartbeat: heartbeat.named(id), is_silent: false }
 }
 
 fn plan() -> PlanIndex {
--- a/clayplank-forward/tests/parts.rs
+++ b/clayplank-forward/tests/parts.rs
@@ -46,7 +46,6 @@
 
 fn record(name: &str, data_centre: &str, standing: Standing, sequence: u64) -> Record {
     let heartbeat = Heartbeat {
-        id: UpstreamId::new(name),
         sequence,
         service: "app".to_owned(),
         data_centre: DataCentre::new(data_centre),
@@ -54,7 +53,7 @@
         standing,
         ..Heartbeat::default()
     };
-    Record { heartbeat, is_silent: false }
+    Record { heartbeat: heartbeat.named(name), is_silent: false }
 }
 
 #[tokio::test(start_paused = true)]
--- a/clayplank-registry/src/lib.rs
+++ b/clayplank-registry/src/lib.rs
@@ -1,21 +1,25 @@
 //! Upstreams that register by heartbeat, drain and leave.
 //!
 //! The registry is soft state: each keeper holds what it heard and passes it
-//! on, and nothing of it is written down. Of two records of one instance, the
+//! on, and nothing of it is written down. Of two records of one life of an upstream, the
 //! one with the higher sequence number holds; leaving is final, so that a late
-//! heartbeat does not revive what left.
+//! heartbeat does not revive what left. A later life of the same name ends the former ones,
+//! and nothing that comes of those counts any more.
 //!
 //! ```
 //! use clayplank_registry::{Heartbeat, Registry, Standing};
-//! use clayplank_types::UpstreamId;
 //!
 //! let mut registry = Registry::new(1);
-//! let id = UpstreamId::new("engine-1");
-//! let beat = Heartbeat { id: id.clone(), sequence: 1, ..Heartbeat::default() };
+//! let beat = Heartbeat { sequence: 1, born_ms: 7, ..Heartbeat::default() }.named("engine-1");
 //! registry.apply(0, &beat);
-//! registry.leave(10, &id);
-//! registry.apply(20, &Heartbeat { sequence: 2, ..beat });
-//! assert_eq!(registry.record(&id).unwrap().heartbeat.standing, Standing::Gone);
+//! registry.leave(10, &Heartbeat::gone("engine-1"));
+//! registry.apply(20, &Heartbeat { sequence: 2, ..beat.clone() });
+//! assert_eq!(registry.record(&beat.id).unwrap().heartbeat.standing, Standing::Gone);
+//!
+//! // It starts again under its name.
+//! let again = Heartbeat { sequence: 1, born_ms: 9, ..beat }.named("engine-1");
+//! registry.apply(30, &again);
+//! assert_eq!(registry.record(&again.id).unwrap().heartbeat.standing, Standing::Ready);
 //! ```
 
 mod digest;
--- a/clayplank-registry/src/registry.rs
+++ b/clayplank-registry/src/registry.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::digest::{Buckets, Digest};
-use crate::heartbeat::{Heartbeat, Standing};
+use crate::heartbeat::{Heartbeat, Standing, life_ids};
 
 /// A record that left is kept this long, in ms: far longer than a heartbeat may be late.
 const TOMBSTONE_MS: u64 = 120_000;
@@ -14,6 +14,9 @@
 /// An upstream that was not heard for this long, in ms, is forgotten.
 const FORGET_MS: u64 = 30_000;
 
+/// A word that an upstream sends may arrive this much later, in ms.
+const LATE_WORD_MS: u64 = 10_000;
+
 /// Records in one answer, some 56 kB before they are packed. Hosts that start all at once have to be
 /// answered within the time that they wait, also where the lists for all of them fill the leader's
 /// link for seconds: with 2,999 upstreams whole, 295 hosts asked for theirs again and again, and no
@@ -37,8 +40,10 @@
     changed_at: u64,
     /// Whether more than one heartbeat came: a single one may have been delayed for long.
     is_confirmed: bool,
-    /// Known from a former life, and not heard in this one.
+    /// Known from a former life of the registry, and not heard in this one.
     is_remembered: bool,
+    /// Whether it took the place of a former life that had not left.
+    replaces_running: bool,
 }
 
 /// Up to where somebody knows a registry.
@@ -75,9 +80,31 @@
 
     /// Takes a heartbeat in; returns whether it was news.
     pub fn apply(&mut self, now_ms: u64, heartbeat: &Heartbeat) -> bool {
+        match heartbeat.standing {
+            Standing::Gone => self.apply_to_life(now_ms, &self.leaving_life(now_ms, heartbeat)),
+            Standing::Ready | Standing::Draining => self.apply_to_life(now_ms, heartbeat),
+        }
+    }
+
+    /// Takes in that an upstream left; returns what is known of the life that did, for the other
+    /// keepers.
+    pub fn leave(&mut self, now_ms: u64, gone: &Heartbeat) -> Heartbeat {
+        let gone = self.leaving_life(now_ms, gone);
+        self.apply_to_life(now_ms, &gone);
+        gone
+    }
+
+    fn apply_to_life(&mut self, now_ms: u64, heartbeat: &Heartbeat) -> bool {
+        if self.is_of_former_life(now_ms, heartbeat) {
+            return false;
+        }
         let known = self.entries.get_mut(&heartbeat.id);
         let Some(entry) = known else {
+            let replaces = self.end_former_lives(heartbeat);
             self.put(now_ms, heartbeat.clone());
+            if let Some(entry) = self.entries.get_mut(&heartbeat.id) {
+                entry.replaces_running = replaces;
+            }
             return true;
         };
         let held = &entry.record.heartbeat;
@@ -101,6 +128,72 @@
         is_change || retires
     }
 
+    /// The lives of an upstream that are known.
+    fn lives(&self, name: &str) -> impl Iterator<Item = &Entry> {
+        let nameless_birth = self.entries.get(&UpstreamId::new(name));
+        let others = self.entries.range(life_ids(name)).map(|(_, entry)| entry);
+        nameless_birth.into_iter().chain(others)
+    }
+
+    /// Whether a later life of the same upstream is known: what comes of this one comes late.
+    /// After a long silence of the later one it may be a new life whose clock was set back.
+    fn is_of_former_life(&self, now_ms: u64, heartbeat: &Heartbeat) -> bool {
+        self.lives(&heartbeat.name).any(|life| {
+            let is_later = life.record.heartbeat.born_ms > heartbeat.born_ms;
+            is_later && now_ms < life.heard_ms + LATE_WORD_MS
+        })
+    }
+
+    /// The former lives of an upstream have ended; returns whether one of them had not said so.
+    fn end_former_lives(&mut self, newer: &Heartbeat) -> bool {
+        let former: Vec<_> = self
+            .lives(&newer.name)
+            .filter(|life| life.record.heartbeat.standing != Standing::Gone)
+            .map(|life| life.record.heartbeat.id.clone())
+            .collect();
+        for id in &former {
+            self.change += 1;
+            if let Some(entry) = self.entries.get_mut(id) {
+                entry.record.heartbeat.standing = Standing::Gone;
+                entry.changed_at = self.change;
+            }
+        }
+        !former.is_empty()
+    }
+
+    /// Whether what an upstream answered, with the start that it tells, comes from this life. If a
+    /// later one answered in its place, this one has ended.
+    pub fn confirm_life(&mut self, now_ms: u64, id: &UpstreamId, born_ms: u64) -> bool {
+        let Some(entry) = self.entries.get(id) else {
+            return false;
+        };
+        let held = &entry.record.heartbeat;
+        if held.born_ms == 0 || born_ms == 0 || held.born_ms == born_ms {
+            return true;
+        }
+        if born_ms > held.born_ms {
+            let gone = Heartbeat { standing: Standing::Gone, ..held.clone() };
+            self.apply_to_life(now_ms, &gone);
+        }
+        false
+    }
+
+    /// Which life leaves: the newest, where the upstream does not say so. Soon after that one took
+    /// the place of one that had not left, it is the late word of the former.
+    fn leaving_life(&self, now_ms: u64, gone: &Heartbeat) -> Heartbeat {
+        if gone.born_ms != 0 {
+            return gone.clone();
+        }
+        let mut lives: Vec<_> = self.lives(&gone.name).collect();
+        lives.sort_by_key(|life| std::cmp::Reverse(life.record.heartbeat.born_ms));
+        let is_late_word = lives.first().is_some_and(|newest| {
+            newest.replaces_running && now_ms < newest.first_heard_ms + LATE_WORD_MS
+        });
+        let leaving = lives.get(usize::from(is_late_word)).map(|life| &life.record.heartbeat);
+        let known = leaving.unwrap_or(gone).clone();
+        Heartbeat { standing: Standing::Gone, ..known }
+    }
+
     /// An upstream that goes on sending heartbeats has its address for itself: those that were
     /// heard there only before it have ended without a word. A heartbeat of theirs that was held
     /// up on its way must not bring them back.
@@ -135,6 +228,7 @@
             changed_at: self.change,
             is_confirmed: false,
             is_remembered: false,
+            replaces_running: false,
         };
         self.entries.insert(id, entry);
     }
@@ -142,9 +236,11 @@
     /// Takes in what a former life knew, unless something newer was heard.
     pub fn remember(&mut self, now_ms: u64, heartbeats: &[Heartbeat]) {
         for heartbeat in heartbeats {
-            if self.entries.contains_key(&heartbeat.id) {
+            let is_known = self.entries.contains_key(&heartbeat.id);
+            if is_known || self.is_of_former_life(now_ms, heartbeat) {
                 continue;
             }
+            self.end_former_lives(heartbeat);
             self.put(now_ms, heartbeat.clone());
             if let Some(entry) = self.entries.get_mut(&heartbeat.id) {
                 entry.is_remembered = true;
@@ -166,14 +262,6 @@
         }
     }
 
-    /// Notes that an upstream left; returns its record, for the other keepers.
-    pub fn leave(&mut self, now_ms: u64, id: &UpstreamId) -> Heartbeat {
-        let held = self.entries.get(id).map(|entry| entry.record.heartbeat.clone());
-        let gone = Heartbeat::gone(id, held);
-        self.apply(now_ms, &gone);
-        gone
-    }
-
     /// Marks upstreams whose heartbeats are missing for `silent_ms`, and forgets old records;
     /// returns whether one was forgotten.
     pub fn age(&mut self, now_ms: u64, silent_ms: u64) -> bool {
--- a/clayplank-registry/tests/records.rs
+++ b/clayplank-registry/tests/records.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 
 fn beat(sequence: u64, standing: Standing) -> Heartbeat {
-    Heartbeat { id: UpstreamId::new("u"), sequence, standing, ..Heartbeat::default() }
+    Heartbeat { sequence, standing, ..Heartbeat::default() }.named("u")
 }
 
 fn standing(registry: &Registry) -> Standing {
@@ -30,7 +30,7 @@
 #[test]
 fn one_that_left_unknown_stays_gone() {
     let mut registry = Registry::new(1);
-    registry.leave(0, &UpstreamId::new("u"));
+    registry.leave(0, &Heartbeat::gone("u"));
     assert!(!registry.apply(1, &beat(9, Standing::Ready)));
     assert_eq!(standing(&registry), Standing::Gone);
 }
@@ -67,7 +67,7 @@
 
 fn beat_of(id: &str, sequence: u64, port: u16) -> Heartbeat {
     let address = std::net::SocketAddr::from(([10, 0, 0, 1], port));
-    Heartbeat { id: UpstreamId::new(id), sequence, address, ..Heartbeat::default() }
+    Heartbeat { sequence, address, ..Heartbeat::default() }.named(id)
 }
 
 fn standing_of(registry: &Registry, id: &str) -> Standing {
@@ -123,8 +123,8 @@
 }
 
 fn numbered(number: u64, sequence: u64) -> Heartbeat {
-    let id = UpstreamId::new(format!("u{number}"));
-    Heartbeat { id, sequence, service: "llm".to_owned(), slots: 10, ..Heartbeat::default() }
+    let beat = Heartbeat { sequence, service: "llm".to_owned(), slots: 10, ..Heartbeat::default() };
+    beat.named(&format!("u{number}"))
 }
 
 #[rstest]
@@ -138,7 +138,7 @@
         next.apply(10, &numbered(number, 2));
     }
     for number in left {
-        next.leave(20, &UpstreamId::new(format!("u{number}")));
+        next.leave(20, &Heartbeat::gone(&format!("u{number}")));
     }
     let known = Digest::of(former.records());
     let (changes, asked) = next.changes_from(&known);
@@ -201,3 +201,99 @@
     assert_eq!(pages, 3);
     assert_eq!(Digest::of(follower.records()), Digest::of(leader.records()));
 }
+
+/// A heartbeat of a life that began at `born_ms`.
+fn beat_in(born_ms: u64, sequence: u64, standing: Standing) -> Heartbeat {
+    Heartbeat { born_ms, sequence, standing, ..Heartbeat::default() }.named("u")
+}
+
+fn standing_in(registry: &Registry, born_ms: u64) -> Option<Standing> {
+    let id = beat_in(born_ms, 0, Standing::Ready).id;
+    registry.record(&id).map(|record| record.heartbeat.standing)
+}
+
+#[rstest]
+#[case::drains(beat_in(100, 901, Standing::Draining))]
+#[case::is_ready(beat_in(100, 901, Standing::Ready))]
+#[case::left(beat_in(100, 901, Standing::Gone))]
+#[case::left_without_saying_in_which_life(Heartbeat::gone("u"))]
+#[case::does_not_say_when_it_began(beat(901, Standing::Draining))]
+fn nothing_late_of_a_former_life_touches_the_next_one(#[case] late: Heartbeat) {
+    let mut registry = Registry::new(1);
+    registry.apply(0, &beat_in(100, 900, Standing::Ready));
+    assert!(registry.apply(10, &beat_in(200, 1, Standing::Ready)), "a new life is news");
+    assert_eq!(standing_in(&registry, 100), Some(Standing::Gone), "it has ended");
+    registry.apply(20, &late);
+    assert_eq!(standing_in(&registry, 200), Some(Standing::Ready));
+    assert_eq!(standing_in(&registry, 100), Some(Standing::Gone));
+}
+
+#[test]
+fn a_former_life_that_is_heard_of_last_is_not_taken_in() {
+    let mut registry = Registry::new(1);
+    registry.apply(0, &beat_in(200, 1, Standing::Ready));
+    assert!(!registry.apply(10, &beat_in(100, 900, Standing::Draining)));
+    assert_eq!(standing_in(&registry, 100), None);
+    assert_eq!(standing_in(&registry, 200), Some(Standing::Ready));
+}
+
+#[test]
+fn a_life_that_left_is_followed_by_the_next_one() {
+    let mut registry = Registry::new(1);
+    registry.apply(0, &beat_in(100, 900, Standing::Draining));
+    registry.leave(10, &Heartbeat::gone("u"));
+    registry.apply(20, &beat_in(200, 1, Standing::Ready));
+    assert_eq!(standing_in(&registry, 200), Some(Standing::Ready));
+    registry.leave(30, &Heartbeat::gone("u"));
+    assert_eq!(standing_in(&registry, 200), Some(Standing::Gone), "the former one had left");
+}
+
+#[test]
+fn a_life_whose_clock_was_set_back_is_taken_in_once_the_other_is_silent() {
+    let mut registry = Registry::new(1);
+    registry.apply(0, &beat_in(200, 900, Standing::Ready));
+    registry.apply(5_000, &beat_in(100, 1, Standing::Ready));
+    assert_eq!(standing_in(&registry, 100), None, "it may be late");
+    registry.apply(12_000, &beat_in(100, 7, Standing::Ready));
+    assert_eq!(standing_in(&registry, 100), Some(Standing::Ready));
+    assert_eq!(standing_in(&registry, 200), Some(Standing::Gone));
+}
+
+#[test]
+fn a_name_that_begins_like_another_is_another() {
+    let mut registry = Registry::new(1);
+    registry.apply(0, &Heartbeat { born_ms: 100, ..beat_of("u1", 1, 80) }.named("u1"));
+    registry.apply(1, &Heartbeat { born_ms: 200, ..beat_of("u", 1, 81) }.named("u"));
+    let first = UpstreamId::new("u1@100");
+    assert_eq!(registry.record(&first).unwrap().heartbeat.standing, Standing::Ready);
+}
+
+#[test]
+fn what_is_remembered_of_a_former_life_does_not_end_the_next_one() {
+    let mut registry = Registry::new(2);
+    registry.apply(0, &beat_in(200, 1, Standing::Ready));
+    registry.remember(1, &[beat_in(100, 900, Standing::Ready)]);
+    assert_eq!(standing_in(&registry, 100), None);
+    let mut registry = Registry::new(3);
+    registry.remember(0, &[beat_in(100, 900, Standing::Ready)]);
+    registry.apply(1, &beat_in(200, 1, Standing::Ready));
+    assert_eq!(standing_in(&registry, 100), Some(Standing::Gone));
+    assert_eq!(standing_in(&registry, 200), Some(Standing::Ready));
+}
+
+#[rstest]
+#[case::this_life(100, true, Standing::Ready)]
+#[case::it_does_not_say(0, true, Standing::Ready)]
+#[case::a_later_life(200, false, Standing::Gone)]
+#[case::a_former_life(50, false, Standing::Ready)]
+fn an_answer_tells_which_life_gave_it(
+    #[case] born_ms: u64,
+    #[case] is_confirmed: bool,
+    #[case] after: Standing,
+) {
+    let mut registry = Registry::new(1);
+    let held = beat_in(100, 5, Standing::Ready);
+    registry.apply(0, &held);
+    assert_eq!(registry.confirm_life(1, &held.id, born_ms), is_confirmed);
+    assert_eq!(standing_in(&registry, 100), Some(after));
+}
--- a/clayplankd/src/contract.rs
+++ b/clayplankd/src/contract.rs
@@ -7,7 +7,6 @@
 use clayplank_registry::Heartbeat;
 use clayplank_routes::ServingPlan;
 use clayplank_settings::Faults;
-use clayplank_types::UpstreamId;
 use http::{Method, Request};
 use http_body_util::Full;
 use serde::Deserialize;
@@ -21,8 +20,8 @@
     ReadPlan,
     /// An upstream tells of itself.
     Heartbeat(Heartbeat),
-    /// An upstream leaves.
-    Leave(UpstreamId),
+    /// An upstream leaves: the life that it names, or the newest.
+    Leave(Heartbeat),
 }
 
 /// What an engine tells of itself when it is asked. Read as it stands under the project's own
@@ -38,11 +37,13 @@
     pub waiting: usize,
     /// Tokens of memory that its requests hold.
     pub used_tokens: u64,
+    /// When the life that answers began, in ms since 1970; 0 if it does not say so.
+    pub born_ms: u64,
 }
 
 impl Default for EngineReport {
     fn default() -> Self {
-        Self { pace: 1.0, running: 0, waiting: 0, used_tokens: 0 }
+        Self { pace: 1.0, running: 0, waiting: 0, used_tokens: 0, born_ms: 0 }
     }
 }
 
--- a/clayplankd/src/control_door.rs
+++ b/clayplankd/src/control_door.rs
@@ -7,12 +7,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use clayplank_forward::{Directory, now_ms};
+use clayplank_forward::now_ms;
 use clayplank_registry::{Heartbeat, Standing};
 use clayplank_routes::ServingPlan;
 use clayplank_settings::Faults;
 use clayplank_state::{Body, PlanDocument, Reply};
-use clayplank_types::{HostId, UpstreamId};
+use clayplank_types::HostId;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -51,8 +51,8 @@
         /// Its registry.
         fleet: Arc<FleetKeeper>,
     },
-    /// On a host without a disk: what the keepers told it.
-    Followed(Arc<Directory>),
+    /// On a host without a disk: the keepers know them.
+    Followed,
 }
 
 /// What the door needs.
@@ -79,7 +79,7 @@
             Ok(ControlCall::Publish(plan)) => self.publish(&plan, &body).await,
             Ok(ControlCall::ReadPlan) => self.read_plan().await,
             Ok(ControlCall::Heartbeat(heartbeat)) => self.take_heartbeat(heartbeat).await,
-            Ok(ControlCall::Leave(id)) => self.take_leave(&id).await,
+            Ok(ControlCall::Leave(gone)) => self.take_leave(gone).await,
             Err(ControlFault::NotFound) => fault(StatusCode::NOT_FOUND, "no such call"),
             Err(ControlFault::Malformed(faults)) => malformed(&faults),
         }
@@ -149,12 +149,11 @@
         }
     }
 
-    async fn take_leave(&self, id: &UpstreamId) -> Answer {
+    async fn take_leave(&self, gone: Heartbeat) -> Answer {
         let gone = match &self.registered {
-            Registered::Kept { fleet, .. } => fleet.leave(id),
-            Registered::Followed(directory) => {
-                Heartbeat::gone(id, directory.record(id).map(|record| record.heartbeat))
-            }
+            Registered::Kept { fleet, .. } => fleet.leave(&gone),
+            // The keepers know which life it is.
+            Registered::Followed => gone,
         };
         self.tell_leader(&gone).await
     }
--- a/clayplankd/src/fleet_keeper.rs
+++ b/clayplankd/src/fleet_keeper.rs
@@ -156,8 +156,8 @@
     }
 
     /// Notes that an upstream left; returns what the other keepers have to know.
-    pub(crate) fn leave(&self, id: &UpstreamId) -> Heartbeat {
-        let gone = lock(&self.registry).leave(now_ms(), id);
+    pub(crate) fn leave(&self, gone: &Heartbeat) -> Heartbeat {
+        let gone = lock(&self.registry).leave(now_ms(), gone);
         log_standing(&gone);
         self.tell_news();
         gone
@@ -312,8 +312,15 @@
         suspects.into_iter().filter_map(|id| Some((id.clone(), address(&id)?))).collect()
     }
 
-    /// Takes in what an engine told of itself.
+    /// Takes in what an engine told of itself, unless another life of it answered.
     pub(crate) fn note_report(&self, id: &UpstreamId, report: &EngineReport) {
+        if !lock(&self.registry).confirm_life(now_ms(), id, report.born_ms) {
+            log::info!(target: part::KEEPER,
+                upstream = id.as_str(), answered_born_ms = report.born_ms;
+                "Another life of an upstream answered");
+            self.tell_news();
+            return;
+        }
         lock(&self.fleet).note_pace(fleet_now_ms(), id, report.pace);
     }
 
--- a/clayplankd/src/native.rs
+++ b/clayplankd/src/native.rs
@@ -5,7 +5,6 @@
 use clayplank_registry::Heartbeat;
 use clayplank_routes::ServingPlan;
 use clayplank_settings::Faults;
-use clayplank_types::UpstreamId;
 use http::{HeaderValue, Method, Request, Uri, header};
 use http_body_util::Full;
 use serde_json::{Value, json};
@@ -93,9 +92,9 @@
         Method::PUT => {
             let heartbeat: Heartbeat =
                 serde_json::from_slice(body).map_err(|error| malformed(&error))?;
-            Ok(ControlCall::Heartbeat(Heartbeat { id: UpstreamId::new(id), ..heartbeat }))
+            Ok(ControlCall::Heartbeat(heartbeat.named(id)))
         }
-        Method::DELETE => Ok(ControlCall::Leave(UpstreamId::new(id))),
+        Method::DELETE => Ok(ControlCall::Leave(Heartbeat::gone(id))),
         _ => Err(ControlFault::NotFound),
     }
 }
--- a/clayplankd/src/seeded.rs
+++ b/clayplankd/src/seeded.rs
@@ -89,10 +89,9 @@
         let fleet = settings.is_keeper().then(|| parts.new_fleet());
         if let Some(fleet) = &fleet {
             tokio::spawn(run_keeper_start(parts, Arc::clone(fleet), failed_sender));
-        } else if let (Some(control), Some(entry)) = (settings.listen.control, &entry) {
-            let registered = Registered::Followed(Arc::clone(&entry.directory));
+        } else if let (Some(control), Some(_)) = (settings.listen.control, &entry) {
             let spread = parts.new_spread();
-            parts.start_door(bind(control).await?, registered, spread);
+            parts.start_door(bind(control).await?, Registered::Followed, spread);
         }
         serve_metrics(metrics, move || {
             let of_entry = figures.as_ref().map(|figures| figures.to_text()).unwrap_or_default();
--- a/clayplankd/src/seeded_entry.rs
+++ b/clayplankd/src/seeded_entry.rs
@@ -26,8 +26,6 @@
 pub(crate) struct EntryHost {
     /// Whether it takes requests.
     pub(crate) gate: Arc<Gate>,
-    /// The upstreams that it knows.
-    pub(crate) directory: Arc<Directory>,
     /// What it counts.
     pub(crate) figures: Arc<Figures>,
     entry: Arc<Entry>,
@@ -72,12 +70,12 @@
             keepers: self.keepers.clone(),
             link,
             gate: Arc::clone(&gate),
-            directory: Arc::clone(&directory),
+            directory,
             entry: Arc::clone(&entry),
         }));
         tokio::spawn(serve_callers(callers, Arc::clone(&entry), closing));
         serve_readiness(readiness, Arc::clone(&self.contract), Arc::clone(&gate));
-        Ok(EntryHost { gate, directory, figures, entry })
+        Ok(EntryHost { gate, figures, entry })
     }
 }
 
--- a/clayplankd/src/seeded_keeper.rs
+++ b/clayplankd/src/seeded_keeper.rs
@@ -86,7 +86,7 @@
     pub(crate) fn start_door(self, control: TcpListener, registered: Registered, spread: Spread) {
         match &registered {
             Registered::Kept { .. } => tokio::spawn(run_spread(spread.clone())),
-            Registered::Followed(_) => tokio::spawn(run_spread_to_one(spread.clone())),
+            Registered::Followed => tokio::spawn(run_spread_to_one(spread.clone())),
         };
         let door = ControlDoor {
             own: self.own,
