--- a/clayplankd/tests/seeded/failover.rs
+++ b/clayplankd/tests/seeded/failover.rs
@@ -1,6 +1,10 @@
 //! How entry hosts come from a leader that is gone to the next one.
 
+use clayplank_placement::EngineModel;
+
 use crate::host::Host;
+use crate::promises::plan_with_engines;
+use crate::replacement::CATCH_UP;
 use crate::system::{Shape, System, wait_for};
 
 /// The keeper that told last that it leads.
@@ -59,3 +63,37 @@
 fn a_leader_that_is_paused_is_replaced_by_one_search_of_each_host() {
     lose_leader(true);
 }
+
+/// While the leader is silent, hosts ask its deputy for engines: one that is gone for good leaves
+/// each of them to choose alone, knowing nothing of the load of the others.
+#[test]
+fn a_keeper_that_is_gone_is_not_asked_in_place_of_the_leader() {
+    let mut system = System::start_as(Shape { keepers: 5, entries: 2, ..Shape::default() });
+    system.start_engine("e1", 31, EngineModel::default());
+    system.wait_for_plan(&plan_with_engines(2, &EngineModel::default()));
+    let short = [("x-clayplank-tokens", "2000,90")];
+    wait_for("an answer to a prompt", || {
+        system.send(0, "first", "/prompt/x", &short).status == 200
+    });
+    let first = leader(&system);
+    let deputy = (first + 1) % system.keepers.len();
+    let gone_ip = system.keepers[deputy].ip.to_string();
+    let first_ip = system.keepers[first].ip.to_string();
+    system.keepers[deputy].kill();
+    std::thread::sleep(CATCH_UP);
+
+    system.keepers[first].kill();
+    let has_next = |host: &Host| {
+        host.lines("Found the next leader").iter().any(|line| line["former"] == first_ip.as_str())
+    };
+    let mut number = 0;
+    wait_for("the next leader", || {
+        number += 1;
+        system.send(0, &format!("between-{number}"), "/prompt/x", &short);
+        has_next(&system.entries[0])
+    });
+    let unanswered = system.entries[0].lines("A keeper does not choose engines");
+    let of = |ip: &str| unanswered.iter().filter(|line| line["keeper"] == ip).count();
+    assert!(of(&first_ip) > 0, "prompts came while nobody led");
+    assert_eq!(of(&gone_ip), 0, "{unanswered:?}");
+}
