The leader names its deputy among the voters that answer it

Cause: the keeper that places while the leader is silent was counted off from all keepers ever known. One that was replaced, or is down, could be the next by name: the leader told it all placements, and when it fell silent itself, each host asked the one that was gone and then chose alone, knowing nothing of the load.

The test that failed passes.

--- a/clayplank-agreement/src/leader.rs
+++ b/clayplank-agreement/src/leader.rs
@@ -326,6 +326,15 @@
         }
     }
 
+    /// Whether a follower answered within the time after which a leader without a quorum steps down.
+    pub(crate) fn has_answered_lately(&self, now_ms: u64, id: &ReplicaId) -> bool {
+        let Role::Leader(leadership) = &self.role else {
+            return false;
+        };
+        let patience_ms = 2 * self.options.election_ms;
+        leadership.progress.get(id).is_some_and(|one| now_ms < one.heard_ms + patience_ms)
+    }
+
     /// Whether a follower has nearly all entries and answered lately.
     pub fn is_caught_up(&self, now_ms: u64, id: &ReplicaId) -> bool {
         let Role::Leader(leadership) = &self.role else {
--- a/clayplank-agreement/src/membership.rs
+++ b/clayplank-agreement/src/membership.rs
@@ -98,4 +98,16 @@
         let is_needed = voters.len() <= self.options.wanted_voters() && !has_heir;
         is_needed || voters.iter().all(|id| id.host != host)
     }
+
+    /// The voter after the leader in the order of names, among those that answered lately: whoever
+    /// stands in for a leader that falls silent. Only a leader names one.
+    pub fn deputy(&self, now_ms: u64) -> Option<&ReplicaId> {
+        if !self.is_leader() {
+            return None;
+        }
+        let answers = |id: &&ReplicaId| **id != self.id && self.has_answered_lately(now_ms, id);
+        let mut others = self.configuration.voters.iter().filter(answers);
+        let first = others.clone().next();
+        others.find(|id| **id > self.id).or(first)
+    }
 }
--- a/clayplankd/src/fleet_followers.rs
+++ b/clayplankd/src/fleet_followers.rs
@@ -88,5 +88,6 @@
         asks_digest: news.asks_digest,
         asks_known: news.asks_known.0,
         keepers: fleet.keepers().hosts().iter().map(ToString::to_string).collect(),
+        deputy: fleet.keepers().deputy().map_or_else(String::new, |host| host.to_string()),
     })
 }
--- a/clayplankd/src/following.rs
+++ b/clayplankd/src/following.rs
@@ -186,6 +186,8 @@
         self.gate.confirm(asked_ms);
         self.entry.set_hosts(followed.entry_hosts);
         self.keepers.learn(followed.keepers.iter().map(HostId::new));
+        let deputy = Some(&followed.deputy).filter(|host| !host.is_empty());
+        self.keepers.set_deputy(deputy.map(HostId::new));
         position.revision = delta.revision;
         position.cursor = changes.cursor;
         position.tells_digest = followed.asks_digest;
--- a/clayplankd/src/keeper_client.rs
+++ b/clayplankd/src/keeper_client.rs
@@ -57,6 +57,8 @@
 struct Known {
     hosts: Vec<HostId>,
     leader: Option<HostId>,
+    /// The keeper that the leader named last to place while it is silent itself.
+    deputy: Option<HostId>,
     /// When the leader last answered.
     answered_ms: u64,
 }
@@ -144,10 +146,17 @@
         lock(&self.known).leader.clone()
     }
 
-    /// The keeper that places while the leader is silent.
+    /// The keeper that places while the leader is silent: the one that the leader named. Counted off
+    /// from all keepers that were ever known, it was one that had been replaced, and each host
+    /// chose engines alone until another keeper led.
     pub(crate) fn deputy(&self) -> Option<HostId> {
         let known = lock(&self.known);
-        deputy_of(known.leader.as_ref()?, &known.hosts)
+        known.deputy.clone().filter(|deputy| Some(deputy) != known.leader.as_ref())
+    }
+
+    /// Takes in whom the leader names.
+    pub(crate) fn set_deputy(&self, deputy: Option<HostId>) {
+        lock(&self.known).deputy = deputy;
     }
 
     /// Who led when it was last heard, if that was within this time, in ms.
@@ -406,14 +415,6 @@
     }
 }
 
-/// The keeper that places while the leader is silent: the one after it in the order of names, so
-/// that all hosts and keepers have the same one in mind.
-pub(crate) fn deputy_of(leader: &HostId, keepers: &[HostId]) -> Option<HostId> {
-    let others = keepers.iter().filter(|host| *host != leader);
-    let after = others.clone().filter(|host| *host > leader).min();
-    after.or_else(|| others.min()).cloned()
-}
-
 /// The first leader that one of the keepers names that were asked.
 async fn first_found_within(
     patience: Duration,
--- a/clayplankd/src/keeper_messages.rs
+++ b/clayplankd/src/keeper_messages.rs
@@ -288,6 +288,26 @@
     }
 }
 
+/// Who places prompts: the leader, and who does so while it is silent, if this keeper leads.
+pub(crate) struct WhoPlaces;
+
+/// The keepers that place prompts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Placing {
+    pub(crate) leader: HostId,
+    pub(crate) deputy: Option<HostId>,
+}
+
+impl Handler<WhoPlaces> for Keeper {
+    type Return = Option<Placing>;
+
+    async fn handle(&mut self, _: WhoPlaces, _: &mut Context<Self>) -> Self::Return {
+        let leader = self.leader_host()?;
+        let deputy = self.replica.as_ref()?.deputy(now_ms());
+        Some(Placing { leader, deputy: deputy.map(|id| HostId::new(id.host.clone())) })
+    }
+}
+
 /// Waits until a leader speaks.
 pub(crate) struct FindLeader {
     /// How long to wait for it.
--- a/clayplankd/src/mirror.rs
+++ b/clayplankd/src/mirror.rs
@@ -18,8 +18,7 @@
 use crate::clock::now_ms;
 use crate::fleet_keeper::FleetKeeper;
 use crate::keeper::Keeper;
-use crate::keeper_client::deputy_of;
-use crate::keeper_messages::WhoLeads;
+use crate::keeper_messages::{Placing, WhoPlaces};
 use crate::lock::lock;
 use crate::logging::part;
 use crate::peers::Peers;
@@ -120,6 +119,15 @@
         News { placed: std::mem::take(&mut self.placed), events: std::mem::take(&mut self.events) }
     }
 
+    /// All that is held, for a deputy that was told nothing yet.
+    fn all_held(&mut self) -> News {
+        self.take_news();
+        News {
+            placed: self.held.values().map(|held| held.renewed.clone()).collect(),
+            events: Vec::new(),
+        }
+    }
+
     /// Forgets placements whose end was never told.
     fn prune(&mut self) {
         let now_ms = now_ms();
@@ -159,18 +167,25 @@
 ) {
     // The other keeper that leads and was given what is held here.
     let mut followed = None;
+    // The deputy that was given what is held here, while this keeper leads.
+    let mut told_deputy = None;
     loop {
         tokio::time::sleep(COLLECT).await;
-        let Ok(leader) = keeper.send(WhoLeads).await else {
+        let Ok(placing) = keeper.send(WhoPlaces).await else {
             return;
         };
-        let Some(leader) = leader else {
+        let Some(Placing { leader, deputy }) = placing else {
             continue;
         };
         let (to, news) = if leader == own {
             followed = None;
-            (deputy_of(&own, &fleet.keepers().hosts()), lock(fleet.mirror()).take_news())
+            fleet.keepers().set_deputy(deputy.clone());
+            let is_new = deputy.is_some() && told_deputy != deputy;
+            told_deputy.clone_from(&deputy);
+            let mut mirror = lock(fleet.mirror());
+            (deputy, if is_new { mirror.all_held() } else { mirror.take_news() })
         } else if followed.as_ref() != Some(&leader) {
+            told_deputy = None;
             followed = Some(leader.clone());
             (Some(leader), fleet.hand_over())
         } else {
