--- a/clayplankd/tests/seeded/replacement.rs
+++ b/clayplankd/tests/seeded/replacement.rs
@@ -89,3 +89,29 @@
     });
     assert_eq!(publish(&system.keepers[0], &plan(3)).status, 200);
 }
+
+/// Three keepers are there of those that two lost disks need: what only two of them hold would be
+/// lost with these two.
+#[test]
+fn a_plan_is_acknowledged_only_once_it_survives_the_losses_that_are_tolerated() {
+    let mut system = System::start();
+    for keeper in &mut system.keepers {
+        keeper.kill();
+        keeper.change_settings_file(|settings| {
+            settings["tolerated_losses"] = 2.into();
+            settings["is_first_start"] = false.into();
+        });
+        keeper.start();
+    }
+    system.wait_for_plan(&plan(2));
+    let leading = leader(&system);
+    let paused = (leading + 1) % system.keepers.len();
+    system.keepers[paused].signal("-STOP");
+    for _ in 0..3 {
+        let text = plan(3).to_string();
+        let answer = call(system.keepers[leading].control(), "PUT", "/v1/plan", &[], &text);
+        assert_eq!(answer.status, 503, "two disks hold it: {}", answer.text());
+    }
+    system.keepers[paused].signal("-CONT");
+    system.wait_for_plan(&plan(3));
+}
