Acknowledge a command once as many disks hold it as survive the tolerated losses

Cause: a quorum of three voters is two disks; where two may be lost, a plan that these two acknowledged could be. Class: a promise was tied to the members that are there, not to the losses that it names.

A reply waits until that many voters have synced its entry, or all, where there are fewer. With five voters a quorum is as many.

--- a/clayplank-agreement/src/leader.rs
+++ b/clayplank-agreement/src/leader.rs
@@ -279,6 +279,18 @@
         }
     }
 
+    /// How many voters have synced an entry, as far as the leader knows; none if another one leads.
+    pub fn copies(&self, index: u64) -> usize {
+        let Role::Leader(leadership) = &self.role else {
+            return 0;
+        };
+        let has_synced = |id: &&ReplicaId| match **id == self.id {
+            true => self.stable_index() >= index,
+            false => leadership.progress.get(*id).is_some_and(|one| one.matched_index >= index),
+        };
+        self.configuration.voters.iter().filter(has_synced).count()
+    }
+
     fn step_down_if_removed(&mut self, now_ms: u64) {
         let is_out = !self.configuration.voters.contains(&self.id);
         if is_out && self.configuration_index <= self.commit_index {
--- a/clayplankd/src/keeper.rs
+++ b/clayplankd/src/keeper.rs
@@ -3,12 +3,12 @@
 //! Messages change the replica; once the mailbox is empty, one write and one
 //! sync cover them all. Only then are messages sent and replies given.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use clayplank_agreement::{
     Entry, Envelope, Options, Payload, ReadId, Ready, Replica, Store, StoreError, StoredState,
 };
-use clayplank_state::{Command, Machine, PlanDocument, decode};
+use clayplank_state::{Command, Machine, PlanDocument, Reply, decode};
 use clayplank_types::HostId;
 use tokio::sync::{mpsc, oneshot, watch};
 use xtra::Context;
@@ -49,6 +49,13 @@
     pub(crate) reply: oneshot::Sender<Executed>,
 }
 
+/// A command that is applied, and not yet on as many disks as its acknowledgement promises.
+struct ThinCommand {
+    index: u64,
+    reply: Reply,
+    to: oneshot::Sender<Executed>,
+}
+
 /// Somebody who waits for a leader to speak.
 pub(crate) struct PendingLeader {
     pub(crate) asked_ms: u64,
@@ -68,6 +75,8 @@
     pub(crate) machine: Machine,
     applied_index: u64,
     pub(crate) commands: BTreeMap<u64, PendingCommand>,
+    /// Commands that wait for more copies, the oldest first.
+    thin: VecDeque<ThinCommand>,
     pub(crate) watches: Vec<PendingWatch>,
     pub(crate) leader_watches: Vec<PendingLeader>,
     reads: HashMap<ReadId, Vec<PendingWatch>>,
@@ -88,18 +97,24 @@
     pub(crate) compact_bytes: u64,
     /// Voters that a plan waits for, so that it survives the losses that are tolerated.
     pub(crate) wanted_voters: usize,
+    /// Disks that a command has to be on before it is acknowledged, if there are as many voters.
+    wanted_copies: usize,
 }
 
 impl Default for Sizing {
     fn default() -> Self {
-        Self { compact_bytes: COMPACT_BYTES, wanted_voters: 0 }
+        Self { compact_bytes: COMPACT_BYTES, wanted_voters: 0, wanted_copies: 0 }
     }
 }
 
 impl Sizing {
     /// For a log of whole plans that survives the loss of `losses` disks.
     pub(crate) fn of_plans(losses: usize) -> Self {
-        Self { compact_bytes: COMPACT_PLANS_BYTES, wanted_voters: 2 * losses + 1 }
+        Self {
+            compact_bytes: COMPACT_PLANS_BYTES,
+            wanted_voters: 2 * losses + 1,
+            wanted_copies: losses + 1,
+        }
     }
 }
 
@@ -122,6 +137,7 @@
             machine: Machine::default(),
             applied_index: 0,
             commands: BTreeMap::new(),
+            thin: VecDeque::new(),
             watches: Vec::new(),
             leader_watches: Vec::new(),
             reads: HashMap::new(),
@@ -184,6 +200,7 @@
                 return;
             }
         }
+        self.answer_spread_commands();
         self.log.tell(self.replica.as_ref(), now_ms());
         self.answer_leader_watches();
         self.compact_if_large().await;
@@ -284,13 +301,33 @@
             }
             Payload::Empty | Payload::Configuration(_) => None,
         };
-        if let Some(pending) = self.commands.remove(&entry.index) {
-            let executed = match reply {
-                Some(reply) if pending.term == entry.term => Executed::Reply(reply),
-                // Another leader's entry took this place: ours is gone.
-                Some(_) | None => Executed::NotLeader(self.leader_host()),
-            };
-            pending.reply.send(executed).ok();
+        let Some(pending) = self.commands.remove(&entry.index) else {
+            return;
+        };
+        match reply {
+            Some(reply) if pending.term == entry.term => {
+                self.thin.push_back(ThinCommand { index: entry.index, reply, to: pending.reply });
+            }
+            // Another leader's entry took this place: ours is gone.
+            Some(_) | None => {
+                pending.reply.send(Executed::NotLeader(self.leader_host())).ok();
+            }
+        }
+    }
+
+    /// Acknowledges the commands that are on as many disks as the losses that are tolerated ask
+    /// for. A quorum is enough where all voters are there that these losses need; of three
+    /// voters, where two disks may be lost, it is two, and what they acknowledge could be lost.
+    fn answer_spread_commands(&mut self) {
+        let Some(replica) = &self.replica else {
+            return;
+        };
+        let wanted = self.sizing.wanted_copies.min(replica.configuration().voters.len());
+        while let Some(oldest) = self.thin.front()
+            && replica.copies(oldest.index) >= wanted
+            && let Some(ThinCommand { reply, to, .. }) = self.thin.pop_front()
+        {
+            to.send(Executed::Reply(reply)).ok();
         }
     }
 
@@ -362,6 +399,9 @@
         for (_, pending) in std::mem::take(&mut self.commands) {
             pending.reply.send(Executed::Unknown).ok();
         }
+        for ThinCommand { to, .. } in std::mem::take(&mut self.thin) {
+            to.send(Executed::Unknown).ok();
+        }
         let hint = self.leader_host();
         let reading = std::mem::take(&mut self.reads).into_values().flatten();
         for watch in std::mem::take(&mut self.watches).into_iter().chain(reading) {
