--- a/clayplank-forward/tests/parts.rs
+++ b/clayplank-forward/tests/parts.rs
@@ -149,3 +149,32 @@
     gate.wait_for_first_plan(patience).await;
     assert_eq!(later.elapsed(), Duration::ZERO, "a host that has lost its plan refuses at once");
 }
+
+/// A record of a life of `u` that began at `born_ms`.
+fn life(born_ms: u64, standing: Standing) -> Record {
+    let record = record("u", "a", standing, 1);
+    Record { heartbeat: Heartbeat { born_ms, ..record.heartbeat }.named("u"), ..record }
+}
+
+/// A keeper that has just begun to lead may know the later life alone.
+#[test]
+fn a_later_life_ends_the_former_ones_also_if_nobody_says_so() {
+    let directory = Directory::default();
+    let own = DataCentre::new("a");
+    directory.apply(vec![life(100, Standing::Ready)]);
+    directory.apply(vec![life(200, Standing::Ready)]);
+    directory.apply(vec![life(100, Standing::Draining), life(100, Standing::Ready)]);
+    let chosen = directory.choose("app", &own, &[]).unwrap().heartbeat;
+    assert_eq!(chosen.born_ms, 200);
+    assert_eq!(directory.find("u"), Some(chosen.id.clone()));
+    assert!(directory.choose("app", &own, &[chosen.id]).is_none(), "the former one has ended");
+}
+
+#[test]
+fn a_life_that_left_leaves_room_for_one_whose_clock_was_set_back() {
+    let directory = Directory::default();
+    directory.apply(vec![life(200, Standing::Ready)]);
+    directory.apply(vec![life(200, Standing::Gone), life(100, Standing::Ready)]);
+    let chosen = directory.choose("app", &DataCentre::new("a"), &[]).unwrap().heartbeat;
+    assert_eq!(chosen.born_ms, 100);
+}
--- a/clayplank-registry/src/heartbeat.rs
+++ b/clayplank-registry/src/heartbeat.rs
@@ -89,7 +89,7 @@
 }
 
 /// All ids that lives of this name may have, but for the one of a life without a time of start.
-pub(crate) fn life_ids(name: &str) -> Range<UpstreamId> {
+pub fn life_ids(name: &str) -> Range<UpstreamId> {
     let bound = |mark| UpstreamId::new(format!("{name}{mark}"));
     bound(LIFE_MARK)..bound(AFTER_LIFE_MARK)
 }
--- a/clayplank-registry/src/lib.rs
+++ b/clayplank-registry/src/lib.rs
@@ -27,5 +27,5 @@
 mod registry;
 
 pub use digest::{Buckets, Digest};
-pub use heartbeat::{Heartbeat, Standing};
+pub use heartbeat::{Heartbeat, Standing, life_ids};
 pub use registry::{Changes, Cursor, Record, Registry};
