--- a/clayplank-forward/src/directory.rs
+++ b/clayplank-forward/src/directory.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use clayplank_registry::{Buckets, Digest, Heartbeat, Record, Standing};
+use clayplank_registry::{Buckets, Digest, Heartbeat, Record, Standing, life_ids};
 use clayplank_types::{DataCentre, UpstreamId};
 
 use crate::clock::now_ms;
@@ -26,22 +26,56 @@
 }
 
 impl Inner {
-    /// Takes a record in, unless its upstream left or something newer is known; whether it did.
-    fn take_in(&mut self, record: &Record) -> bool {
+    /// Takes a record in, unless its upstream left or something newer is known; tells all records
+    /// that are changed by it.
+    fn take_in(&mut self, record: Record, changed: &mut Vec<Record>) {
         let id = record.heartbeat.id.clone();
         let leaves = record.heartbeat.standing == Standing::Gone;
         if let Some(held) = self.records.get(&id) {
             let is_gone = held.heartbeat.standing == Standing::Gone;
             let is_older = record.heartbeat.sequence < held.heartbeat.sequence;
             if is_gone || (is_older && !leaves) {
-                return false;
+                return;
             }
         }
         if leaves {
             self.gone_at_ms.insert(id.clone(), now_ms());
+        } else if self.has_later_life(&record.heartbeat) {
+            return;
+        } else {
+            changed.extend(self.end_former_lives(&record.heartbeat));
         }
         self.records.insert(id, record.clone());
-        true
+        changed.push(record);
+    }
+
+    /// The lives of an upstream that have not left.
+    fn running_lives(&self, name: &str) -> impl Iterator<Item = &Heartbeat> {
+        let without_start = self.records.get(&UpstreamId::new(name));
+        let with_start = self.records.range(life_ids(name)).map(|(_, record)| record);
+        let lives = without_start.into_iter().chain(with_start).map(|record| &record.heartbeat);
+        lives.filter(|one| one.standing != Standing::Gone)
+    }
+
+    fn has_later_life(&self, heartbeat: &Heartbeat) -> bool {
+        self.running_lives(&heartbeat.name).any(|one| one.born_ms > heartbeat.born_ms)
+    }
+
+    /// Ends the former lives of an upstream: a keeper that has just begun to lead may know the
+    /// later one alone, and would never say that they have ended. Returns their records.
+    fn end_former_lives(&mut self, later: &Heartbeat) -> Vec<Record> {
+        let lives = self.running_lives(&later.name);
+        let former: Vec<_> =
+            lives.filter(|one| one.born_ms < later.born_ms).map(|one| one.id.clone()).collect();
+        let mut ended = Vec::new();
+        for id in former {
+            self.gone_at_ms.insert(id.clone(), now_ms());
+            if let Some(record) = self.records.get_mut(&id) {
+                record.heartbeat.standing = Standing::Gone;
+                ended.push(record.clone());
+            }
+        }
+        ended
     }
 
     /// Forgets upstreams that left long ago, and what was seen of them.
@@ -70,12 +104,13 @@
     }
 
     /// Takes changes in. A whole list does not remove what it lacks: a keeper
-    /// that has just started knows less than this host. Returns what was taken in.
-    pub fn apply(&self, mut records: Vec<Record>) -> Vec<Record> {
+    /// that has just started knows less than this host. Returns what has changed.
+    pub fn apply(&self, records: Vec<Record>) -> Vec<Record> {
         let mut inner = self.lock();
-        records.retain(|record| inner.take_in(record));
+        let mut changed = Vec::new();
+        records.into_iter().for_each(|record| inner.take_in(record, &mut changed));
         inner.forget_gone(now_ms());
-        records
+        changed
     }
 
     /// What is known, in a few numbers.
--- a/clayplankd/src/control_door.rs
+++ b/clayplankd/src/control_door.rs
@@ -29,6 +29,9 @@
 /// The largest plan, in bytes; the platform's callers keep below four megabytes.
 const MAX_BODY_BYTES: usize = 8 << 20;
 
+/// The most that a line of the log tells of what is wrong with a call, in characters.
+const MAX_TOLD_CHARS: usize = 300;
+
 /// Time for the keepers to take a plan, or to confirm one: callers move on after about a second.
 const PATIENCE: Duration = Duration::from_millis(900);
 
@@ -187,7 +190,9 @@
 }
 
 fn malformed(faults: &Faults) -> Answer {
-    log::info!(target: part::KEEPER, faults:% = faults; "A call was refused");
+    // What is wrong may quote the body, which may be of any length.
+    let told: String = faults.to_string().chars().take(MAX_TOLD_CHARS).collect();
+    log::info!(target: part::KEEPER, faults = told; "A call was refused");
     let body = serde_json::json!({ "error": "the body is wrong", "faults": faults });
     json(StatusCode::BAD_REQUEST, Bytes::from(body.to_string()))
 }
