--- a/clayplank-agreement/src/election.rs
+++ b/clayplank-agreement/src/election.rs
@@ -6,7 +6,8 @@
 use crate::leader::Leadership;
 use crate::log::{EntryId, Payload};
 use crate::message::Message;
-use crate::replica::{HardState, Replica, Role};
+use crate::replica::{Replica, Role};
+use crate::stored::HardState;
 
 impl Replica {
     pub(crate) fn start_pre_vote(&mut self, now_ms: u64) {
--- a/clayplank-agreement/src/leader.rs
+++ b/clayplank-agreement/src/leader.rs
@@ -6,7 +6,8 @@
 use crate::log::EntryId;
 use crate::membership::Health;
 use crate::message::{AppendResult, Message};
-use crate::replica::{NotLeader, ReadId, Replica, Role};
+use crate::ready::ReadId;
+use crate::replica::{NotLeader, Replica, Role};
 
 /// Entries that may be under way to a follower without an answer.
 const MAX_ENTRIES_UNDER_WAY: u64 = 4_096;
--- a/clayplank-agreement/src/lib.rs
+++ b/clayplank-agreement/src/lib.rs
@@ -27,20 +27,25 @@
 mod bootstrap;
 mod configuration;
 mod election;
+mod follower;
 mod leader;
 mod log;
 mod membership;
 mod message;
+mod options;
+mod ready;
 mod record;
 mod replica;
 mod store;
+mod stored;
 
 pub use bootstrap::{BlankKeeper, Introduction, Join, plan_join};
 pub use configuration::{Change, Configuration, ReplicaId};
 pub use log::{Entry, EntryId, Payload, Snapshot};
 pub use message::{AppendResult, Envelope, Message};
+pub use options::Options;
+pub use ready::{ReadId, Ready, Written};
 pub use record::UnfitRecord;
-pub use replica::{
-    HardState, NotLeader, Options, ProposeError, ReadId, Ready, Replica, StoredState, Written,
-};
+pub use replica::{NotLeader, ProposeError, Replica};
 pub use store::{Identity, Notes, Store, StoreError};
+pub use stored::{HardState, StoredState};
--- a/clayplank-agreement/src/membership.rs
+++ b/clayplank-agreement/src/membership.rs
@@ -5,15 +5,7 @@
 //! them gone, four decide, and the loss of two disks leaves three.
 
 use crate::configuration::{Change, Configuration, ReplicaId};
-use crate::replica::{Options, Replica};
-
-impl Options {
-    /// As many voters as survive the losses that are tolerated; more are kept while all of them
-    /// answer. Three at least: of fewer, one that is lost stops the others.
-    fn wanted_voters(&self) -> usize {
-        2 * self.tolerated_losses.max(1) + 1
-    }
-}
+use crate::replica::Replica;
 
 /// What the leader knows of a member.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/clayplank-agreement/src/replica.rs
+++ b/clayplank-agreement/src/replica.rs
@@ -5,126 +5,14 @@
 
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use serde::{Deserialize, Serialize};
 
 use crate::configuration::{Change, Configuration, ReplicaId};
 use crate::leader::Leadership;
 use crate::log::{Entry, EntryId, Log, Payload, Snapshot};
-use crate::message::{AppendResult, Envelope, Message};
-
-/// Settings of a replica.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Options {
-    /// A follower that hears nothing for this long, up to twice this long, asks for an election.
-    pub election_ms: u64,
-    /// Between two heartbeats of a leader.
-    pub heartbeat_ms: u64,
-    /// The most entries in one message.
-    pub max_batch_entries: usize,
-    /// Entries kept before a snapshot, for slow followers.
-    pub keep_entries: u64,
-    /// Beyond the voters that are needed, one that is silent for this long is taken out; `None`
-    /// where places are fixed by name.
-    pub replace_silent_ms: Option<u64>,
-    /// How many replicas may be lost at once.
-    pub tolerated_losses: usize,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        Self {
-            election_ms: 600,
-            heartbeat_ms: 100,
-            max_batch_entries: 256,
-            keep_entries: 1_000,
-            replace_silent_ms: None,
-            tolerated_losses: 1,
-        }
-    }
-}
-
-/// What must be on disk before a replica speaks of it.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HardState {
-    /// The newest term that was seen.
-    pub term: u64,
-    /// Whom it voted for in that term.
-    pub vote: Option<ReplicaId>,
-}
-
-/// What a replica starts from.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct StoredState {
-    /// Term and vote.
-    pub hard_state: HardState,
-    /// The newest snapshot.
-    pub snapshot: Snapshot,
-    /// Entries after it.
-    pub entries: Vec<Entry>,
-}
-
-impl StoredState {
-    /// The common start of the first replicas of a log.
-    pub fn genesis(configuration: Configuration, data: Vec<u8>) -> Self {
-        let last = EntryId { term: 1, index: 1 };
-        let snapshot = Snapshot { last, configuration, data };
-        Self { hard_state: HardState { term: 1, vote: None }, snapshot, entries: Vec::new() }
-    }
-
-    /// The start of a replica that joins an existing log.
-    pub fn blank() -> Self {
-        Self::default()
-    }
-}
-
-/// Up to where a write reaches.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Written {
-    last: Option<EntryId>,
-}
-
-/// What the caller has to carry out, in the order of the fields.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Ready {
-    /// Write this.
-    pub hard_state: Option<HardState>,
-    /// Write this, and drop all entries.
-    pub installed: Option<Arc<Snapshot>>,
-    /// Write these; they replace all entries from the first one's index on.
-    pub entries: Vec<Entry>,
-    /// Once all that is synced, send these.
-    pub messages: Vec<Envelope>,
-    /// Apply these, after `installed` if there is one.
-    pub committed: Vec<Entry>,
-    /// Answer these reads once the entry was applied.
-    pub reads: Vec<(ReadId, u64)>,
-}
-
-impl Ready {
-    /// Whether something has to be synced.
-    pub fn must_sync(&self) -> bool {
-        self.hard_state.is_some() || self.installed.is_some() || !self.entries.is_empty()
-    }
-
-    /// Whether there is nothing to do.
-    pub fn is_empty(&self) -> bool {
-        !self.must_sync()
-            && self.messages.is_empty()
-            && self.committed.is_empty()
-            && self.reads.is_empty()
-    }
-
-    /// What to tell the replica once the write is synced.
-    pub fn last_written(&self) -> Written {
-        let entry =
-            self.entries.last().map(|entry| EntryId { term: entry.term, index: entry.index });
-        Written { last: entry.or(self.installed.as_ref().map(|snapshot| snapshot.last)) }
-    }
-}
-
-/// Names a read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ReadId(pub u64);
+use crate::message::{Envelope, Message};
+use crate::options::Options;
+use crate::ready::{ReadId, Ready, Written};
+use crate::stored::{HardState, StoredState};
 
 /// Only the leader can do this.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -174,13 +62,13 @@
     pub(crate) messages: Vec<Envelope>,
     pub(crate) reads: Vec<(ReadId, u64)>,
     /// Up to here entries are synced.
-    stable_index: u64,
+    pub(crate) stable_index: u64,
     /// Up to here entries were handed out to be written.
-    handed_index: u64,
+    pub(crate) handed_index: u64,
     /// Up to here entries were handed out to be applied.
-    applied_index: u64,
+    pub(crate) applied_index: u64,
     is_hard_state_dirty: bool,
-    installed: Option<Arc<Snapshot>>,
+    pub(crate) installed: Option<Arc<Snapshot>>,
     rng: SmallRng,
 }
 
@@ -407,65 +295,6 @@
         self.election_due_ms = now_ms + self.rng.random_range(election_ms..=2 * election_ms);
     }
 
-    /// Accepts the sender as leader; answers one of an old term with the new one.
-    fn follow(&mut self, now_ms: u64, from: &ReplicaId, term: u64, read_round: u64) -> bool {
-        if term < self.hard_state.term {
-            // The sender steps down when it sees the term; the rest does not matter to it.
-            let result = AppendResult::Rejected { previous_index: 0, hint_index: 0 };
-            self.send(
-                from.clone(),
-                Message::AppendReply { term: self.hard_state.term, result, read_round },
-            );
-            return false;
-        }
-        assert!(!self.is_leader(), "one leader a term");
-        self.become_follower(now_ms, term, Some(from.clone()));
-        self.heard_leader_ms = now_ms;
-        true
-    }
-
-    fn append_entries(
-        &mut self,
-        from: ReplicaId,
-        previous: EntryId,
-        entries: Vec<Entry>,
-        leader_commit_index: u64,
-        read_round: u64,
-    ) {
-        let fits = previous.index < self.log.before_first_index()
-            || self.log.term_at(previous.index) == Some(previous.term);
-        let result = match fits {
-            true => {
-                let index = previous.index + entries.len() as u64;
-                entries.into_iter().for_each(|entry| self.append_received(entry));
-                // Only what is known to agree with the leader's log is committed.
-                self.advance_commit(leader_commit_index.min(index));
-                AppendResult::Matched { index }
-            }
-            false => AppendResult::Rejected {
-                previous_index: previous.index,
-                hint_index: self.log.hint_below(previous.index),
-            },
-        };
-        self.send(from, Message::AppendReply { term: self.hard_state.term, result, read_round });
-    }
-
-    fn append_received(&mut self, entry: Entry) {
-        if entry.index <= self.log.before_first_index()
-            || self.log.term_at(entry.index) == Some(entry.term)
-        {
-            return;
-        }
-        if entry.index <= self.log.last().index {
-            assert!(entry.index > self.commit_index, "committed entries are never replaced");
-            self.log.truncate_from(entry.index);
-            self.stable_index = self.stable_index.min(entry.index - 1);
-            self.handed_index = self.handed_index.min(entry.index - 1);
-            self.reload_configuration();
-        }
-        self.append(entry);
-    }
-
     pub(crate) fn append(&mut self, entry: Entry) {
         if let Payload::Configuration(configuration) = &entry.payload {
             self.configuration = configuration.clone();
@@ -474,26 +303,7 @@
         self.log.push(entry);
     }
 
-    fn install(&mut self, from: ReplicaId, snapshot: Arc<Snapshot>, read_round: u64) {
-        let last = snapshot.last;
-        if last.index > self.commit_index {
-            if self.log.term_at(last.index) != Some(last.term) {
-                self.log.install(Arc::clone(&snapshot));
-                self.stable_index = last.index;
-                self.handed_index = last.index;
-                self.commit_index = last.index;
-                self.applied_index = last.index;
-                self.installed = Some(snapshot);
-                self.reload_configuration();
-            } else {
-                self.advance_commit(last.index);
-            }
-        }
-        let result = AppendResult::Matched { index: last.index };
-        self.send(from, Message::AppendReply { term: self.hard_state.term, result, read_round });
-    }
-
-    fn reload_configuration(&mut self) {
+    pub(crate) fn reload_configuration(&mut self) {
         let (configuration, index) = self.log.configuration();
         self.configuration = configuration.clone();
         self.configuration_index = index;
--- a/clayplank-agreement/src/store.rs
+++ b/clayplank-agreement/src/store.rs
@@ -11,8 +11,9 @@
 
 use crate::configuration::{Configuration, ReplicaId};
 use crate::log::{Entry, Snapshot};
+use crate::ready::Ready;
 use crate::record::{Found, UnfitRecord, has_record_after, put_record, scan_record};
-use crate::replica::{HardState, Ready, StoredState};
+use crate::stored::{HardState, StoredState};
 
 const IDENTITY_FILE: &str = "identity";
 const SNAPSHOT_FILE: &str = "snapshot";
