--- a/clayplank-registry/src/heartbeat.rs
+++ b/clayplank-registry/src/heartbeat.rs
@@ -82,6 +82,11 @@
         Self { id, name: name.to_owned(), ..self }
     }
 
+    /// Whether something can be reached at the address that it tells.
+    pub fn is_reachable(&self) -> bool {
+        self.address.port() != 0 && !self.address.ip().is_unspecified()
+    }
+
     /// What tells that an upstream left which does not say in which life: the newest, as a rule.
     pub fn gone(name: &str) -> Self {
         Self { standing: Standing::Gone, ..Self::default() }.named(name)
--- a/clayplankd/src/contract.rs
+++ b/clayplankd/src/contract.rs
@@ -24,6 +24,21 @@
     Leave(Heartbeat),
 }
 
+impl ControlCall {
+    /// A heartbeat of an upstream that can be reached.
+    ///
+    /// # Errors
+    /// Its address names no host, or no port: nothing could be sent there.
+    pub fn of_heartbeat(heartbeat: Heartbeat) -> Result<Self, ControlFault> {
+        if heartbeat.is_reachable() {
+            return Ok(Self::Heartbeat(heartbeat));
+        }
+        let mut faults = Faults::default();
+        faults.push("/address", format!("nothing can be reached at {}", heartbeat.address));
+        Err(ControlFault::Malformed(faults))
+    }
+}
+
 /// What an engine tells of itself when it is asked. Read as it stands under the project's own
 /// contract; what is missing is usual, and other fields are passed over.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
--- a/clayplankd/src/native.rs
+++ b/clayplankd/src/native.rs
@@ -92,7 +92,7 @@
         Method::PUT => {
             let heartbeat: Heartbeat =
                 serde_json::from_slice(body).map_err(|error| malformed(&error))?;
-            Ok(ControlCall::Heartbeat(heartbeat.named(id)))
+            ControlCall::of_heartbeat(heartbeat.named(id))
         }
         Method::DELETE => Ok(ControlCall::Leave(Heartbeat::gone(id))),
         _ => Err(ControlFault::NotFound),
