Tests that fail: hosts that are told of entry hosts alone find no keeper

The platform tells a host of three others that answer operators, after the first start any three. The line Started names the seeds.

--- a/clayplankd/src/seeded.rs
+++ b/clayplankd/src/seeded.rs
@@ -100,7 +100,8 @@
         });
         log::info!(target: part::DAEMON,
             name = settings.name, role:? = settings.role, keeper = settings.is_keeper(),
-            is_first_start = settings.is_first_start;
+            is_first_start = settings.is_first_start,
+            seeds = seed_hosts(&settings).map(|seed| seed.to_string()).collect::<Vec<_>>().join(" ");
             "Started");
         Ok(Self { settings, keepers, entry, closing, failed })
     }
--- a/clayplankd/tests/seeded/replacement.rs
+++ b/clayplankd/tests/seeded/replacement.rs
@@ -115,3 +115,53 @@
     system.keepers[paused].signal("-CONT");
     system.wait_for_plan(&plan(3));
 }
+
+/// A host is told of three others at most, which need not be keepers, and may be those that serve
+/// callers alone.
+fn tell_of_entry_hosts_alone(system: &System, keeper: &Host) {
+    let doors: Vec<_> = system.entries.iter().map(Host::control).collect();
+    keeper.change_settings_file(|settings| {
+        settings["seeds"] = doors.iter().map(ToString::to_string).collect();
+        settings["is_first_start"] = false.into();
+    });
+}
+
+fn with_doors() -> System {
+    let has_doors = Shape { keepers: 3, entries: 3, all_serve: true, ..Shape::default() };
+    System::start_as(has_doors)
+}
+
+/// What users saw: after a replacement, and after a lost disk, a keeper logged `Started` and no
+/// more. It was told of entry hosts, which did not answer other hosts at all.
+#[test]
+fn a_keeper_that_is_told_of_entry_hosts_alone_finds_the_others() {
+    let mut system = with_doors();
+    wait_for("three voters", || system.keepers.iter().all(votes));
+    system.keepers[2].kill();
+    std::fs::remove_dir_all(&system.keepers[2].data).unwrap();
+    std::fs::remove_file(system.keepers[2].settings.with_extension("log")).unwrap();
+    tell_of_entry_hosts_alone(&system, &system.keepers[2]);
+    system.keepers[2].start();
+    wait_for("a keeper with an empty disk that votes", || votes(&system.keepers[2]));
+}
+
+/// All of those that the hosts are told of have just started and know nothing themselves.
+#[test]
+fn hosts_that_are_told_of_entry_hosts_alone_find_the_keepers() {
+    let mut system = with_doors();
+    for host in system.entries.iter().chain(&system.keepers) {
+        tell_of_entry_hosts_alone(&system, host);
+    }
+    let all = system.entries.iter_mut().chain(&mut system.keepers);
+    all.for_each(|host| {
+        host.kill();
+        host.start();
+    });
+    system.beat_until_served();
+    // Now those that serve callers alone.
+    system.entries.iter_mut().for_each(|host| {
+        host.kill();
+        host.start();
+    });
+    system.beat_until_served();
+}
