Every seeded host names the keepers that it knows to whoever asks

Cause: a host is told of three others that answer operators, after the first start any three, and entry hosts answer operators too. Class: a place that others are sent to does not know what they come for.

Entry hosts answer introductions and questions for the leader with the keepers that they know; keepers make themselves known to the hosts that they were told of, each second.

--- a/clayplankd/src/daemon.rs
+++ b/clayplankd/src/daemon.rs
@@ -127,6 +127,7 @@
             keeper,
             membership: Some(membership.clone()),
             peers,
+            keepers: None,
             fleet: None,
             spread: None,
         };
--- a/clayplankd/src/inner.rs
+++ b/clayplankd/src/inner.rs
@@ -28,6 +28,7 @@
 use crate::fleet_followers::answer_follower;
 use crate::fleet_keeper::FleetKeeper;
 use crate::keeper::{Keeper, KeeperAddress};
+use crate::keeper_client::KeeperClient;
 use crate::keeper_messages::{
     Execute, Executed, FindLeader, Inspect, Introduce, MayStop, Step, Stopping, WATCH_WAIT_MS,
     Watch, Watched,
@@ -49,6 +50,8 @@
     /// `None` on hosts that find each other from seeds.
     pub(crate) membership: Option<Address<Membership>>,
     pub(crate) peers: Peers,
+    /// Keepers that a seeded host knows: it names them to whoever asks, also if it is none.
+    pub(crate) keepers: Option<KeeperClient>,
     /// The registry and the fleet of a seeded keeper.
     pub(crate) fleet: Option<Arc<FleetKeeper>>,
     /// What passes heartbeats on from a seeded keeper.
@@ -66,6 +69,11 @@
         self.fleet.as_ref().ok_or_else(|| Status::unimplemented("not a seeded keeper"))
     }
 
+    fn known_keepers(&self) -> Vec<String> {
+        let hosts = self.keepers.as_ref().map(KeeperClient::hosts).unwrap_or_default();
+        hosts.iter().map(ToString::to_string).collect()
+    }
+
     fn keeper(&self) -> Result<&Address<Keeper>, Status> {
         self.keeper.as_ref().ok_or_else(|| Status::unimplemented("not a keeper"))
     }
@@ -163,11 +171,18 @@
 
     async fn introduce(&self, request: Request<IntroduceRequest>) -> Answer<IntroduceReply> {
         let replica: ReplicaId = decode(&request.into_inner().replica).map_err(malformed)?;
-        let introduction = self.keeper()?.send(Introduce(replica)).await.map_err(gone)?;
-        let introduction = introduction.ok_or_else(|| Status::unavailable("the keeper is busy"))?;
-        Ok(Response::new(IntroduceReply {
-            introduction: encode(&introduction).map_err(malformed)?,
-        }))
+        if let Some(keepers) = &self.keepers {
+            keepers.learn([HostId::new(replica.host.clone())]);
+        }
+        let introduction = match &self.keeper {
+            Some(keeper) => {
+                let told = keeper.send(Introduce(replica)).await.map_err(gone)?;
+                let told = told.ok_or_else(|| Status::unavailable("the keeper is busy"))?;
+                encode(&told).map_err(malformed)?
+            }
+            None => Vec::new(),
+        };
+        Ok(Response::new(IntroduceReply { introduction, keepers: self.known_keepers() }))
     }
 
     async fn stopping(&self, request: Request<StoppingRequest>) -> Answer<StoppingReply> {
@@ -208,10 +223,12 @@
 
     async fn find_leader(&self, request: Request<FindLeaderRequest>) -> Answer<FindLeaderReply> {
         let find = FindLeader { wait_ms: request.into_inner().wait_ms };
-        let found = self.keeper()?.send(find).await.map_err(gone)?;
-        let leader = found.await.map_err(gone)?;
-        let leader_host = leader.map_or_else(String::new, |host| host.to_string());
-        Ok(Response::new(FindLeaderReply { leader_host }))
+        let leader = match &self.keeper {
+            Some(keeper) => keeper.send(find).await.map_err(gone)?.await.map_err(gone)?,
+            None => None,
+        };
+        let leader_host = hint_text(leader);
+        Ok(Response::new(FindLeaderReply { leader_host, keepers: self.known_keepers() }))
     }
 
     async fn place(&self, request: Request<PlaceRequest>) -> Answer<PlaceReply> {
--- a/clayplankd/src/keeper_client.rs
+++ b/clayplankd/src/keeper_client.rs
@@ -201,7 +201,10 @@
             .call(keeper, patience, |mut client| async move { client.find_leader(request).await })
             .await;
         match answer {
-            Ok(reply) => Some(reply.leader_host).filter(|host| !host.is_empty()).map(HostId::new),
+            Ok(reply) => {
+                self.learn(reply.keepers.into_iter().map(HostId::new));
+                Some(reply.leader_host).filter(|host| !host.is_empty()).map(HostId::new)
+            }
             Err(error) => {
                 log::debug!(target: part::KEEPER, "A keeper does not say who leads: {error}.");
                 None
--- a/clayplankd/src/keeper_join.rs
+++ b/clayplankd/src/keeper_join.rs
@@ -25,6 +25,10 @@
 /// Between two introductions of a keeper that does not vote yet.
 const INTRODUCE_EVERY: Duration = Duration::from_millis(300);
 
+/// The same of one that votes, to hosts that are no keepers: they name it to whoever is told of
+/// them alone. A host that has just started knows of no keeper until then.
+const ANNOUNCE_EVERY: Duration = Duration::from_secs(1);
+
 /// Time for another keeper to answer an introduction.
 const INTRODUCE_PATIENCE: Duration = Duration::from_millis(500);
 
@@ -94,12 +98,21 @@
         others
     }
 
-    fn learn(&self, stand: &Stand, answers: &BTreeMap<String, Introduction>) {
+    /// Hosts that this keeper was told of when it started, and that are no keepers as far as it
+    /// knows.
+    fn strangers(&self, stand: &Stand) -> Vec<HostId> {
+        let is_seeded = self.keepers.is_some();
+        let seeds = self.seeds.iter().filter(|host| is_seeded && !stand.members.contains(host));
+        seeds.cloned().collect()
+    }
+
+    fn learn(&self, stand: &Stand, told: Told) {
         let Some(keepers) = &self.keepers else {
             return;
         };
         keepers.learn(stand.members.iter().cloned());
-        for answer in answers.values() {
+        keepers.learn(told.keepers);
+        for answer in told.answers.values() {
             if let Introduction::Member { members, .. } = answer {
                 keepers.learn(members.members().map(|id| HostId::new(id.host.clone())));
             }
@@ -141,32 +154,31 @@
     }
 }
 
-/// Introduces this keeper to the others until it votes, and again when it hears no leader.
+/// Introduces this keeper to the others until it votes, and again when it hears no leader; then
+/// to the hosts that it was told of and that are no keepers.
 pub(crate) async fn run_join(keeper: Address<Keeper>, joining: Joining, peers: Peers) {
     let mut waits = WaitLog::default();
     loop {
         let Ok(Some(stand)) = keeper.send(Standing).await else {
             return;
         };
-        let mut answers = BTreeMap::new();
-        if !stand.votes {
-            answers = introduce(&stand.id, &joining.others(&stand.id), &peers).await;
-            if !stand.has_log {
-                begin_if_planned(&keeper, &stand.as_blank(), &joining, &answers).await;
-            }
+        let others = match stand.votes {
+            true => joining.strangers(&stand),
+            false => joining.others(&stand.id),
+        };
+        let told = introduce(&stand.id, &others, &peers).await;
+        if !stand.has_log {
+            begin_if_planned(&keeper, &stand.as_blank(), &joining, &told.answers).await;
         }
-        waits.note(&stand, &answers);
-        joining.learn(&stand, &answers);
-        tokio::time::sleep(INTRODUCE_EVERY).await;
+        waits.note(&stand, &told.answers);
+        joining.learn(&stand, told);
+        let pause = if stand.votes { ANNOUNCE_EVERY } else { INTRODUCE_EVERY };
+        tokio::time::sleep(pause).await;
     }
 }
 
 /// Introduces this keeper to all others at once: one that is cut off holds up nobody.
-async fn introduce(
-    own: &ReplicaId,
-    others: &[HostId],
-    peers: &Peers,
-) -> BTreeMap<String, Introduction> {
+async fn introduce(own: &ReplicaId, others: &[HostId], peers: &Peers) -> Told {
     let calls = others.iter().map(|other| async move {
         let request = IntroduceRequest { replica: encode(own).unwrap_or_default() };
         let reply =
@@ -176,9 +188,26 @@
                 })
                 .await
                 .ok()?;
-        Some((other.to_string(), decode::<Introduction>(&reply.introduction).ok()?))
+        Some((other.to_string(), reply))
     });
-    futures_util::future::join_all(calls).await.into_iter().flatten().collect()
+    let mut told = Told::default();
+    for (other, reply) in futures_util::future::join_all(calls).await.into_iter().flatten() {
+        told.keepers.extend(reply.keepers.into_iter().map(HostId::new));
+        // Empty from a host that is no keeper.
+        if let Ok(answer) = decode::<Introduction>(&reply.introduction) {
+            told.answers.insert(other, answer);
+        }
+    }
+    told
+}
+
+/// What the others told when this keeper introduced itself.
+#[derive(Debug, Default)]
+struct Told {
+    /// Of keepers, by their hosts.
+    answers: BTreeMap<String, Introduction>,
+    /// Keepers that they know, and hosts that may know some.
+    keepers: Vec<HostId>,
 }
 
 async fn begin_if_planned(
--- a/clayplankd/src/seeded_entry.rs
+++ b/clayplankd/src/seeded_entry.rs
@@ -13,9 +13,10 @@
 use tokio::sync::watch;
 
 use crate::contract::SharedContract;
-use crate::daemon::{StartError, bind};
+use crate::daemon::{StartError, bind, serve_inner};
 use crate::fleet_link::{FleetLink, run_reports, run_return_to_leader};
 use crate::following::{Following, run_following};
+use crate::inner::InnerService;
 use crate::seeded::{Parts, plain_text};
 
 /// Share of the time until a revoked key must be without effect for which a
@@ -40,6 +41,23 @@
 }
 
 impl Parts {
+    /// Answers other hosts where there is no keeper to do so: a host is told of three others at
+    /// most, which may all be entry hosts, and has to find the keepers from them.
+    async fn serve_other_hosts(&self) -> Result<(), StartError> {
+        let inner = bind(self.settings.listen.inner).await?;
+        let service = InnerService {
+            owner: None,
+            keeper: None,
+            membership: None,
+            peers: self.peers.clone(),
+            keepers: Some(self.keepers.clone()),
+            fleet: None,
+            spread: None,
+        };
+        tokio::spawn(serve_inner(inner, service));
+        Ok(())
+    }
+
     /// Starts an entry host.
     pub(crate) async fn start_entry(
         &self,
@@ -48,6 +66,9 @@
         let listen = &self.settings.listen;
         let callers = bind(listen.callers.ok_or(StartError::NoListen("callers"))?).await?;
         let readiness = bind(listen.readiness.ok_or(StartError::NoListen("readiness"))?).await?;
+        if !self.settings.is_keeper() {
+            self.serve_other_hosts().await?;
+        }
         let bounds = &self.settings.bounds;
         let gate = Arc::new(Gate::new(lease_ms(bounds)));
         let directory = Arc::new(Directory::default());
--- a/clayplankd/src/seeded_keeper.rs
+++ b/clayplankd/src/seeded_keeper.rs
@@ -165,6 +165,7 @@
                 keeper: Some(keeper.clone()),
                 membership: None,
                 peers: self.peers.clone(),
+                keepers: Some(self.keepers.clone()),
                 fleet: Some(Arc::clone(&fleet)),
                 spread: Some(spread.clone()),
             },
