--- a/clayplankd/tests/seeded/replacement.rs
+++ b/clayplankd/tests/seeded/replacement.rs
@@ -165,3 +165,12 @@
     });
     system.beat_until_served();
 }
+
+/// Of those that the hosts are told of at the first start, one is a keeper.
+#[test]
+fn a_first_start_with_entry_hosts_among_the_seeds_begins() {
+    let shape =
+        Shape { keepers: 3, entries: 2, all_serve: true, names_entries: true, ..Shape::default() };
+    let system = System::start_as(shape);
+    wait_for("three voters", || system.keepers.iter().all(votes));
+}
--- a/clayplankd/tests/seeded/system.rs
+++ b/clayplankd/tests/seeded/system.rs
@@ -36,11 +36,13 @@
     pub has_proxies: bool,
     /// Whether the keepers take callers too, and the entry hosts have doors for operators.
     pub all_serve: bool,
+    /// Whether hosts are told of the first keeper and of entry hosts, in place of all keepers.
+    pub names_entries: bool,
 }
 
 impl Default for Shape {
     fn default() -> Self {
-        Self { keepers: 3, entries: 2, has_proxies: false, all_serve: false }
+        Self { keepers: 3, entries: 2, has_proxies: false, all_serve: false, names_entries: false }
     }
 }
 
@@ -117,7 +119,11 @@
 
     /// Writes the settings of all hosts anew.
     pub fn write_settings(&self, is_first_start: bool) {
-        let seeds: Vec<_> = self.keepers.iter().map(Host::control).collect();
+        let keepers = if self.shape.names_entries { 1 } else { self.keepers.len() };
+        let entries = if self.shape.names_entries { self.entries.len() } else { 0 };
+        let keepers = self.keepers.iter().take(keepers);
+        let seeds: Vec<_> =
+            keepers.chain(self.entries.iter().take(entries)).map(Host::control).collect();
         for host in self.keepers.iter().chain(&self.entries) {
             host.write_settings(&seeds, is_first_start);
         }
