A first log does not wait for seeds that are no keepers

Cause: a log is begun once every seed has answered that it has none, and an entry host among the seeds never does. It says now that it is no keeper.

--- a/clayplankd/src/keeper_join.rs
+++ b/clayplankd/src/keeper_join.rs
@@ -1,6 +1,6 @@
 //! Tasks beside the keeper: ticks, sending, and joining the others.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use clayplank_agreement::{BlankKeeper, Envelope, Introduction, Join, ReplicaId, plan_join};
@@ -168,7 +168,7 @@
         };
         let told = introduce(&stand.id, &others, &peers).await;
         if !stand.has_log {
-            begin_if_planned(&keeper, &stand.as_blank(), &joining, &told.answers).await;
+            begin_if_planned(&keeper, &stand.as_blank(), &joining, &told).await;
         }
         waits.note(&stand, &told.answers);
         joining.learn(&stand, told);
@@ -193,9 +193,16 @@
     let mut told = Told::default();
     for (other, reply) in futures_util::future::join_all(calls).await.into_iter().flatten() {
         told.keepers.extend(reply.keepers.into_iter().map(HostId::new));
-        // Empty from a host that is no keeper.
-        if let Ok(answer) = decode::<Introduction>(&reply.introduction) {
-            told.answers.insert(other, answer);
+        match decode::<Introduction>(&reply.introduction) {
+            Ok(answer) => {
+                told.answers.insert(other, answer);
+            }
+            Err(_) if reply.introduction.is_empty() => {
+                told.no_keepers.insert(other);
+            }
+            Err(error) => {
+                log::warn!(target: part::KEEPER, host = other, cause:% = error; "An introduction cannot be read");
+            }
         }
     }
     told
@@ -206,6 +213,8 @@
 struct Told {
     /// Of keepers, by their hosts.
     answers: BTreeMap<String, Introduction>,
+    /// Hosts that answered that they are no keepers: a log does not wait for them.
+    no_keepers: BTreeSet<String>,
     /// Keepers that they know, and hosts that may know some.
     keepers: Vec<HostId>,
 }
@@ -214,10 +223,11 @@
     keeper: &Address<Keeper>,
     own: &BlankKeeper,
     joining: &Joining,
-    answers: &BTreeMap<String, Introduction>,
+    told: &Told,
 ) {
-    let names: Vec<_> = joining.seeds.iter().map(ToString::to_string).collect();
-    let begin = match plan_join(own, &names, answers) {
+    let seeds = joining.seeds.iter().map(ToString::to_string);
+    let names: Vec<_> = seeds.filter(|seed| !told.no_keepers.contains(seed)).collect();
+    let begin = match plan_join(own, &names, &told.answers) {
         Join::Begin(configuration) => Begin(Some(configuration)),
         Join::Learn => Begin(None),
         Join::Wait => {
