Read again: names of replicas that lag, the log of waits beside the other lines

A keeper that votes looks every 300 ms again whether it still does, as before, and makes itself known each second. No other change of behaviour.

--- a/clayplankd/src/keeper.rs
+++ b/clayplankd/src/keeper.rs
@@ -50,7 +50,7 @@
 }
 
 /// A command that is applied, and not yet on as many disks as its acknowledgement promises.
-struct ThinCommand {
+struct UnderReplicated {
     index: u64,
     reply: Reply,
     to: oneshot::Sender<Executed>,
@@ -76,7 +76,7 @@
     applied_index: u64,
     pub(crate) commands: BTreeMap<u64, PendingCommand>,
     /// Commands that wait for more copies, the oldest first.
-    thin: VecDeque<ThinCommand>,
+    under_replicated: VecDeque<UnderReplicated>,
     pub(crate) watches: Vec<PendingWatch>,
     pub(crate) leader_watches: Vec<PendingLeader>,
     reads: HashMap<ReadId, Vec<PendingWatch>>,
@@ -137,7 +137,7 @@
             machine: Machine::default(),
             applied_index: 0,
             commands: BTreeMap::new(),
-            thin: VecDeque::new(),
+            under_replicated: VecDeque::new(),
             watches: Vec::new(),
             leader_watches: Vec::new(),
             reads: HashMap::new(),
@@ -200,7 +200,7 @@
                 return;
             }
         }
-        self.answer_spread_commands();
+        self.answer_replicated_commands();
         self.log.tell(self.replica.as_ref(), now_ms());
         self.answer_leader_watches();
         self.compact_if_large().await;
@@ -306,7 +306,11 @@
         };
         match reply {
             Some(reply) if pending.term == entry.term => {
-                self.thin.push_back(ThinCommand { index: entry.index, reply, to: pending.reply });
+                self.under_replicated.push_back(UnderReplicated {
+                    index: entry.index,
+                    reply,
+                    to: pending.reply,
+                });
             }
             // Another leader's entry took this place: ours is gone.
             Some(_) | None => {
@@ -318,14 +322,14 @@
     /// Acknowledges the commands that are on as many disks as the losses that are tolerated ask
     /// for. A quorum is enough where all voters are there that these losses need; of three
     /// voters, where two disks may be lost, it is two, and what they acknowledge could be lost.
-    fn answer_spread_commands(&mut self) {
+    fn answer_replicated_commands(&mut self) {
         let Some(replica) = &self.replica else {
             return;
         };
         let wanted = self.sizing.wanted_copies.min(replica.configuration().voters.len());
-        while let Some(oldest) = self.thin.front()
+        while let Some(oldest) = self.under_replicated.front()
             && replica.copies(oldest.index) >= wanted
-            && let Some(ThinCommand { reply, to, .. }) = self.thin.pop_front()
+            && let Some(UnderReplicated { reply, to, .. }) = self.under_replicated.pop_front()
         {
             to.send(Executed::Reply(reply)).ok();
         }
@@ -399,7 +403,7 @@
         for (_, pending) in std::mem::take(&mut self.commands) {
             pending.reply.send(Executed::Unknown).ok();
         }
-        for ThinCommand { to, .. } in std::mem::take(&mut self.thin) {
+        for UnderReplicated { to, .. } in std::mem::take(&mut self.under_replicated) {
             to.send(Executed::Unknown).ok();
         }
         let hint = self.leader_host();
--- a/clayplankd/src/keeper_join.rs
+++ b/clayplankd/src/keeper_join.rs
@@ -14,6 +14,7 @@
 use crate::clock::millis;
 use crate::keeper::Keeper;
 use crate::keeper_client::KeeperClient;
+use crate::keeper_log::WaitLog;
 use crate::keeper_messages::{Begin, Stand, Standing, Tick};
 use crate::logging::part;
 use crate::peers::Peers;
@@ -120,50 +121,21 @@
     }
 }
 
-/// Between two lines of a keeper that still waits to vote: most vote within a second or two.
-const WAIT_LINE_EVERY: Duration = Duration::from_secs(2);
-
-/// Tells, now and then, that a keeper waits to vote, and what the others answered to it.
-#[derive(Debug, Default)]
-struct WaitLog {
-    began: Option<Instant>,
-    told: Option<Instant>,
-}
-
-impl WaitLog {
-    fn note(&mut self, stand: &Stand, answers: &BTreeMap<String, Introduction>) {
-        let now = Instant::now();
-        if stand.votes {
-            *self = Self::default();
-            return;
-        }
-        let began = *self.began.get_or_insert(now);
-        let told = *self.told.get_or_insert(began);
-        if now < told + WAIT_LINE_EVERY {
-            return;
-        }
-        self.told = Some(now);
-        let answered = |is_blank: bool| {
-            let hosts = answers.iter().filter(|(_, answer)| answer.is_blank() == is_blank);
-            hosts.map(|(host, _)| host.as_str()).collect::<Vec<_>>().join(" ")
-        };
-        log::warn!(target: part::KEEPER,
-            waited_ms = (now - began).as_millis() as u64, has_log = stand.has_log,
-            members = answered(false), blank = answered(true);
-            "A keeper waits to vote");
-    }
-}
-
 /// Introduces this keeper to the others until it votes, and again when it hears no leader; then
 /// to the hosts that it was told of and that are no keepers.
 pub(crate) async fn run_join(keeper: Address<Keeper>, joining: Joining, peers: Peers) {
     let mut waits = WaitLog::default();
+    let mut announced = Instant::now();
     loop {
         let Ok(Some(stand)) = keeper.send(Standing).await else {
             return;
         };
         let others = match stand.votes {
-            true => joining.strangers(&stand),
+            true if announced.elapsed() < ANNOUNCE_EVERY => Vec::new(),
+            true => {
+                announced = Instant::now();
+                joining.strangers(&stand)
+            }
             false => joining.others(&stand.id),
         };
         let told = introduce(&stand.id, &others, &peers).await;
@@ -172,8 +144,7 @@
         }
         waits.note(&stand, &told.answers);
         joining.learn(&stand, told);
-        let pause = if stand.votes { ANNOUNCE_EVERY } else { INTRODUCE_EVERY };
-        tokio::time::sleep(pause).await;
+        tokio::time::sleep(INTRODUCE_EVERY).await;
     }
 }
 
--- a/clayplankd/src/keeper_log.rs
+++ b/clayplankd/src/keeper_log.rs
@@ -1,8 +1,13 @@
-//! What a keeper's log tells of its role, the members and elections that nobody wins.
+//! What a keeper's log tells of its role, the members, elections that nobody wins, and long waits.
 
-use clayplank_agreement::{Configuration, Replica};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use clayplank_agreement::{Configuration, Introduction, Replica, ReplicaId};
 use clayplank_types::HostId;
+use tokio::time::Instant;
 
+use crate::keeper_messages::Stand;
 use crate::logging::part;
 
 /// Between two lines on an election that nobody wins, in ms: a keeper asks for several a second.
@@ -95,6 +100,40 @@
     }
 }
 
-fn names<'a>(ids: impl Iterator<Item = &'a clayplank_agreement::ReplicaId>) -> String {
+fn names<'a>(ids: impl Iterator<Item = &'a ReplicaId>) -> String {
     ids.map(ToString::to_string).collect::<Vec<_>>().join(" ")
 }
+
+/// Between two lines of a keeper that still waits to vote: most vote within a second or two.
+const WAIT_LINE_EVERY: Duration = Duration::from_secs(2);
+
+/// Tells, now and then, that a keeper waits to vote, and what the others answered to it.
+#[derive(Debug, Default)]
+pub(crate) struct WaitLog {
+    began: Option<Instant>,
+    told: Option<Instant>,
+}
+
+impl WaitLog {
+    pub(crate) fn note(&mut self, stand: &Stand, answers: &BTreeMap<String, Introduction>) {
+        let now = Instant::now();
+        if stand.votes {
+            *self = Self::default();
+            return;
+        }
+        let began = *self.began.get_or_insert(now);
+        let told = *self.told.get_or_insert(began);
+        if now < told + WAIT_LINE_EVERY {
+            return;
+        }
+        self.told = Some(now);
+        let answered = |is_blank: bool| {
+            let hosts = answers.iter().filter(|(_, answer)| answer.is_blank() == is_blank);
+            hosts.map(|(host, _)| host.as_str()).collect::<Vec<_>>().join(" ")
+        };
+        log::warn!(target: part::KEEPER,
+            waited_ms = (now - began).as_millis() as u64, has_log = stand.has_log,
+            members = answered(false), blank = answered(true);
+            "A keeper waits to vote");
+    }
+}
