--- a/clayplank-agreement/src/membership.rs
+++ b/clayplank-agreement/src/membership.rs
@@ -85,9 +85,9 @@
             return false;
         }
         let voters = &self.configuration.voters;
-        let has_heir =
+        let has_successor =
             self.configuration.learners.iter().any(|id| !self.health(now_ms, id).is_silent);
-        let is_needed = voters.len() <= self.options.wanted_voters() && !has_heir;
+        let is_needed = voters.len() <= self.options.wanted_voters() && !has_successor;
         is_needed || voters.iter().all(|id| id.host != host)
     }
 
--- a/clayplank-forward/src/reserve.rs
+++ b/clayplank-forward/src/reserve.rs
@@ -27,8 +27,8 @@
 /// Time for an engine to take an order.
 const ORDER_PATIENCE: Duration = Duration::from_millis(500);
 
-/// How long after it was given an order without an answer may still be carried out: engines were
-/// seen to take up to 12 s.
+/// How long after it was given an order without an answer may still be carried out: the engines of
+/// the users' platform take up to 12 s.
 const LATE_ORDER: Duration = Duration::from_secs(13);
 
 /// Between two releases while an order may be on its way. An order that comes late holds memory
--- a/clayplankd/src/keeper_join.rs
+++ b/clayplankd/src/keeper_join.rs
@@ -101,7 +101,7 @@
 
     /// Hosts that this keeper was told of when it started, and that are no keepers as far as it
     /// knows.
-    fn strangers(&self, stand: &Stand) -> Vec<HostId> {
+    fn non_keepers(&self, stand: &Stand) -> Vec<HostId> {
         let is_seeded = self.keepers.is_some();
         let seeds = self.seeds.iter().filter(|host| is_seeded && !stand.members.contains(host));
         seeds.cloned().collect()
@@ -134,7 +134,7 @@
             true if announced.elapsed() < ANNOUNCE_EVERY => Vec::new(),
             true => {
                 announced = Instant::now();
-                joining.strangers(&stand)
+                joining.non_keepers(&stand)
             }
             false => joining.others(&stand.id),
         };
