--- a/clayplank-forward/src/admit.rs
+++ b/clayplank-forward/src/admit.rs
@@ -5,7 +5,9 @@
 
 use bytes::Bytes;
 use clayplank_routes::{PlanIndex, Route};
+use clayplank_types::{RequestFingerprint, RequestIdentity};
 use http::request::Parts;
+use http::uri::PathAndQuery;
 use http::{Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -82,6 +84,7 @@
         let path = head.uri.path();
         let route = plan.find_route(&facts.host, path).ok_or(Refusal::NoRoute)?.clone();
         let (account, rank) = find_account(&plan, &route, &facts)?;
+        let fingerprint = fingerprint(&head, &facts, account.as_deref(), &body);
         let draw = rand::random::<f64>();
         let service = plan.choose_target(&route, draw).ok_or(Refusal::NoRoute)?.to_owned();
         let limit_ms = facts.deadline_ms.unwrap_or(u64::MAX).min(route.time_limit_ms);
@@ -90,6 +93,7 @@
         Ok(Call {
             entry: Arc::clone(self),
             facts,
+            fingerprint,
             head,
             body,
             route,
@@ -109,6 +113,18 @@
     }
 }
 
+/// Callers without an account are told apart by the key that they send, if any.
+fn fingerprint(
+    head: &Parts,
+    facts: &RequestFacts,
+    account: Option<&str>,
+    body: &[u8],
+) -> RequestFingerprint {
+    let path = head.uri.path_and_query().map_or("/", PathAndQuery::as_str);
+    let caller = account.or(facts.key.as_deref()).unwrap_or_default();
+    RequestFingerprint::of(&RequestIdentity { caller, host: &facts.host, path, body })
+}
+
 fn find_account(
     plan: &PlanIndex,
     route: &Route,
--- a/clayplank-forward/src/attempt.rs
+++ b/clayplank-forward/src/attempt.rs
@@ -126,6 +126,7 @@
         cause: &str,
     ) -> Attempt {
         load.note_outcome(Outcome::Broken);
+        self.note_break(upstream);
         self.log_attempt(upstream, outcome, cause);
         Attempt::Lost
     }
@@ -162,7 +163,8 @@
         self.entry.figures.count_attempt(outcome);
         log::info!(target: "forward",
             request = self.facts.attempt_id, route = self.route.name, upstream = upstream.as_str(),
-            outcome = outcome, cause = cause, waited_ms = self.waited_ms();
+            outcome = outcome, cause = cause, waited_ms = self.waited_ms(),
+            fingerprint:% = self.fingerprint;
             "An attempt ended without an answer");
     }
 }
--- a/clayplank-forward/src/call.rs
+++ b/clayplank-forward/src/call.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use clayplank_routes::{RequestKind, Route};
-use clayplank_types::UpstreamId;
+use clayplank_types::{RequestFingerprint, UpstreamId};
 use http::Response;
 use http::request::Parts;
 use tokio::time::Instant;
@@ -34,6 +34,8 @@
 pub(crate) struct Call {
     pub(crate) entry: Arc<Entry>,
     pub(crate) facts: RequestFacts,
+    /// The same whenever its caller sends it again, at any host.
+    pub(crate) fingerprint: RequestFingerprint,
     pub(crate) head: Parts,
     pub(crate) body: Bytes,
     pub(crate) route: Route,
@@ -130,6 +132,7 @@
             tried = self.tried.len(), sent = self.sent_count, waited_ms = self.waited_ms(),
             retry_after_ms = told.retry_after_ms().unwrap_or_default(),
             prompt_tokens = self.facts.prompt_tokens, plan = self.entry.gate.plan_version(),
+            fingerprint:% = self.fingerprint,
             left_ms = self.left().as_millis() as u64;
             "Gave a request up");
         self.entry.figures.count(&self.route.name, told.as_str());
--- /dev/null
+++ b/clayplank-forward/src/ends.rs
@@ -0,0 +1,110 @@
+//! Finds out whether an upstream ended when requests that it ran broke off.
+//!
+//! A connection that breaks may be a cut, a reset, or an answer that the upstream spoiled. It ended
+//! if nobody listens at its address any more, or if another life of it follows.
+
+use std::collections::{BTreeSet, HashMap};
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use clayplank_registry::{Record, Standing};
+use clayplank_types::{RequestFingerprint, UpstreamId};
+
+use crate::call::Call;
+use crate::entry::Entry;
+use crate::exchange::connect;
+
+/// Connections of an upstream that ends break within this time, nearly all.
+const COLLECT: Duration = Duration::from_millis(5);
+
+/// Where an upstream listens that may have ended, its next life may listen already: it tells of
+/// itself with its first heartbeats.
+const NEXT_LIFE_AFTER: [Duration; 2] = [Duration::from_millis(1_000), Duration::from_millis(3_000)];
+
+/// Fingerprints that one line of the log names.
+const MAX_TOLD: usize = 16;
+
+/// A request that ran at an upstream when its connection broke, or when nothing more came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Break {
+    pub(crate) fingerprint: RequestFingerprint,
+}
+
+/// What is not known yet of upstreams at which requests broke off.
+#[derive(Debug, Default)]
+pub(crate) struct Ends {
+    pending: Mutex<HashMap<UpstreamId, Vec<Break>>>,
+}
+
+impl Ends {
+    /// Adds a break; whether it is the first one at its upstream of which nothing is known yet.
+    fn add(&self, upstream: &UpstreamId, one: Break) -> bool {
+        let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
+        let breaks = pending.entry(upstream.clone()).or_default();
+        breaks.push(one);
+        breaks.len() == 1
+    }
+
+    fn take(&self, upstream: &UpstreamId) -> Vec<Break> {
+        let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
+        pending.remove(upstream).unwrap_or_default()
+    }
+}
+
+impl Call {
+    /// Notes that an upstream did not end this request's answer.
+    pub(crate) fn note_break(&self, upstream: &UpstreamId) {
+        let entry = &self.entry;
+        let Some(record) = entry.directory.record(upstream) else {
+            return;
+        };
+        // One that said that it leaves may end as it likes.
+        if record.heartbeat.standing != Standing::Ready {
+            return;
+        }
+        let one = Break { fingerprint: self.fingerprint };
+        if entry.ends.add(upstream, one) {
+            tokio::spawn(find_out(Arc::clone(entry), record));
+        }
+    }
+}
+
+/// Finds out what became of an upstream at which requests broke off.
+async fn find_out(entry: Arc<Entry>, record: Record) {
+    tokio::time::sleep(COLLECT).await;
+    let upstream = &record.heartbeat.id;
+    let cause = how_ended(&entry, &record).await;
+    let breaks = entry.ends.take(upstream);
+    let Some(cause) = cause else {
+        return;
+    };
+    let fingerprints: BTreeSet<_> = breaks.iter().map(|one| one.fingerprint).collect();
+    let told: Vec<_> = fingerprints.iter().take(MAX_TOLD).map(ToString::to_string).collect();
+    log::info!(target: "forward",
+        upstream = upstream.as_str(), cause = cause, requests = breaks.len(),
+        fingerprints = told.join(" ");
+        "An upstream ended under requests");
+}
+
+/// By what it is known that an upstream has ended; `None` if it has not, as far as can be told.
+async fn how_ended(entry: &Entry, record: &Record) -> Option<&'static str> {
+    if is_refused(record.heartbeat.address).await {
+        return Some("refused");
+    }
+    for pause in NEXT_LIFE_AFTER {
+        tokio::time::sleep(pause).await;
+        let known = entry.directory.record(&record.heartbeat.id);
+        if known.is_none_or(|known| known.heartbeat.standing == Standing::Gone) {
+            return Some("replaced");
+        }
+    }
+    None
+}
+
+/// Whether a host answers that nobody listens there.
+async fn is_refused(address: SocketAddr) -> bool {
+    let refused = connect(address).await.err();
+    refused.is_some_and(|error| error.kind() == ErrorKind::ConnectionRefused)
+}
--- a/clayplank-forward/src/entry.rs
+++ b/clayplank-forward/src/entry.rs
@@ -6,6 +6,7 @@
 
 use crate::budget::{BudgetLimits, RetryBudget};
 use crate::directory::Directory;
+use crate::ends::Ends;
 use crate::figures::Figures;
 use crate::gate::Gate;
 use crate::names::HeaderNames;
@@ -23,6 +24,8 @@
     pub(crate) budget: Mutex<RetryBudget>,
     pub(crate) figures: Arc<Figures>,
     pub(crate) data_centre: DataCentre,
+    /// Upstreams that may have ended under requests.
+    pub(crate) ends: Ends,
 }
 
 impl std::fmt::Debug for Entry {
@@ -95,6 +98,7 @@
             budget: Mutex::new(budget),
             figures: self.figures,
             data_centre: self.data_centre,
+            ends: Ends::default(),
         }
     }
 }
--- a/clayplank-forward/src/lib.rs
+++ b/clayplank-forward/src/lib.rs
@@ -23,6 +23,7 @@
 mod clock;
 mod directory;
 mod door;
+mod ends;
 mod entry;
 mod events;
 mod exchange;
--- a/clayplank-forward/src/opening.rs
+++ b/clayplank-forward/src/opening.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use clayplank_types::UpstreamId;
 use http::Response;
 use http::response::Parts;
 use http_body_util::BodyExt;
@@ -148,13 +149,14 @@
     }
 }
 
-/// Tells of a stream that its upstream did not end.
+/// Notes that an upstream did not end its stream, and tells so.
 pub(crate) fn log_broken(call: &Call, upstream: &str, cause: &str, last_event_id: Option<u64>) {
+    call.note_break(&UpstreamId::new(upstream));
     call.entry.figures.count_attempt("broken");
     log::info!(target: "forward",
         request = call.facts.attempt_id, route = call.route.name, upstream = upstream,
         cause = cause, last_event = last_event_id.unwrap_or_default(),
-        waited_ms = call.waited_ms();
+        waited_ms = call.waited_ms(), fingerprint:% = call.fingerprint;
         "A stream broke off at its upstream");
 }
 
--- a/clayplank-forward/src/plain.rs
+++ b/clayplank-forward/src/plain.rs
@@ -109,6 +109,9 @@
         Ok(None) | Err(_) => Outcome::Broken,
     });
     drop(load);
+    if !matches!(read, Ok(Some(_))) {
+        call.note_break(&upstream);
+    }
     match read {
         Ok(Some(bytes)) if is_good => Tried::Good(Whole { upstream, head, bytes }),
         Ok(Some(bytes)) => Tried::Bad(Whole { upstream, head, bytes }),
@@ -139,7 +142,8 @@
     strip_hop_by_hop(&mut head.headers);
     log::info!(target: "forward",
         request = call.facts.attempt_id, route = call.route.name, upstream = upstream.as_str(),
-        status = head.status.as_u16(), goal_ms = call.route.goal_ms, sent = call.sent_count, waited_ms = call.waited_ms();
+        status = head.status.as_u16(), goal_ms = call.route.goal_ms, sent = call.sent_count,
+        waited_ms = call.waited_ms(), fingerprint:% = call.fingerprint;
         "Answered");
     call.entry.figures.count(&call.route.name, "answered");
     call.entry.figures.record_first_byte(&call.route.name, call.waited_ms());
--- a/clayplank-forward/src/pump.rs
+++ b/clayplank-forward/src/pump.rs
@@ -99,7 +99,8 @@
             goal_ms = call.route.goal_ms, pause_goal_ms = call.pause_goal_ms(),
             expected_ms = timing.expected_ms, first_event_ms = timing.first_event_ms,
             longest_pause_ms = self.longest_pause.as_millis() as u64,
-            last_event = self.last_event_id.unwrap_or_default(), waited_ms = call.waited_ms();
+            last_event = self.last_event_id.unwrap_or_default(), waited_ms = call.waited_ms(),
+            fingerprint:% = call.fingerprint;
             "A stream ended");
         call.entry.figures.count(&call.route.name, end.as_str());
     }
--- a/clayplank-standin/src/bin/standin-upstream.rs
+++ b/clayplank-standin/src/bin/standin-upstream.rs
@@ -4,11 +4,15 @@
 use std::time::Duration;
 
 use bpaf::Bpaf;
+use bytes::Bytes;
 use clayplank_placement::EngineModel;
 use clayplank_standin::{
-    Registration, ServeError, SharedRuns, bind, send_heartbeats, serve_pass_engine, serve_upstream,
+    Deadly, Registration, ServeError, SharedRuns, bind, send_heartbeats, serve_pass_engine,
+    serve_upstream,
 };
 
+use tokio::sync::mpsc;
+
 /// Requests that a plain service runs at once.
 const SERVICE_SLOTS: u32 = 6;
 
@@ -38,8 +42,14 @@
     /// Tokens of KV cache of an engine
     #[bpaf(fallback(450_000))]
     memory_tokens: u64,
+    /// End the process when a request with this body begins to run at a plain service
+    #[bpaf(argument("TEXT"))]
+    ends_on: Option<String>,
 }
 
+/// From the begin of a request that ends the process to its end.
+const ENDS_AFTER: Duration = Duration::from_millis(100);
+
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> Result<(), ServeError> {
     let options = options().run();
@@ -57,7 +67,20 @@
     if options.engine {
         serve_pass_engine(listener, options.id, model).await;
     } else {
-        serve_upstream(listener, options.id, SharedRuns::default()).await;
+        let (begun, ends) = mpsc::unbounded_channel();
+        let deadly = options.ends_on.map(|text| Deadly { body: Bytes::from(text), begun });
+        tokio::select! {
+            () = serve_upstream(listener, options.id, SharedRuns::default(), deadly) => {}
+            () = wait_for_end(ends) => {}
+        }
     }
     Ok(())
 }
+
+/// Waits until a request that ends the process has run for a while.
+async fn wait_for_end(mut ends: mpsc::UnboundedReceiver<()>) {
+    match ends.recv().await {
+        Some(()) => tokio::time::sleep(ENDS_AFTER).await,
+        None => std::future::pending().await,
+    }
+}
--- a/clayplank-standin/src/upstream.rs
+++ b/clayplank-standin/src/upstream.rs
@@ -11,6 +11,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use tokio::net::TcpListener;
+use tokio::sync::mpsc;
 
 use crate::http_util::{Body, ServeError, serve};
 
@@ -93,14 +94,30 @@
     }
 }
 
+/// A request that ends the upstreams that begin to run it.
+#[derive(Clone, Debug)]
+pub struct Deadly {
+    /// Its body.
+    pub body: Bytes,
+    /// Told each time that it begins to run; whoever hears of it ends the upstream.
+    pub begun: mpsc::UnboundedSender<()>,
+}
+
 /// Serves one life of an upstream until the task is dropped.
-pub async fn serve_upstream(listener: TcpListener, id: String, runs: SharedRuns) {
-    serve(listener, move |request| answer(id.clone(), runs.clone(), request)).await;
+pub async fn serve_upstream(
+    listener: TcpListener,
+    id: String,
+    runs: SharedRuns,
+    deadly: Option<Deadly>,
+) {
+    let answer = move |request| answer(id.clone(), runs.clone(), deadly.clone(), request);
+    serve(listener, answer).await;
 }
 
 async fn answer(
     id: String,
     runs: SharedRuns,
+    deadly: Option<Deadly>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, ServeError> {
     let (head, body) = request.into_parts();
@@ -115,6 +132,11 @@
         return Ok(not_run(&attempt));
     }
     note_run(&runs, &id, &attempt, &head.headers);
+    if let Some(deadly) = deadly.filter(|deadly| deadly.body == body) {
+        deadly.begun.send(()).ok();
+        // It has no answer: the upstream ends first.
+        std::future::pending::<()>().await;
+    }
     match wish {
         Wish::Lose => return Err(ServeError::Broken),
         Wish::Slow => tokio::time::sleep(Duration::from_secs(1)).await,
--- a/clayplank-types/src/lib.rs
+++ b/clayplank-types/src/lib.rs
@@ -9,6 +9,7 @@
 //! ```
 
 mod band;
+mod fingerprint;
 mod id;
 mod outcome;
 mod prefix;
@@ -16,6 +17,7 @@
 mod ratio;
 
 pub use band::{LengthBands, UnorderedBands};
+pub use fingerprint::{RequestFingerprint, RequestIdentity, UnknownFingerprintText};
 pub use id::{
     AccountId, AttemptId, DataCentre, HostId, Incarnation, Partner, PoolId, RequestId,
     UnknownIdText, UpstreamId,
--- a/clayplankd/tests/seeded/main.rs
+++ b/clayplankd/tests/seeded/main.rs
@@ -7,8 +7,10 @@
 mod answer;
 mod both;
 mod client;
+mod deadly;
 mod failover;
 mod host;
+mod mortal;
 mod promises;
 mod proxy;
 mod replacement;
--- /dev/null
+++ b/clayplankd/tests/seeded/mortal.rs
@@ -0,0 +1,167 @@
+//! Upstreams that end, with all that they run, and are back after a while under a new name.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use clayplank_standin::{Deadly, Registration, SharedRuns, send_heartbeats, serve_upstream};
+use tokio::sync::mpsc;
+
+use crate::host::{Host, UPSTREAM};
+use crate::system::System;
+
+/// The service of all upstreams that end.
+pub const FLEET: &str = "fleet";
+
+/// The body of the request that ends whatever runs it.
+pub const DEADLY_BODY: &str = "a prompt that no engine survives";
+
+/// From the begin of the request that ends an upstream to its end.
+const ENDS_AFTER: Duration = Duration::from_millis(80);
+
+/// An upstream that ended is back after this time.
+const BACK_AFTER: Duration = Duration::from_millis(1_500);
+
+/// Requests that an upstream runs at once.
+const SLOTS: u32 = 6;
+
+/// What became of a fleet.
+#[derive(Debug, Default)]
+pub struct Story {
+    /// When the request that ends upstreams began to run at one.
+    pub begun: Vec<Instant>,
+    /// When an upstream ended under it.
+    pub ended: Vec<Instant>,
+}
+
+/// Upstreams that end under one request, or when they are killed.
+pub struct Fleet {
+    story: Arc<Mutex<Story>>,
+    pub runs: SharedRuns,
+    is_over: Arc<AtomicBool>,
+    kills: Vec<mpsc::UnboundedSender<()>>,
+    threads: Vec<std::thread::JoinHandle<()>>,
+}
+
+impl Fleet {
+    /// Starts this many, which register with all keepers of a system.
+    pub fn start(system: &System, count: u8) -> Self {
+        let mut fleet = Self {
+            story: Arc::default(),
+            runs: SharedRuns::default(),
+            is_over: Arc::default(),
+            kills: Vec::new(),
+            threads: Vec::new(),
+        };
+        for number in 0..count {
+            let (kill, killed) = mpsc::unbounded_channel();
+            let lives = Lives {
+                number,
+                address: SocketAddr::new(IpAddr::V4(system.upstream_ip(40 + number)), UPSTREAM),
+                keepers: system.keepers.iter().map(Host::control).collect(),
+                story: Arc::clone(&fleet.story),
+                runs: fleet.runs.clone(),
+                is_over: Arc::clone(&fleet.is_over),
+            };
+            fleet.kills.push(kill);
+            fleet.threads.push(std::thread::spawn(move || lives.run(killed)));
+        }
+        fleet
+    }
+
+    pub fn story(&self) -> MutexGuard<'_, Story> {
+        self.story.lock().unwrap()
+    }
+
+    /// Ends some upstreams at once, whatever they run.
+    pub fn kill(&self, numbers: impl IntoIterator<Item = usize>) {
+        for number in numbers {
+            self.kills[number].send(()).ok();
+        }
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.is_over.store(true, Ordering::SeqCst);
+        self.kill(0..self.kills.len());
+        for thread in self.threads.drain(..) {
+            thread.join().ok();
+        }
+    }
+}
+
+/// One upstream of a fleet, life after life.
+struct Lives {
+    number: u8,
+    address: SocketAddr,
+    keepers: Vec<SocketAddr>,
+    story: Arc<Mutex<Story>>,
+    runs: SharedRuns,
+    is_over: Arc<AtomicBool>,
+}
+
+impl Lives {
+    fn run(&self, mut killed: mpsc::UnboundedReceiver<()>) {
+        for life in 1_u64.. {
+            if self.is_over.load(Ordering::SeqCst) {
+                return;
+            }
+            let is_deadly = self.live(life, &mut killed);
+            if is_deadly {
+                self.story.lock().unwrap().ended.push(Instant::now());
+            }
+            std::thread::sleep(BACK_AFTER);
+            // Kills while it is down hit nobody.
+            while killed.try_recv().is_ok() {}
+        }
+    }
+
+    /// One life; whether the request that ends upstreams ended it.
+    fn live(&self, life: u64, killed: &mut mpsc::UnboundedReceiver<()>) -> bool {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .unwrap();
+        let (begun, mut ends) = mpsc::unbounded_channel();
+        let is_deadly = runtime.block_on(async {
+            let listener = clayplank_standin::bind(self.address).await.unwrap();
+            let id = format!("fleet-{}-{life}", self.number);
+            let deadly = Deadly { body: DEADLY_BODY.into(), begun };
+            tokio::spawn(serve_upstream(listener, id.clone(), self.runs.clone(), Some(deadly)));
+            let registration = Registration {
+                id,
+                service: FLEET.to_owned(),
+                address: self.address,
+                data_centre: "hall".to_owned(),
+                slots: SLOTS,
+            };
+            let every = Duration::from_millis(300);
+            tokio::spawn(send_heartbeats(registration, self.keepers.clone(), every));
+            let first = tokio::select! {
+                first = ends.recv() => first,
+                _ = killed.recv() => return false,
+            };
+            self.note_begun(first);
+            let end = tokio::time::sleep(ENDS_AFTER);
+            tokio::pin!(end);
+            loop {
+                tokio::select! {
+                    () = &mut end => return true,
+                    next = ends.recv() => self.note_begun(next),
+                }
+            }
+        });
+        // Its sockets are closed here: open connections break, and new ones are refused.
+        runtime.shutdown_background();
+        is_deadly
+    }
+
+    fn note_begun(&self, begun: Option<()>) {
+        if begun.is_some() {
+            self.story.lock().unwrap().begun.push(Instant::now());
+        }
+    }
+}
--- a/clayplankd/tests/seeded/upstreams.rs
+++ b/clayplankd/tests/seeded/upstreams.rs
@@ -27,7 +27,7 @@
         let address = SocketAddr::new(IpAddr::V4(bind_ip), UPSTREAM);
         let (id, runs) = (id.to_owned(), self.runs.clone());
         let listener = self.runtime.block_on(clayplank_standin::bind(address)).unwrap();
-        self.runtime.spawn(serve_upstream(listener, id, runs));
+        self.runtime.spawn(serve_upstream(listener, id, runs, None));
     }
 
     /// Starts an engine of the pass model, which registers with all keepers.
