Hold back a request under which three upstreams ended, at all hosts

Cause: what a host knew of a request ended with its call, and only upstreams were blamed. The next call of the same request, at any host, began with all of its tries and took the next good upstream.

Change: a host that sees a connection to an upstream break asks whether somebody still listens there; if not, or if another life follows, the upstream ended, and all requests that ran there are suspects. The keepers' log counts ends by request: three, one after the other, with no whole answer in between, and no host sends it on; what ran beside it is cleared. The list comes with the settings, lasts as they do, and is bounded, by caller too. Callers get 503 with the time of the next trial. Logs, explain, a timeline by fingerprint.

--- a/clayplank-ctl/src/explain.rs
+++ b/clayplank-ctl/src/explain.rs
@@ -79,11 +79,34 @@
     let came_ms = first.at_ms.saturating_sub(waited_ms);
     let believed = hosts.into_iter().flat_map(|host| find_beliefs(lines, host, came_ms));
     let told = upstreams.into_iter().filter_map(|id| find_standing(lines, id, last.at_ms));
-    let mut beliefs: Vec<_> = believed.chain(told).collect();
+    let fingerprint = own.iter().find_map(|line| line.fields.get("fingerprint")?.as_str());
+    let evidence = fingerprint.into_iter().flat_map(|one| find_evidence(lines, one, last.at_ms));
+    let mut beliefs: Vec<_> = believed.chain(told).chain(evidence).collect();
     beliefs.sort_by_key(|line| line.at_ms);
     let aged =
         beliefs.into_iter().map(|line| Event::of(line, Some(came_ms.saturating_sub(line.at_ms))));
-    aged.chain(own.iter().map(|line| Event::of(line, None))).collect()
+    let own = own.iter().map(|line| Event::of(line, None));
+    merge_alike(aged).into_iter().chain(own).collect()
+}
+
+/// Lines on upstreams that ended under a request, in whichever of its calls, and on what hosts
+/// concluded.
+fn find_evidence<'a>(
+    lines: &'a [LogLine],
+    fingerprint: &str,
+    until_ms: u64,
+) -> impl Iterator<Item = &'a LogLine> {
+    lines.iter().filter(move |line| {
+        line.at_ms <= until_ms
+            && !line.fields.contains_key("request")
+            && names_fingerprint(line, fingerprint)
+    })
+}
+
+/// Whether a line names a request by its fingerprint, alone or among others.
+fn names_fingerprint(line: &LogLine, fingerprint: &str) -> bool {
+    let among = line.fields.get("fingerprints").and_then(Value::as_str).unwrap_or_default();
+    line.says("fingerprint", fingerprint) || among.split(' ').any(|one| one == fingerprint)
 }
 
 /// The newest line of each belief that a host had written by then.
@@ -106,13 +129,14 @@
     })
 }
 
-/// All lines of an upstream that belong to no request, or of a plan.
+/// All lines of an upstream that belong to no request, of a plan, or of a request in all its calls.
 pub(crate) fn timeline(subject: &Subject, lines: &[LogLine]) -> Vec<Event> {
     let is_of = |line: &&LogLine| match subject {
         Subject::Upstream { upstream } => {
             line.says("upstream", upstream) && !line.fields.contains_key("request")
         }
         Subject::Plan { plan } => line.says("version", &plan.to_string()),
+        Subject::Fingerprint { fingerprint } => names_fingerprint(line, fingerprint),
     };
     let events = lines.iter().filter(is_of).map(|line| Event::of(line, None));
     merge_alike(events)
--- a/clayplank-ctl/src/options.rs
+++ b/clayplank-ctl/src/options.rs
@@ -143,6 +143,11 @@
         #[bpaf(argument("VERSION"))]
         plan: u64,
     },
+    Fingerprint {
+        /// A request in all its calls, by its fingerprint
+        #[bpaf(argument("HEX"))]
+        fingerprint: String,
+    },
 }
 
 impl std::fmt::Display for Subject {
@@ -150,6 +155,7 @@
         match self {
             Self::Upstream { upstream } => write!(f, "upstream {upstream}"),
             Self::Plan { plan } => write!(f, "plan {plan}"),
+            Self::Fingerprint { fingerprint } => write!(f, "fingerprint {fingerprint}"),
         }
     }
 }
--- a/clayplank-ctl/tests/tool.rs
+++ b/clayplank-ctl/tests/tool.rs
@@ -92,6 +92,28 @@
     insta::assert_snapshot!(name, format!("exit code {:?}\n{text}", output.status.code()));
 }
 
+/// A request that ended two upstreams in other calls, and is refused in this one.
+const HELD_BACK: &str = r#"
+{"time":"2026-07-07T13:18:01.000Z","host":"e1","message":"A stream broke off at its upstream","request":"a1","upstream":"i-1","fingerprint":"0000000000000000000000000000000a","cause":"the connection failed"}
+{"time":"2026-07-07T13:18:01.010Z","host":"e1","message":"An upstream ended under requests","upstream":"i-1","cause":"refused","requests":2,"fingerprints":"0000000000000000000000000000000a 0000000000000000000000000000000b"}
+{"time":"2026-07-07T13:18:02.010Z","host":"e2","message":"An upstream ended under requests","upstream":"i-2","cause":"refused","requests":1,"fingerprints":"0000000000000000000000000000000a"}
+{"time":"2026-07-07T13:18:02.100Z","host":"e1","message":"A request is held back","fingerprint":"0000000000000000000000000000000a","caller":"clubs"}
+{"time":"2026-07-07T13:18:02.110Z","host":"e2","message":"A request is held back","fingerprint":"0000000000000000000000000000000a","caller":"clubs"}
+{"time":"2026-07-07T13:18:03.000Z","host":"e2","message":"Does not send a request that is held back","request":"a7","fingerprint":"0000000000000000000000000000000a"}
+{"time":"2026-07-07T13:18:03.001Z","host":"e2","message":"Refused at the door","request":"a7","outcome":"held_back","waited_ms":1}
+"#;
+
+#[test]
+fn a_request_that_is_held_back_is_explained_by_what_ended_under_it() {
+    let file = file(HELD_BACK);
+    let path = file.path().to_str().unwrap();
+    let story = run(&["explain", "a7", path], "");
+    let fingerprint = "0000000000000000000000000000000a";
+    let calls = run(&["timeline", "--fingerprint", fingerprint, path], "");
+    let text = |output: std::process::Output| String::from_utf8(output.stdout).unwrap();
+    insta::assert_snapshot!("held_back", format!("{}\n{}", text(story), text(calls)));
+}
+
 /// Lines of a host's log: one request served, and one lost by each cause.
 const ENDED: &str = r#"
 {"time":"2026-07-07T13:18:01.000Z","host":"e1","message":"A stream ended","request":"a1","route":"chat","outcome":"answered","sent":1,"prompt_tokens":5000,"goal_ms":300,"pause_goal_ms":250,"expected_ms":80,"first_event_ms":120,"longest_pause_ms":200}
--- a/clayplank-forward/src/admit.rs
+++ b/clayplank-forward/src/admit.rs
@@ -13,7 +13,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
-use crate::call::Call;
+use crate::call::{Call, caller};
 use crate::clock::{millis, now_ms};
 use crate::entry::Entry;
 use crate::facts::RequestFacts;
@@ -29,6 +29,10 @@
 /// leader within about this time.
 const FIRST_PLAN_WAIT: Duration = Duration::from_millis(800);
 
+/// When to come back at the earliest with a request that is held back, in ms: another host may be
+/// trying it.
+const HELD_RETRY_MS: u64 = 1_000;
+
 /// When to come back if this host is stopping, in ms: the balancer sends the caller to another.
 const CLOSED_RETRY_MS: u64 = 50;
 
@@ -85,6 +89,7 @@
         let route = plan.find_route(&facts.host, path).ok_or(Refusal::NoRoute)?.clone();
         let (account, rank) = find_account(&plan, &route, &facts)?;
         let fingerprint = fingerprint(&head, &facts, account.as_deref(), &body);
+        let is_trial = self.let_in(&facts.attempt_id, fingerprint).await?;
         let draw = rand::random::<f64>();
         let service = plan.choose_target(&route, draw).ok_or(Refusal::NoRoute)?.to_owned();
         let limit_ms = facts.deadline_ms.unwrap_or(u64::MAX).min(route.time_limit_ms);
@@ -109,11 +114,32 @@
             sent_count: 0,
             may_have_run: false,
             is_answered: false,
+            is_trial,
         })
     }
+
+    /// Refuses a request that is held back, unless this host may try it; returns whether it does.
+    async fn let_in(
+        &self,
+        attempt_id: &str,
+        fingerprint: RequestFingerprint,
+    ) -> Result<bool, Refusal> {
+        let Some(held_for) = self.suspicion.held_for(fingerprint) else {
+            return Ok(false);
+        };
+        if held_for.is_zero() && self.suspicion.claim_trial(fingerprint).await {
+            log::info!(target: "forward",
+                request = attempt_id, fingerprint:% = fingerprint;
+                "Tries a request that is held back");
+            return Ok(true);
+        }
+        log::info!(target: "forward",
+            request = attempt_id, fingerprint:% = fingerprint;
+            "Does not send a request that is held back");
+        Err(Refusal::HeldBack { retry_after_ms: (held_for.as_millis() as u64).max(HELD_RETRY_MS) })
+    }
 }
 
-/// Callers without an account are told apart by the key that they send, if any.
 fn fingerprint(
     head: &Parts,
     facts: &RequestFacts,
@@ -121,7 +147,7 @@
     body: &[u8],
 ) -> RequestFingerprint {
     let path = head.uri.path_and_query().map_or("/", PathAndQuery::as_str);
-    let caller = account.or(facts.key.as_deref()).unwrap_or_default();
+    let caller = caller(account, facts);
     RequestFingerprint::of(&RequestIdentity { caller, host: &facts.host, path, body })
 }
 
--- a/clayplank-forward/src/attempt.rs
+++ b/clayplank-forward/src/attempt.rs
@@ -40,6 +40,10 @@
         last_event_id: Option<u64>,
         patience: Duration,
     ) -> Attempt {
+        // Others may have learned meanwhile that upstreams end under it.
+        if self.is_held_back() {
+            return Attempt::NotRun;
+        }
         let Chosen { record, helpers, mut load, .. } = chosen;
         let upstream = record.heartbeat.id.clone();
         let request = self.request_for(&record.heartbeat.name, &helpers, last_event_id);
--- a/clayplank-forward/src/call.rs
+++ b/clayplank-forward/src/call.rs
@@ -57,6 +57,8 @@
     pub(crate) may_have_run: bool,
     /// Whether its caller has an answer, or the head of one.
     pub(crate) is_answered: bool,
+    /// Whether it is held back, and may be sent once all the same.
+    pub(crate) is_trial: bool,
 }
 
 /// A call that is dropped without an answer has lost its caller: the line says where it was.
@@ -75,9 +77,28 @@
     }
 }
 
+/// Callers without an account are told apart by the key that they send, if any.
+pub(crate) fn caller<'a>(account: Option<&'a str>, facts: &'a RequestFacts) -> &'a str {
+    account.or(facts.key.as_deref()).unwrap_or_default()
+}
+
 impl Call {
+    /// Who sent it; empty if nothing tells.
+    pub(crate) fn caller(&self) -> &str {
+        caller(self.account.as_deref(), &self.facts)
+    }
+
+    /// Whether it must not be sent to an upstream: others ended under the same request.
+    pub(crate) fn is_held_back(&self) -> bool {
+        let may_be_tried = self.is_trial && self.sent_count == 0;
+        !may_be_tried && self.entry.suspicion.held_for(self.fingerprint).is_some()
+    }
+
     /// Whether another attempt may be made, and pays for it.
     pub(crate) fn may_try(&self) -> bool {
+        if self.is_held_back() {
+            return false;
+        }
         if self.sent_count == 0 {
             // Nothing was written yet, but each connection that failed took time.
             return self.tried.len() <= MAX_UNREACHED;
@@ -124,6 +145,8 @@
             Refusal::TimedOut
         } else if self.may_have_run {
             Refusal::Failed
+        } else if let Some(held_for) = self.entry.suspicion.held_for(self.fingerprint) {
+            Refusal::HeldBack { retry_after_ms: held_for.as_millis() as u64 }
         } else {
             refusal
         };
@@ -139,6 +162,11 @@
         told.to_response()
     }
 
+    /// Notes that an upstream answered it whole, and lived.
+    pub(crate) fn note_answered(&self) {
+        self.entry.suspicion.note_answered(self.fingerprint, self.caller());
+    }
+
     pub(crate) fn kind(&self) -> RequestKind {
         self.route.kind
     }
--- a/clayplank-forward/src/directory.rs
+++ b/clayplank-forward/src/directory.rs
@@ -134,6 +134,24 @@
         }
     }
 
+    /// Whether a life of an upstream has ended and another one of its service stands in its place:
+    /// under its name, or at its address.
+    pub fn has_successor(&self, former: &Heartbeat) -> bool {
+        let inner = self.lock();
+        let is_over = inner
+            .records
+            .get(&former.id)
+            .is_none_or(|record| record.heartbeat.standing == Standing::Gone);
+        let follows = |one: &Heartbeat| {
+            let is_in_place = one.name == former.name || one.address == former.address;
+            one.id != former.id
+                && one.service == former.service
+                && one.standing == Standing::Ready
+                && is_in_place
+        };
+        is_over && inner.records.values().any(|record| follows(&record.heartbeat))
+    }
+
     /// One record.
     pub fn record(&self, id: &UpstreamId) -> Option<Record> {
         self.lock().records.get(id).cloned()
--- a/clayplank-forward/src/ends.rs
+++ b/clayplank-forward/src/ends.rs
@@ -10,11 +10,13 @@
 use std::time::Duration;
 
 use clayplank_registry::{Record, Standing};
-use clayplank_types::{RequestFingerprint, UpstreamId};
+use clayplank_types::{RequestFingerprint, SeenOutcome, UpstreamId};
+use tokio::time::Instant;
 
 use crate::call::Call;
 use crate::entry::Entry;
 use crate::exchange::connect;
+use crate::suspicion::Observation;
 
 /// Connections of an upstream that ends break within this time, nearly all.
 const COLLECT: Duration = Duration::from_millis(5);
@@ -27,12 +29,14 @@
 const MAX_TOLD: usize = 16;
 
 /// A request that ran at an upstream when its connection broke, or when nothing more came.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Break {
-    pub(crate) fingerprint: RequestFingerprint,
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Break {
+    fingerprint: RequestFingerprint,
+    caller: String,
+    at: Instant,
 }
 
-/// What is not known yet of upstreams at which requests broke off.
+/// Breaks at upstreams of which is not known yet whether they ended.
 #[derive(Debug, Default)]
 pub(crate) struct Ends {
     pending: Mutex<HashMap<UpstreamId, Vec<Break>>>,
@@ -54,7 +58,7 @@
 }
 
 impl Call {
-    /// Notes that an upstream did not end this request's answer.
+    /// Notes that an upstream did not end its answer to this request.
     pub(crate) fn note_break(&self, upstream: &UpstreamId) {
         let entry = &self.entry;
         let Some(record) = entry.directory.record(upstream) else {
@@ -64,14 +68,15 @@
         if record.heartbeat.standing != Standing::Ready {
             return;
         }
-        let one = Break { fingerprint: self.fingerprint };
+        let caller = self.caller().to_owned();
+        let one = Break { fingerprint: self.fingerprint, caller, at: Instant::now() };
         if entry.ends.add(upstream, one) {
             tokio::spawn(find_out(Arc::clone(entry), record));
         }
     }
 }
 
-/// Finds out what became of an upstream at which requests broke off.
+/// Finds out what became of an upstream at which requests broke off, and tells of its end.
 async fn find_out(entry: Arc<Entry>, record: Record) {
     tokio::time::sleep(COLLECT).await;
     let upstream = &record.heartbeat.id;
@@ -86,6 +91,11 @@
         upstream = upstream.as_str(), cause = cause, requests = breaks.len(),
         fingerprints = told.join(" ");
         "An upstream ended under requests");
+    entry.figures.count_attempt("upstream_ended");
+    for Break { fingerprint, caller, at } in breaks {
+        let outcome = SeenOutcome::Ended(upstream.clone());
+        entry.suspicion.note_ended(Observation { fingerprint, caller, outcome, at });
+    }
 }
 
 /// By what it is known that an upstream has ended; `None` if it has not, as far as can be told.
@@ -95,15 +105,14 @@
     }
     for pause in NEXT_LIFE_AFTER {
         tokio::time::sleep(pause).await;
-        let known = entry.directory.record(&record.heartbeat.id);
-        if known.is_none_or(|known| known.heartbeat.standing == Standing::Gone) {
+        if entry.directory.has_successor(&record.heartbeat) {
             return Some("replaced");
         }
     }
     None
 }
 
-/// Whether a host answers that nobody listens there.
+/// Whether the machine at an address answers that nobody listens there.
 async fn is_refused(address: SocketAddr) -> bool {
     let refused = connect(address).await.err();
     refused.is_some_and(|error| error.kind() == ErrorKind::ConnectionRefused)
--- a/clayplank-forward/src/entry.rs
+++ b/clayplank-forward/src/entry.rs
@@ -1,8 +1,9 @@
 //! What an entry host needs to forward requests, and how it is put together.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
-use clayplank_types::DataCentre;
+use clayplank_types::{DataCentre, RequestFingerprint};
 
 use crate::budget::{BudgetLimits, RetryBudget};
 use crate::directory::Directory;
@@ -12,6 +13,7 @@
 use crate::names::HeaderNames;
 use crate::placer::Placer;
 use crate::reserve::OrderFormat;
+use crate::suspicion::{Judge, NoJudge, Suspicion};
 
 /// What an entry host needs to forward requests.
 pub struct Entry {
@@ -26,6 +28,8 @@
     pub(crate) data_centre: DataCentre,
     /// Upstreams that may have ended under requests.
     pub(crate) ends: Ends,
+    /// Requests that end upstreams.
+    pub(crate) suspicion: Suspicion,
 }
 
 impl std::fmt::Debug for Entry {
@@ -42,6 +46,7 @@
     orders: Option<Arc<dyn OrderFormat>>,
     figures: Arc<Figures>,
     data_centre: DataCentre,
+    judge: Option<Arc<dyn Judge>>,
 }
 
 impl std::fmt::Debug for EntryBuilder {
@@ -81,6 +86,12 @@
         self
     }
 
+    /// Sets who decides which requests are held back; without one, none is.
+    pub fn judge(mut self, judge: Arc<dyn Judge>) -> Self {
+        self.judge = Some(judge);
+        self
+    }
+
     /// Builds it.
     pub fn build(
         self,
@@ -99,6 +110,7 @@
             figures: self.figures,
             data_centre: self.data_centre,
             ends: Ends::default(),
+            suspicion: Suspicion::new(self.judge.unwrap_or_else(|| Arc::new(NoJudge))),
         }
     }
 }
@@ -117,4 +129,18 @@
     pub fn set_hosts(&self, hosts: u64) {
         self.lock_budget().set_hosts(hosts);
     }
+
+    /// Takes in all requests that are held back, each with its caller and the time until it may
+    /// be tried.
+    pub fn set_held_back(
+        &self,
+        held_back: impl IntoIterator<Item = (RequestFingerprint, String, Duration)>,
+    ) {
+        self.suspicion.set_held_back(held_back);
+    }
+
+    /// How many requests are held back here.
+    pub fn held_back_count(&self) -> usize {
+        self.suspicion.count()
+    }
 }
--- a/clayplank-forward/src/lib.rs
+++ b/clayplank-forward/src/lib.rs
@@ -42,6 +42,7 @@
 mod seen;
 mod source;
 mod stream;
+mod suspicion;
 
 pub use budget::{BudgetLimits, RetryBudget};
 pub use clock::{millis, now_ms};
@@ -56,3 +57,4 @@
 pub use names::HeaderNames;
 pub use placer::{BoxFuture, Placer};
 pub use reserve::{OrderFormat, Reservation, Ticket};
+pub use suspicion::{Judge, Observation};
--- a/clayplank-forward/src/opening.rs
+++ b/clayplank-forward/src/opening.rs
@@ -104,7 +104,7 @@
     };
     let (head, body) = response.into_parts();
     if !head.status.is_success() {
-        return take_other(head, body, load).await;
+        return take_other(call, head, body, load).await;
     }
     let mut source = Source::new(upstream, body, connection, load);
     let first = match source.next(patience.saturating_sub(began.elapsed())).await {
@@ -134,12 +134,13 @@
 }
 
 /// An answer that is no stream, such as the upstream's own failure.
-async fn take_other(mut head: Parts, body: Incoming, mut load: LoadGuard) -> Tried {
+async fn take_other(call: &Call, mut head: Parts, body: Incoming, mut load: LoadGuard) -> Tried {
     let is_failure = head.status.is_server_error();
     load.note_outcome(if is_failure { Outcome::Failed } else { Outcome::Good });
     strip_hop_by_hop(&mut head.headers);
     match body.collect().await {
         Ok(collected) => {
+            call.note_answered();
             Tried::Other(Response::from_parts(head, full(collected.to_bytes())), !is_failure)
         }
         Err(error) => {
--- a/clayplank-forward/src/plain.rs
+++ b/clayplank-forward/src/plain.rs
@@ -109,8 +109,9 @@
         Ok(None) | Err(_) => Outcome::Broken,
     });
     drop(load);
-    if !matches!(read, Ok(Some(_))) {
-        call.note_break(&upstream);
+    match read {
+        Ok(Some(_)) => call.note_answered(),
+        Ok(None) | Err(_) => call.note_break(&upstream),
     }
     match read {
         Ok(Some(bytes)) if is_good => Tried::Good(Whole { upstream, head, bytes }),
--- a/clayplank-forward/src/pump.rs
+++ b/clayplank-forward/src/pump.rs
@@ -87,6 +87,9 @@
             }
             StreamEnd::Whole | StreamEnd::CallerLeft => {}
         }
+        if matches!(end, StreamEnd::Whole) {
+            self.call.note_answered();
+        }
         self.log_end(end);
     }
 
--- a/clayplank-forward/src/refusal.rs
+++ b/clayplank-forward/src/refusal.rs
@@ -32,6 +32,8 @@
     NoPlan { retry_after_ms: u64 },
     /// Nothing was sent, or the upstream did not run it.
     NotRun { retry_after_ms: u64 },
+    /// Upstreams ended under the same request before; this time it was not sent.
+    HeldBack { retry_after_ms: u64 },
     /// The time limit is over; it may have run.
     TimedOut,
     /// It may have run, and its answer was lost.
@@ -46,7 +48,9 @@
             Self::NoAccount => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
-            Self::NoPlan { .. } | Self::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoPlan { .. } | Self::NotRun { .. } | Self::HeldBack { .. } => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Self::Failed => StatusCode::BAD_GATEWAY,
         }
@@ -61,6 +65,7 @@
             Self::TooSlow => "too_slow",
             Self::NoPlan { .. } => "no_plan",
             Self::NotRun { .. } => "not_run",
+            Self::HeldBack { .. } => "held_back",
             Self::TimedOut => "timed_out",
             Self::Failed => "failed",
         }
@@ -69,9 +74,9 @@
     /// When to come back, if the request has not run.
     pub(crate) fn retry_after_ms(self) -> Option<u64> {
         match self {
-            Self::NoPlan { retry_after_ms } | Self::NotRun { retry_after_ms } => {
-                Some(retry_after_ms)
-            }
+            Self::NoPlan { retry_after_ms }
+            | Self::NotRun { retry_after_ms }
+            | Self::HeldBack { retry_after_ms } => Some(retry_after_ms),
             Self::Malformed
             | Self::NoRoute
             | Self::NoAccount
--- a/clayplank-state/src/command.rs
+++ b/clayplank-state/src/command.rs
@@ -2,12 +2,15 @@
 
 use std::sync::Arc;
 
-use clayplank_types::{AttemptId, HostId, Incarnation, Partner, UpstreamId};
+use clayplank_types::{
+    AttemptId, HostId, Incarnation, Partner, RequestFingerprint, Sighting, UpstreamId,
+};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use crate::claims::{Answer, ClaimKey};
 use crate::settings::{SettingKey, SettingValue, Versioned};
+use crate::suspects::{Trial, Verdicts};
 
 /// Bytes that are not the wanted value, or a value without an encoding.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -73,6 +76,12 @@
         /// How long it may give orders under this token.
         lease_ms: u64,
     },
+    /// What a host saw of requests under which upstreams ended.
+    NoteSightings(Vec<Sighting>),
+    /// A host would try a request that is held back, once.
+    ClaimTrial(RequestFingerprint),
+    /// An operator holds a request back no more.
+    Lift(RequestFingerprint),
 }
 
 /// A serving plan as the operator sent it.
@@ -181,4 +190,13 @@
         /// that checks no tokens waits for it.
         wait_ms: u64,
     },
+    /// What was seen is taken in.
+    Noted(Verdicts),
+    /// Whether the host that asked may try the request.
+    Trial(Trial),
+    /// The request is not held back.
+    Lifted {
+        /// Whether it was before.
+        was_held_back: bool,
+    },
 }
--- a/clayplank-state/src/lib.rs
+++ b/clayplank-state/src/lib.rs
@@ -1,4 +1,5 @@
-//! The replicated state: settings of partners, claims and fencing tokens.
+//! The replicated state: settings of partners, claims, fencing tokens, and requests that are held
+//! back.
 //!
 //! [`Machine`] is what the keepers' log drives: the same commands in the same
 //! order give the same state and the same replies everywhere. It reads no
@@ -32,6 +33,7 @@
 mod plan;
 mod plan_edit;
 mod settings;
+mod suspects;
 mod view;
 
 pub use claims::{Answer, ClaimKey, ClaimState, MAX_KEPT_ANSWER_BYTES};
@@ -43,4 +45,5 @@
 pub use packing::{PackError, pack, unpack};
 pub use plan_edit::{EditError, PlanEdit};
 pub use settings::{Delta, SettingKey, SettingValue, Versioned};
+pub use suspects::{HeldBack, Trial, Verdicts};
 pub use view::{SettingsView, StaleDelta};
--- a/clayplank-state/src/machine.rs
+++ b/clayplank-state/src/machine.rs
@@ -2,13 +2,14 @@
 
 use std::collections::BTreeMap;
 
-use clayplank_types::{HostId, UpstreamId};
+use clayplank_types::{HostId, RequestFingerprint, Sighting, UpstreamId};
 use serde::{Deserialize, Serialize};
 
 use crate::claims::Claims;
 use crate::command::{Body, CodecError, Command, PlanDocument, Reply, decode, encode};
 use crate::plan::Plan;
 use crate::settings::{Delta, Settings};
+use crate::suspects::{HeldBack, Suspects, Trial};
 
 /// How much a machine holds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -29,7 +30,7 @@
     until_ms: u64,
 }
 
-/// Settings, claims and fencing tokens.
+/// Settings, claims, fencing tokens, and requests that are held back.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Machine {
     settings: Settings,
@@ -37,6 +38,7 @@
     claims: Claims,
     fences: BTreeMap<UpstreamId, Fence>,
     last_fence: u64,
+    suspects: Suspects,
     /// The latest time that a command carried: time never goes back, whoever leads.
     now_ms: u64,
 }
@@ -54,9 +56,43 @@
             Body::Release { key, attempt_id } => self.claims.release(key, *attempt_id),
             Body::Publish(document) => self.publish(document),
             Body::Fence { upstream, host, lease_ms } => self.fence(upstream, host, *lease_ms),
+            Body::NoteSightings(sightings) => self.note_sightings(sightings),
+            Body::ClaimTrial(fingerprint) => self.claim_trial(*fingerprint),
+            Body::Lift(fingerprint) => self.lift(*fingerprint),
         }
     }
 
+    fn note_sightings(&mut self, sightings: &[Sighting]) -> Reply {
+        let verdicts = self.suspects.note(self.now_ms, sightings);
+        if !verdicts.is_empty() {
+            self.tell_held_back();
+        }
+        Reply::Noted(verdicts)
+    }
+
+    fn claim_trial(&mut self, fingerprint: RequestFingerprint) -> Reply {
+        let trial = self.suspects.claim_trial(self.now_ms, fingerprint);
+        if trial == Trial::Granted {
+            // The other hosts learn when the next one is.
+            self.tell_held_back();
+        }
+        Reply::Trial(trial)
+    }
+
+    fn lift(&mut self, fingerprint: RequestFingerprint) -> Reply {
+        let was_held_back = self.suspects.lift(fingerprint);
+        if was_held_back {
+            self.tell_held_back();
+        }
+        Reply::Lifted { was_held_back }
+    }
+
+    /// Hosts get the list anew.
+    fn tell_held_back(&mut self) {
+        self.settings.revision += 1;
+        self.suspects.revision = self.settings.revision;
+    }
+
     fn publish(&mut self, document: &PlanDocument) -> Reply {
         let revision = self.settings.revision + 1;
         let reply = self.plan.publish(revision, document);
@@ -87,9 +123,16 @@
     pub fn delta_after(&self, revision: u64) -> Delta {
         let mut delta = self.settings.delta_after(revision);
         delta.plan = self.plan.changed_after(revision);
+        let is_news = self.suspects.revision > revision;
+        delta.held_back = is_news.then(|| self.held_back());
         delta
     }
 
+    /// Requests that are held back.
+    pub fn held_back(&self) -> Vec<HeldBack> {
+        self.suspects.held_back(self.now_ms)
+    }
+
     /// The serving plan in force.
     pub fn plan(&self) -> Option<&PlanDocument> {
         self.plan.document.as_ref()
--- a/clayplank-state/src/settings.rs
+++ b/clayplank-state/src/settings.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::command::{PlanDocument, Reply, SettingChange};
+use crate::suspects::HeldBack;
 
 /// Replies to changes that are kept for resends: some months of changes.
 const KEPT_CHANGES: usize = 100_000;
@@ -76,6 +77,8 @@
     pub items: Vec<(SettingKey, Versioned)>,
     /// The serving plan, if it changed.
     pub plan: Option<PlanDocument>,
+    /// All requests that are held back, if that has changed.
+    pub held_back: Option<Vec<HeldBack>>,
 }
 
 /// All settings of all partners.
@@ -183,7 +186,7 @@
         let changed = self.by_revision.range(revision + 1..).map(|(_, key)| key);
         let items =
             changed.filter_map(|key| self.items.get(key).map(|item| (key.clone(), item.clone())));
-        Delta { revision: self.revision, items: items.collect(), plan: None }
+        Delta { revision: self.revision, items: items.collect(), ..Delta::default() }
     }
 
     pub(crate) fn len(&self) -> usize {
--- a/clayplank-types/src/lib.rs
+++ b/clayplank-types/src/lib.rs
@@ -15,6 +15,7 @@
 mod prefix;
 mod priority;
 mod ratio;
+mod sighting;
 
 pub use band::{LengthBands, UnorderedBands};
 pub use fingerprint::{RequestFingerprint, RequestIdentity, UnknownFingerprintText};
@@ -26,3 +27,4 @@
 pub use prefix::{MAX_PREFIX_BLOCKS, PREFIX_BLOCK_TOKENS, prefix_hashes};
 pub use priority::{EnginePriority, Priority};
 pub use ratio::TokenRatio;
+pub use sighting::{SeenOutcome, Sighting};
--- /dev/null
+++ b/clayplank-types/src/sighting.rs
@@ -0,0 +1,28 @@
+//! What hosts tell of requests under which upstreams ended.
+
+use serde::{Deserialize, Serialize};
+
+use crate::fingerprint::RequestFingerprint;
+use crate::id::UpstreamId;
+
+/// What became of a request at an upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SeenOutcome {
+    /// The upstream ended while it had the request.
+    Ended(UpstreamId),
+    /// The upstream answered it whole, and lived.
+    Survived,
+}
+
+/// What a host saw of a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sighting {
+    /// Which request.
+    pub fingerprint: RequestFingerprint,
+    /// Whose it is: what is remembered is limited for each caller.
+    pub caller: String,
+    /// What became of it.
+    pub outcome: SeenOutcome,
+    /// How long ago that was, in ms, when it was told.
+    pub ago_ms: u64,
+}
--- a/clayplankd/src/following.rs
+++ b/clayplankd/src/following.rs
@@ -177,6 +177,13 @@
             }
             position.plan = plan;
         }
+        if let Some(held_back) = delta.held_back {
+            self.entry.set_held_back(
+                held_back
+                    .into_iter()
+                    .map(|one| (one.fingerprint, one.caller, millis(one.next_trial_in_ms))),
+            );
+        }
         let changed = self.directory.apply(changes.records);
         if is_new_plan {
             self.set_engines();
--- a/clayplankd/src/lib.rs
+++ b/clayplankd/src/lib.rs
@@ -61,6 +61,7 @@
 mod serve;
 mod services;
 mod settings_watch;
+mod sightings;
 mod spread;
 mod unreached;
 mod upstream_memory;
--- a/clayplankd/src/seeded_entry.rs
+++ b/clayplankd/src/seeded_entry.rs
@@ -18,6 +18,7 @@
 use crate::following::{Following, run_following};
 use crate::inner::InnerService;
 use crate::seeded::{Parts, plain_text};
+use crate::sightings::{SightingLink, run_sightings};
 
 /// Share of the time until a revoked key must be without effect for which a
 /// confirmation holds; the rest is for requests that are on their way.
@@ -75,10 +76,13 @@
         let figures = Arc::new(Figures::default());
         let (link, events) = FleetLink::new(self.peers.clone(), self.keepers.clone());
         let link = Arc::new(link);
+        let (judge, observations) = SightingLink::new(self.keepers.clone());
+        tokio::spawn(run_sightings(self.keepers.clone(), observations));
         let entry = EntryBuilder::default()
             .names(self.contract.header_names())
             .budget(RetryBudget::new(budget_limits(bounds)))
             .orders(Arc::clone(&self.contract) as Arc<dyn OrderFormat>)
+            .judge(Arc::new(judge))
             .figures(Arc::clone(&figures))
             .data_centre(self.settings.data_centre.clone())
             .build(Arc::clone(&gate), Arc::clone(&directory), link.clone());
