Deadly requests in the soak, across a change of leader and a restart of all hosts

The soak has a caller whose request ends the upstreams that run it, beside all other faults: once one host refuses it, none sends it on after the lease of its settings and the longest pause.

--- a/clayplankd/tests/seeded/deadly.rs
+++ b/clayplankd/tests/seeded/deadly.rs
@@ -21,6 +21,8 @@
 
 use crate::answer::Answer;
 use crate::client::call;
+use crate::failover::leader;
+use crate::host::Host;
 use crate::mortal::{DEADLY_BODY, FLEET, Fleet};
 use crate::system::{KEY, Shape, System, plan, wait_for};
 
@@ -199,3 +201,47 @@
     // request was held back.
     assert!(good * 100 >= all * 98, "{good} of {all} requests were served");
 }
+
+/// How many upstreams the deadly request reached so far.
+fn reached(fleet: &Fleet) -> usize {
+    fleet.story().begun.len()
+}
+
+/// The leader is killed while the request is pressed: what is known of it goes on with the next one.
+#[test]
+fn a_request_is_held_back_also_when_the_leader_changes() {
+    let (mut system, fleet) = start();
+    let leader = leader(&system);
+    let path = "/repeatable/x";
+    // Some upstreams have ended, not enough for a verdict perhaps.
+    press(&system, path, Duration::from_millis(200));
+    system.keepers[leader].kill();
+    press(&system, path, Duration::from_secs(6));
+    system.keepers[leader].start();
+    let story = fleet.story();
+    let third = story.ended.get(2).copied().unwrap_or_else(Instant::now);
+    let late = story.begun.iter().filter(|begun| **begun > third + CONTACT).count();
+    println!("{} upstreams ended, {late} sends late", story.ended.len());
+    assert!(late <= MAX_LATE, "{late} sends later than {CONTACT:?} after the third end");
+}
+
+/// All processes are killed and start again with nothing but the keepers' disks.
+#[test]
+fn a_request_is_held_back_also_after_all_hosts_started_again() {
+    let (mut system, fleet) = start();
+    let path = "/repeatable/x";
+    press(&system, path, Duration::from_secs(3));
+    let before = reached(&fleet);
+    system.keepers.iter_mut().chain(&mut system.entries).for_each(Host::kill);
+    system.keepers.iter_mut().chain(&mut system.entries).for_each(Host::start);
+    for entry in 0..ENTRIES {
+        let mut number = 0;
+        wait_for("service after the restart", || {
+            number += 1;
+            send(&system, entry, &format!("again-{entry}-{number}"), path, "hello").status == 200
+        });
+    }
+    let statuses = press(&system, path, Duration::from_secs(3));
+    assert_eq!(reached(&fleet), before, "sends after the restart");
+    assert!(statuses.iter().all(|status| *status == 503), "{statuses:?}");
+}
--- /dev/null
+++ b/clayplankd/tests/seeded/soak/deadly.rs
@@ -0,0 +1,74 @@
+//! A caller whose request ends the upstreams that run it, beside all other faults.
+
+use std::sync::Mutex;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use super::run::Shared;
+use super::schedule::ENTRIES;
+use crate::client::call;
+use crate::mortal::{DEADLY_BODY, Fleet};
+use crate::system::{KEY, wait_for};
+
+/// Upstreams of the service that the request ends.
+pub const UPSTREAMS: u8 = 5;
+
+/// Once one host refuses the request, the others do after the lease of their settings, 3.2 s, and
+/// the longest pause of a process, 4 s.
+const KNOWN_TO_ALL: Duration = Duration::from_secs(8);
+
+/// When a host refused the request for the first time because upstreams end under it.
+#[derive(Debug, Default)]
+pub struct Refused(Mutex<Option<Instant>>);
+
+fn send(shared: &Shared, entry: usize, attempt: &str, body: &str) -> (u16, String) {
+    let address = shared.system.lock().unwrap().entries[entry].callers();
+    let key = format!("Bearer {KEY}");
+    let headers = [
+        ("authorization", key.as_str()),
+        ("x-clayplank-attempt-id", attempt),
+        ("x-clayplank-deadline-ms", "2000"),
+    ];
+    let answer = call(address, "POST", "/deadly/x", &headers, body);
+    (answer.status, answer.text())
+}
+
+/// Sends the request to one entry host after the other, until the run is over.
+pub fn run_deadly(shared: &Shared, refused: &Refused, seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    for number in 0_u64.. {
+        if shared.is_over.load(Ordering::SeqCst) {
+            return;
+        }
+        let entry = rng.random_range(0..ENTRIES);
+        let (_, text) = send(shared, entry, &format!("deadly-{seed}-{number}"), DEADLY_BODY);
+        if text.contains("held_back") {
+            refused.0.lock().unwrap().get_or_insert_with(Instant::now);
+        }
+        std::thread::sleep(Duration::from_millis(rng.random_range(50..250)));
+    }
+}
+
+/// The request was held back at all hosts, and others of its service are served.
+pub fn check_held_back(shared: &Shared, fleet: &Fleet, refused: &Refused) -> Vec<String> {
+    for entry in 0..ENTRIES {
+        let mut number = 0;
+        wait_for("service where a request ended upstreams", || {
+            number += 1;
+            send(shared, entry, &format!("beside-{entry}-{number}"), "beside").0 == 200
+        });
+    }
+    let Some(refused) = *refused.0.lock().unwrap() else {
+        return vec!["the deadly request was never held back".to_owned()];
+    };
+    let story = fleet.story();
+    let late = story.begun.iter().filter(|begun| **begun > refused + KNOWN_TO_ALL);
+    late.map(|begun| {
+        let after_ms = begun.duration_since(refused).as_millis();
+        format!("the deadly request reached an upstream {after_ms} ms after it was held back")
+    })
+    .collect()
+}
--- a/clayplankd/tests/seeded/soak/mod.rs
+++ b/clayplankd/tests/seeded/soak/mod.rs
@@ -6,6 +6,7 @@
 
 mod callers;
 mod checks;
+mod deadly;
 mod operators;
 mod play;
 mod record;
--- a/clayplankd/tests/seeded/soak/run.rs
+++ b/clayplankd/tests/seeded/soak/run.rs
@@ -9,11 +9,13 @@
 
 use super::callers::run_caller;
 use super::checks::{check_cut_off, check_plan, wait_until_served};
+use super::deadly::{Refused, UPSTREAMS, check_held_back, run_deadly};
 use super::operators::{run_heartbeats, run_operator};
 use super::play::{play, play_closing};
 use super::record::{Record, check_seen};
 use super::schedule::{ENTRIES, KEEPERS, Step, draw_closing, draw_schedule};
 use crate::host::Host;
+use crate::mortal::Fleet;
 use crate::replacement::CATCH_UP;
 use crate::system::{Shape, System};
 
@@ -52,6 +54,8 @@
     let system = System::start_as(shape);
     // A keeper with an empty disk joins the others from now on.
     system.write_settings(false);
+    let fleet = Fleet::start(&system, UPSTREAMS);
+    let refused = Refused::default();
     let runs = system.runs.clone();
     let callers: Vec<_> = system.entries.iter().map(Host::callers).collect();
     let shared = Arc::new(Shared {
@@ -74,6 +78,7 @@
         scope.spawn(|| run_heartbeats(&shared));
         scope.spawn(|| run_operator(&shared, 0));
         scope.spawn(|| run_operator(&shared, 1));
+        scope.spawn(|| run_deadly(&shared, &refused, seed));
         let _ends = EndsRun(&shared.is_over);
         play(&shared, &schedule, began);
         wait_until_served(&shared, seed);
@@ -83,16 +88,19 @@
     });
     let shared = Arc::into_inner(shared).unwrap();
     check_plan(&shared);
+    let not_held_back = check_held_back(&shared, &fleet, &refused);
     let (seen, mut broken) = shared.record.take();
     let count = |attempt: &str| runs.count(attempt);
     broken.extend(seen.iter().filter_map(|seen| check_seen(seen, count(&seen.attempt))));
     broken.extend(check_cut_off(&seen, &schedule, began, count));
+    broken.extend(not_held_back);
     let served = seen.iter().filter(|seen| seen.answer.as_ref().is_some_and(|a| a.status == 200));
     let summary = format!(
-        "{} of {} requests served, plan {}, {} steps",
+        "{} of {} requests served, plan {}, {} upstreams ended under one, {} steps",
         served.count(),
         seen.len(),
         shared.acknowledged.load(Ordering::SeqCst),
+        fleet.story().ended.len(),
         schedule.len()
     );
     if broken.is_empty() { Ok(summary) } else { Err(report(&schedule, &broken, &shared.system)) }
--- a/clayplankd/tests/seeded/system.rs
+++ b/clayplankd/tests/seeded/system.rs
@@ -13,6 +13,7 @@
 use crate::answer::Answer;
 use crate::client::call;
 use crate::host::{CONTROL, Host, INNER, Part, UPSTREAM};
+use crate::mortal::FLEET;
 use crate::proxy::Proxy;
 
 pub const KEY: &str = "timekeeper-key";
@@ -275,13 +276,16 @@
             "targets": [{ "service": "app", "weight": 1 }],
         })
     };
+    let mut deadly = route("deadly", "repeatable");
+    deadly["targets"] = json!([{ "service": FLEET, "weight": 1 }]);
     json!({
         "version": version,
-        "services": [{ "name": "app" }],
+        "services": [{ "name": "app" }, { "name": FLEET }],
         "routes": [
             route("repeatable", "repeatable"),
             route("once", "unrepeatable"),
             route("stream", "resumable_stream"),
+            deadly,
         ],
         "accounts": [{ "name": "timekeepers", "keys": [KEY] }],
     })
