Elapsed time counts while the machine is suspended

Cause: all leases, ages and limits were measured by the runtime's clock, which stands still while a machine is suspended. After it woke, a plan's lease of 4 s held on though others had gone on for 30 s, a caller's limit of 6 s ended 6 s after the waking, and upstreams were told of time that was over.

Change: clayplank-clock adds what CLOCK_BOOTTIME is ahead of CLOCK_MONOTONIC to the runtime's clock, never more than was suspended, and never going back; its waits look at the time again as soon as a suspension is found, 250 ms after waking at the latest. The daemon, the forwarder and the upstream edge use nothing else; clippy refuses raw readings there. One log line and two counters tell of each suspension. A host that wakes is as one that was frozen for as long.

Five of six tests of the entry host failed before (lease after 5 and 30 s, retry budget, deadline told to the upstream, a request given up at its limit) and pass. Real suspension cannot be brought about here: not run.

--- a/clayplank-forward/src/admit.rs
+++ b/clayplank-forward/src/admit.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use clayplank_clock::Instant;
 use clayplank_routes::{PlanIndex, Route};
 use clayplank_types::{RequestFingerprint, RequestIdentity};
 use http::request::Parts;
@@ -11,7 +12,6 @@
 use http::{Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use tokio::time::Instant;
 
 use crate::call::{Call, caller};
 use crate::clock::{millis, now_ms};
@@ -168,7 +168,7 @@
 /// Reads a whole body, in time and up to a limit.
 async fn read_body(body: Incoming, max_bytes: u64, patience: Duration) -> Result<Bytes, Refusal> {
     let limited = Limited::new(body, max_bytes as usize);
-    match tokio::time::timeout(patience, limited.collect()).await {
+    match clayplank_clock::timeout(patience, limited.collect()).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::TooLarge),
         Ok(Err(_)) => Err(Refusal::Malformed),
--- a/clayplank-forward/src/attempt.rs
+++ b/clayplank-forward/src/attempt.rs
@@ -51,7 +51,7 @@
         let could_have_run = self.may_have_run;
         self.count_sent();
         let sent = exchange(record.heartbeat.address, request);
-        match tokio::time::timeout(patience, sent).await {
+        match clayplank_clock::timeout(patience, sent).await {
             Ok(Ok((response, connection))) => {
                 self.take_head(&upstream, load, response, connection, could_have_run)
             }
--- a/clayplank-forward/src/call.rs
+++ b/clayplank-forward/src/call.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use clayplank_clock::Instant;
 use clayplank_routes::{RequestKind, Route};
 use clayplank_types::{RequestFingerprint, UpstreamId};
 use http::Response;
 use http::request::Parts;
-use tokio::time::Instant;
 
 use crate::clock::{millis, now_ms};
 use crate::entry::Entry;
--- a/clayplank-forward/src/choice.rs
+++ b/clayplank-forward/src/choice.rs
@@ -75,7 +75,7 @@
                     return Err(Refusal::NotRun { retry_after_ms });
                 }
             };
-            tokio::time::sleep(millis(pause_ms)).await;
+            clayplank_clock::sleep(millis(pause_ms)).await;
         }
     }
 
--- a/clayplank-forward/src/clock.rs
+++ b/clayplank-forward/src/clock.rs
@@ -1,16 +1,8 @@
-//! The runtime's clock in milliseconds.
+//! Elapsed time in milliseconds.
 
-use std::sync::OnceLock;
 use std::time::Duration;
 
-use tokio::time::Instant;
-
-static START: OnceLock<Instant> = OnceLock::new();
-
-/// Milliseconds since the process first asked; never goes back.
-pub fn now_ms() -> u64 {
-    START.get_or_init(Instant::now).elapsed().as_millis() as u64
-}
+pub use clayplank_clock::now_ms;
 
 /// A span of milliseconds.
 pub fn millis(span_ms: u64) -> Duration {
--- a/clayplank-forward/src/door.rs
+++ b/clayplank-forward/src/door.rs
@@ -75,7 +75,7 @@
         }
         Err(error) => {
             log::warn!(target: "forward", "A connection was not accepted: {error}.");
-            tokio::time::sleep(ACCEPT_PAUSE).await;
+            clayplank_clock::sleep(ACCEPT_PAUSE).await;
             None
         }
     }
--- a/clayplank-forward/src/ends.rs
+++ b/clayplank-forward/src/ends.rs
@@ -9,9 +9,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use clayplank_clock::Instant;
 use clayplank_registry::{Record, Standing};
 use clayplank_types::{RequestFingerprint, SeenOutcome, UpstreamId};
-use tokio::time::Instant;
 
 use crate::call::Call;
 use crate::entry::Entry;
@@ -78,7 +78,7 @@
 
 /// Finds out what became of an upstream at which requests broke off, and tells of its end.
 async fn find_out(entry: Arc<Entry>, record: Record) {
-    tokio::time::sleep(COLLECT).await;
+    clayplank_clock::sleep(COLLECT).await;
     let upstream = &record.heartbeat.id;
     let cause = how_ended(&entry, &record).await;
     let breaks = entry.ends.take(upstream);
@@ -104,7 +104,7 @@
         return Some("refused");
     }
     for pause in NEXT_LIFE_AFTER {
-        tokio::time::sleep(pause).await;
+        clayplank_clock::sleep(pause).await;
         if entry.directory.has_successor(&record.heartbeat) {
             return Some("replaced");
         }
--- a/clayplank-forward/src/exchange.rs
+++ b/clayplank-forward/src/exchange.rs
@@ -62,7 +62,7 @@
 /// The peer refused, or did not answer in time.
 pub async fn connect(address: SocketAddr) -> Result<TcpStream, std::io::Error> {
     let socket = TcpSocket::new_v4()?;
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, socket.connect(address))
+    let stream = clayplank_clock::timeout(CONNECT_TIMEOUT, socket.connect(address))
         .await
         .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
     limit_silence(&stream);
@@ -116,5 +116,5 @@
         let body = response.into_body().collect().await.map_err(CallError::BrokenOff)?;
         Ok((status, body.to_bytes()))
     };
-    tokio::time::timeout(patience, call).await.map_err(|_| CallError::TimedOut)?
+    clayplank_clock::timeout(patience, call).await.map_err(|_| CallError::TimedOut)?
 }
--- a/clayplank-forward/src/gate.rs
+++ b/clayplank-forward/src/gate.rs
@@ -60,7 +60,9 @@
         }
         let mut has_served = self.has_served.subscribe();
         // Without one in time the caller is refused, as by a host that has lost its plan.
-        tokio::time::timeout(patience, has_served.wait_for(|has_served| *has_served)).await.ok();
+        clayplank_clock::timeout(patience, has_served.wait_for(|has_served| *has_served))
+            .await
+            .ok();
     }
 
     /// Takes in a changed lease; it counts from the next confirmation on.
--- a/clayplank-forward/src/load.rs
+++ b/clayplank-forward/src/load.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
+use clayplank_clock::Instant;
 use clayplank_placement::{Event, PlacementId};
 use clayplank_types::UpstreamId;
-use tokio::time::Instant;
 
 use crate::entry::Entry;
 use crate::reserve::Reservation;
--- a/clayplank-forward/src/opening.rs
+++ b/clayplank-forward/src/opening.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
+use clayplank_clock::Instant;
 use clayplank_types::UpstreamId;
 use http::Response;
 use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::Instant;
 
 use crate::attempt::{Attempt, BUSY_RETRY_MS};
 use crate::call::Call;
--- a/clayplank-forward/src/plain.rs
+++ b/clayplank-forward/src/plain.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use clayplank_clock::Instant;
 use clayplank_types::UpstreamId;
 use http::Response;
 use http::response::Parts;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use tokio::time::Instant;
 
 use crate::attempt::{Attempt, BUSY_RETRY_MS};
 use crate::call::Call;
@@ -31,7 +31,7 @@
 /// Runs a request until it has an answer.
 pub(crate) async fn run(mut call: Call, _guard: ProgressGuard) -> Response<AnswerBody> {
     let deadline = call.deadline - GIVE_UP_MARGIN;
-    let tried = tokio::time::timeout_at(deadline, try_upstreams(&mut call)).await;
+    let tried = clayplank_clock::timeout_at(deadline, try_upstreams(&mut call)).await;
     call.is_answered = true;
     match tried {
         Ok(Ok(response)) => response,
@@ -100,7 +100,7 @@
             Attempt::Lost => return Tried::Lost,
         };
     let (head, body) = response.into_parts();
-    let read = tokio::time::timeout(patience, read_whole(body)).await;
+    let read = clayplank_clock::timeout(patience, read_whole(body)).await;
     drop(connection);
     let is_good = matches!(read, Ok(Some(_))) && !head.status.is_server_error();
     load.note_outcome(match &read {
--- a/clayplank-forward/src/pump.rs
+++ b/clayplank-forward/src/pump.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use clayplank_clock::Instant;
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 
 use crate::call::Call;
 use crate::clock::millis;
@@ -79,7 +79,7 @@
         let end = tokio::select! {
             end = self.pass_on(first) => end,
             () = sender.closed() => StreamEnd::CallerLeft,
-            () = tokio::time::sleep_until(deadline) => StreamEnd::TimedOut,
+            () = clayplank_clock::sleep_until(deadline) => StreamEnd::TimedOut,
         };
         match end {
             StreamEnd::Broken | StreamEnd::TimedOut => {
@@ -207,7 +207,7 @@
             match open_elsewhere(&mut self.call, self.last_event_id).await {
                 Ok(begun) => return Some(begun),
                 Err(NotResumed::NoUpstream) if !self.call.patience().is_zero() => {
-                    tokio::time::sleep(RESUME_PAUSE).await;
+                    clayplank_clock::sleep(RESUME_PAUSE).await;
                 }
                 Err(NotResumed::NoUpstream | NotResumed::Failed) => return None,
             }
--- a/clayplank-forward/src/reserve.rs
+++ b/clayplank-forward/src/reserve.rs
@@ -10,10 +10,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use clayplank_clock::Instant;
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use tokio::sync::oneshot;
-use tokio::time::Instant;
 
 use crate::exchange::{CallError, ExchangeError, call_whole};
 
@@ -109,7 +109,7 @@
         tokio::select! {
             biased;
             _ = &mut ended => break,
-            () = tokio::time::sleep(RENEW_EVERY) => {}
+            () = clayplank_clock::sleep(RENEW_EVERY) => {}
         }
         if !reserve_all(&*orders, &mut all).await {
             log::info!(target: "forward", tickets = all.len(); "A reservation was not renewed everywhere");
@@ -141,7 +141,7 @@
     };
     log::info!(target: "forward", ticket = ticket.name, first:? = first; "An order may be carried out late");
     while doubted.elapsed() < LATE_ORDER {
-        tokio::time::sleep(RELEASE_AGAIN_EVERY).await;
+        clayplank_clock::sleep(RELEASE_AGAIN_EVERY).await;
         give_order(ticket, orders.release(&ticket.name)).await;
     }
 }
--- a/clayplank-forward/src/source.rs
+++ b/clayplank-forward/src/source.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use clayplank_clock::Instant;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::Instant;
 
 use crate::events::{EventSplitter, StreamEvent};
 use crate::exchange::Connection;
@@ -50,7 +50,7 @@
             if let Some(event) = self.splitter.next_event() {
                 return Next::Event(event);
             }
-            match tokio::time::timeout_at(until, self.body.frame()).await {
+            match clayplank_clock::timeout_at(until, self.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
                     if let Some(bytes) = frame.data_ref() {
                         self.splitter.push(bytes);
--- a/clayplank-forward/src/stream.rs
+++ b/clayplank-forward/src/stream.rs
@@ -21,7 +21,7 @@
 
 /// Runs a request until its first event; the rest follows beside the answer.
 pub(crate) async fn run(mut call: Call, guard: ProgressGuard) -> Response<AnswerBody> {
-    let opened = tokio::time::timeout_at(call.deadline, open(&mut call)).await;
+    let opened = clayplank_clock::timeout_at(call.deadline, open(&mut call)).await;
     call.is_answered = true;
     match opened {
         Ok(Ok(Opened::Begun(begun))) => respond(call, guard, *begun),
--- a/clayplank-forward/src/suspicion.rs
+++ b/clayplank-forward/src/suspicion.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use clayplank_clock::Instant;
 use clayplank_types::{RequestFingerprint, SeenOutcome};
-use tokio::time::Instant;
 
 use crate::placer::BoxFuture;
 
--- a/clayplank-forward/tests/broken_stream.rs
+++ b/clayplank-forward/tests/broken_stream.rs
@@ -1,5 +1,6 @@
 //! What a stream holds that broke off, while no upstream goes on with it.
 
+#![allow(clippy::disallowed_methods, reason = "tests measure and wait by the runtime's clock")]
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use std::net::SocketAddr;
--- a/clayplank-forward/tests/held_back.rs
+++ b/clayplank-forward/tests/held_back.rs
@@ -1,6 +1,7 @@
 //! What a host tells of requests under which upstreams ended, and what it does with one that is held
 //! back.
 
+#![allow(clippy::disallowed_methods, reason = "tests measure and wait by the runtime's clock")]
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use std::net::SocketAddr;
--- a/clayplank-forward/tests/late_orders.rs
+++ b/clayplank-forward/tests/late_orders.rs
@@ -5,6 +5,7 @@
 //! is, after the release, sets the memory aside anew, and each further one that comes late keeps
 //! it; nobody gives it back.
 
+#![allow(clippy::disallowed_methods, reason = "tests measure and wait by the runtime's clock")]
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use std::net::SocketAddr;
--- a/clayplank-upstream/src/answer.rs
+++ b/clayplank-upstream/src/answer.rs
@@ -145,7 +145,7 @@
             if self.assembler.is_whole() {
                 return Ok(None);
             }
-            match tokio::time::timeout(self.options.silence, self.events.next()).await {
+            match clayplank_clock::timeout(self.options.silence, self.events.next()).await {
                 Ok(Some(Ok(event))) if event.data == DONE => {}
                 Ok(Some(Ok(event))) => {
                     let chunk = self.read_chunk(&event.data)?;
--- a/clayplank-upstream/src/client.rs
+++ b/clayplank-upstream/src/client.rs
@@ -104,7 +104,7 @@
         let request = request
             .body(BoxBody::new(Full::new(body)))
             .map_err(|_| EdgeError::Malformed { address })?;
-        match tokio::time::timeout(patience, self.client.request(request)).await {
+        match clayplank_clock::timeout(patience, self.client.request(request)).await {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(error)) if error.is_connect() => Err(EdgeError::NotSent { address }),
             Ok(Err(_)) | Err(_) => Err(EdgeError::NoAnswer { address }),
@@ -120,11 +120,11 @@
         patience: Duration,
         limit_bytes: usize,
     ) -> Result<Response<Bytes>, EdgeError> {
-        let started = tokio::time::Instant::now();
+        let started = clayplank_clock::Instant::now();
         let response = self.send(address, request, body, patience).await?;
         let (head, body) = response.into_parts();
         let left = patience.saturating_sub(started.elapsed());
-        match tokio::time::timeout(left, Limited::new(body, limit_bytes).collect()).await {
+        match clayplank_clock::timeout(left, Limited::new(body, limit_bytes).collect()).await {
             Ok(Ok(collected)) => Ok(Response::from_parts(head, collected.to_bytes())),
             Ok(Err(error)) if error.is::<LengthLimitError>() => {
                 Err(EdgeError::TooLarge { address, limit_bytes })
--- a/clayplankd/src/callers.rs
+++ b/clayplankd/src/callers.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use clayplank_clock::Instant;
 use clayplank_settings::Effective;
 use clayplank_state::SettingsView;
 use clayplank_types::{AccountId, Refusal, RefusalReason};
 use clayplank_upstream::ServiceRequest;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use tokio::time::Instant;
 
 use crate::accounts::AccountPass;
 use crate::clock::millis;
--- a/clayplankd/src/claims.rs
+++ b/clayplankd/src/claims.rs
@@ -1,8 +1,8 @@
 //! Claims of requests that must run at most once.
 
+use clayplank_clock::Instant;
 use clayplank_state::{Answer, Body, Claim, ClaimHolder, ClaimKey, Reply};
 use clayplank_types::{AccountId, AttemptId, Refusal, RefusalReason};
-use tokio::time::Instant;
 
 use crate::clock::millis;
 use crate::host::Host;
--- a/clayplankd/src/clock.rs
+++ b/clayplankd/src/clock.rs
@@ -1,10 +1,10 @@
-//! The runtime's clock in milliseconds, and wall time.
+//! Elapsed time in milliseconds, and wall time.
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
 pub(crate) use clayplank_forward::{millis, now_ms};
 
-/// The fleet's time: milliseconds of the runtime's clock.
+/// The fleet's time: milliseconds of elapsed time.
 pub(crate) fn fleet_now_ms() -> f64 {
     now_ms() as f64
 }
--- a/clayplankd/src/control_door.rs
+++ b/clayplankd/src/control_door.rs
@@ -146,7 +146,7 @@
         let Registered::Kept { keeper, .. } = &self.registered else {
             return self.keepers.leader_heard_within(LEADER_HEARD_MS);
         };
-        match tokio::time::timeout(OWN_KEEPER_PATIENCE, keeper.send(WhoLeads)).await {
+        match clayplank_clock::timeout(OWN_KEEPER_PATIENCE, keeper.send(WhoLeads)).await {
             Ok(leader) => leader.ok().flatten(),
             Err(_) => self.keepers.leader().filter(|leader| *leader != self.own),
         }
--- a/clayplankd/src/daemon.rs
+++ b/clayplankd/src/daemon.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use clayplank_agreement::{Options, Store, StoreError};
+use clayplank_clock::Instant;
 use clayplank_settings::{Faults, HostSettings, Role};
 use clayplank_types::{HostId, Incarnation};
 use clayplank_upstream::{EngineEdge, HttpClient, HttpEngines};
@@ -14,7 +15,6 @@
 use hyper_util::service::TowerToHyperService;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 use xtra::{Address, Mailbox};
 
 use crate::callers;
@@ -33,6 +33,7 @@
 use crate::reserve::run_renewals;
 use crate::serve::{DoorLimits, serve};
 use crate::settings_watch::{CurrentSettings, run_settings_watch};
+use crate::suspension::run_suspension_watch;
 use crate::upstreams::UpstreamStates;
 
 /// Messages that wait for an actor before senders wait.
@@ -105,6 +106,7 @@
         let inner_listener = bind(settings.listen.inner).await?;
         let operators_listener = bind(settings.listen.operators).await?;
         let incarnation = Incarnation(fresh_incarnation());
+        tokio::spawn(run_suspension_watch());
         let peers = Peers::new(&settings);
         let pools = Arc::new(PoolDirectory::new(&settings));
         let (failed_sender, failed) = mpsc::channel(1);
@@ -157,12 +159,12 @@
         self.host.progress.leave();
         self.membership.send(Leave).await.ok();
         // The balancer has not turned away yet: what still comes is served.
-        tokio::time::sleep(millis(timing.leave_grace_ms)).await;
+        clayplank_clock::sleep(millis(timing.leave_grace_ms)).await;
         self.host.progress.close();
         while self.host.progress.count() > 0 && Instant::now() < deadline {
-            tokio::time::sleep(millis(20)).await;
+            clayplank_clock::sleep(millis(20)).await;
         }
-        tokio::time::sleep(LINGER).await;
+        clayplank_clock::sleep(LINGER).await;
         log::info!(target: part::DAEMON, "Stopped; {} requests were cut off.", self.host.progress.count());
     }
 }
--- a/clayplankd/src/dispatch.rs
+++ b/clayplankd/src/dispatch.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use clayplank_clock::Instant;
 use clayplank_schedule::{Ask, Usage};
 use clayplank_settings::Effective;
 use clayplank_types::{AccountId, AttemptId, PREFIX_BLOCK_TOKENS, UpstreamId, prefix_hashes};
@@ -10,7 +11,6 @@
     AnswerStream, Chunk, CompletionRef, EdgeError, Finish, KvHandle, RelayOptions,
 };
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 
 use crate::accounts::AccountPass;
 use crate::clock::millis;
@@ -176,7 +176,8 @@
     progress: &mut Progress,
 ) -> Result<Finish, AttemptError> {
     let result =
-        match tokio::time::timeout_at(work.deadline, relay(host, work, held, sink, progress)).await
+        match clayplank_clock::timeout_at(work.deadline, relay(host, work, held, sink, progress))
+            .await
         {
             Ok(result) => result,
             Err(_) => Err(AttemptError::DeadlineOver),
--- a/clayplankd/src/engine_watch.rs
+++ b/clayplankd/src/engine_watch.rs
@@ -22,7 +22,7 @@
 /// Asks engines that are suspect of being slow or dead; only a keeper that places prompts knows any.
 pub(crate) async fn run_engine_watch(fleet: Arc<FleetKeeper>) {
     loop {
-        tokio::time::sleep(LOOK_EVERY).await;
+        clayplank_clock::sleep(LOOK_EVERY).await;
         for (id, address) in fleet.take_suspects() {
             let fleet = Arc::clone(&fleet);
             tokio::spawn(async move { ask(&fleet, &id, address).await });
--- a/clayplankd/src/fleet_keeper.rs
+++ b/clayplankd/src/fleet_keeper.rs
@@ -458,7 +458,7 @@
                     return;
                 }
             }
-            () = tokio::time::sleep(millis(AGE_EVERY_MS)) => {}
+            () = clayplank_clock::sleep(millis(AGE_EVERY_MS)) => {}
         }
     }
 }
--- a/clayplankd/src/fleet_link.rs
+++ b/clayplankd/src/fleet_link.rs
@@ -238,7 +238,7 @@
     mut events: mpsc::UnboundedReceiver<(PlacementId, Event)>,
 ) {
     while let Some(first) = events.recv().await {
-        tokio::time::sleep(COLLECT).await;
+        clayplank_clock::sleep(COLLECT).await;
         let mut batch = vec![first];
         while let Ok(event) = events.try_recv() {
             batch.push(event);
--- a/clayplankd/src/following.rs
+++ b/clayplankd/src/following.rs
@@ -85,13 +85,13 @@
             }
             Asked::Replaced => {
                 lost_at_ms.get_or_insert_with(now_ms);
-                tokio::time::sleep(millis(rand::random_range(0..FOLLOW_SPREAD_MS))).await;
+                clayplank_clock::sleep(millis(rand::random_range(0..FOLLOW_SPREAD_MS))).await;
             }
             Asked::Failed => {
                 lost_at_ms.get_or_insert_with(now_ms);
                 following.keepers.doubt_leader();
                 // A leader that is found ends the pause.
-                tokio::time::timeout(FOLLOW_PAUSE, found.changed()).await.ok();
+                clayplank_clock::timeout(FOLLOW_PAUSE, found.changed()).await.ok();
             }
         }
     }
--- a/clayplankd/src/full_disk.rs
+++ b/clayplankd/src/full_disk.rs
@@ -23,7 +23,7 @@
             self.since_ms = Some(now_ms());
             log::error!(target: part::KEEPER, cause:% = error; "The disk is full; waits for room");
         }
-        tokio::time::sleep(RETRY_PAUSE).await;
+        clayplank_clock::sleep(RETRY_PAUSE).await;
     }
 
     /// Notes that a write went through.
--- a/clayplankd/src/keeper_client.rs
+++ b/clayplankd/src/keeper_client.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use clayplank_clock::Instant;
 use clayplank_settings::HostSettings;
 use clayplank_state::{Body, Delta, Reply, decode, encode};
 use clayplank_types::HostId;
@@ -13,7 +14,6 @@
 use rand::seq::SliceRandom;
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
-use tokio::time::Instant;
 
 use crate::clock::{millis, now_ms};
 use crate::keeper_messages::WATCH_WAIT_MS;
@@ -362,7 +362,7 @@
             next = match hint.filter(|hint| *hint != keeper) {
                 Some(hint) => Some(hint),
                 None => {
-                    tokio::time::sleep(RETRY_PAUSE.min(left)).await;
+                    clayplank_clock::sleep(RETRY_PAUSE.min(left)).await;
                     self.after(Some(&keeper))
                 }
             };
@@ -378,7 +378,7 @@
         due: AnswerDue,
         found: &mut watch::Receiver<Option<HostId>>,
     ) {
-        tokio::time::sleep(due.wait() + DOUBT_AFTER).await;
+        clayplank_clock::sleep(due.wait() + DOUBT_AFTER).await;
         self.doubt_leader();
         while found.changed().await.is_ok() {
             let is_other = found.borrow_and_update().as_ref().is_some_and(|one| one != keeper);
@@ -432,7 +432,7 @@
         // All have answered that they hear none, or not at all: the next question waits its time.
         std::future::pending().await
     };
-    tokio::time::timeout(patience, first).await.ok()
+    clayplank_clock::timeout(patience, first).await.ok()
 }
 
 /// Looks for the leader whenever it is doubted.
--- a/clayplankd/src/keeper_join.rs
+++ b/clayplankd/src/keeper_join.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use clayplank_agreement::{BlankKeeper, Envelope, Introduction, Join, ReplicaId, plan_join};
+use clayplank_clock::Instant;
 use clayplank_state::{decode, encode};
 use clayplank_types::HostId;
 use clayplank_wire::{IntroduceRequest, StepRequest};
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 use xtra::Address;
 
 use crate::clock::millis;
@@ -45,7 +45,7 @@
 /// Lets time pass for the replica.
 pub(crate) async fn run_ticks(keeper: Address<Keeper>) {
     loop {
-        tokio::time::sleep(millis(rand::random_range(TICK_MS))).await;
+        clayplank_clock::sleep(millis(rand::random_range(TICK_MS))).await;
         if keeper.send(Tick).await.is_err() {
             return;
         }
@@ -144,7 +144,7 @@
         }
         waits.note(&stand, &told.answers);
         joining.learn(&stand, told);
-        tokio::time::sleep(INTRODUCE_EVERY).await;
+        clayplank_clock::sleep(INTRODUCE_EVERY).await;
     }
 }
 
--- a/clayplankd/src/keeper_log.rs
+++ b/clayplankd/src/keeper_log.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use clayplank_agreement::{Configuration, Introduction, Replica, ReplicaId};
+use clayplank_clock::Instant;
 use clayplank_types::HostId;
-use tokio::time::Instant;
 
 use crate::keeper_messages::Stand;
 use crate::logging::part;
--- a/clayplankd/src/keeper_stop.rs
+++ b/clayplankd/src/keeper_stop.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use clayplank_clock::Instant;
 use clayplank_types::HostId;
-use tokio::time::Instant;
 
 use crate::keeper_client::KeeperClient;
 use crate::logging::part;
@@ -26,7 +26,7 @@
         let left = STOP_PATIENCE.saturating_sub(began.elapsed());
         match keepers.ask_to_stop(own, left).await {
             Ok(true) => break "may stop",
-            Ok(false) => tokio::time::sleep(ASK_EVERY.min(left)).await,
+            Ok(false) => clayplank_clock::sleep(ASK_EVERY.min(left)).await,
             Err(error) => {
                 log::warn!(target: part::KEEPER, cause:% = error; "Stops without being taken out");
                 break "not answered";
--- a/clayplankd/src/lib.rs
+++ b/clayplankd/src/lib.rs
@@ -63,6 +63,7 @@
 mod settings_watch;
 mod sightings;
 mod spread;
+mod suspension;
 mod unreached;
 mod upstream_memory;
 mod upstreams;
--- a/clayplankd/src/logging.rs
+++ b/clayplankd/src/logging.rs
@@ -81,7 +81,7 @@
 async fn tell_dropped(counter: ErrorCounter) {
     let mut told = 0;
     loop {
-        tokio::time::sleep(DROPPED_EVERY).await;
+        clayplank_clock::sleep(DROPPED_EVERY).await;
         let dropped = counter.dropped_lines();
         if dropped > told {
             log::warn!(target: part::DAEMON, lines = dropped - told; "Log lines were dropped");
--- a/clayplankd/src/membership.rs
+++ b/clayplankd/src/membership.rs
@@ -274,6 +274,6 @@
             }
             Err(error) => log::debug!(target: part::MEMBERS, "The platform gave no list: {error}."),
         }
-        tokio::time::sleep(millis(platform.poll_interval_ms)).await;
+        clayplank_clock::sleep(millis(platform.poll_interval_ms)).await;
     }
 }
--- a/clayplankd/src/mirror.rs
+++ b/clayplankd/src/mirror.rs
@@ -170,7 +170,7 @@
     // The deputy that was given what is held here, while this keeper leads.
     let mut told_deputy = None;
     loop {
-        tokio::time::sleep(COLLECT).await;
+        clayplank_clock::sleep(COLLECT).await;
         let Ok(placing) = keeper.send(WhoPlaces).await else {
             return;
         };
--- a/clayplankd/src/operators.rs
+++ b/clayplankd/src/operators.rs
@@ -20,6 +20,7 @@
 use crate::owner::{Owner, PoolTotals};
 use crate::replies::{Body, Problem, json as json_response, text};
 use crate::serve::{bearer_key, read_body};
+use crate::suspension::suspension_figures;
 
 const MAX_BODY_BYTES: u64 = 1 << 20;
 
@@ -48,7 +49,10 @@
 pub(crate) async fn answer(door: OperatorsDoor, request: Request<Incoming>) -> Response<Body> {
     match (request.method(), request.uri().path()) {
         (&Method::GET, "/health") => return health(&door.host),
-        (&Method::GET, "/metrics") => return text(StatusCode::OK, door.host.metrics.to_text()),
+        (&Method::GET, "/metrics") => {
+            let figures = door.host.metrics.to_text() + &suspension_figures();
+            return text(StatusCode::OK, figures);
+        }
         _ => {}
     }
     match door.run(request).await {
--- a/clayplankd/src/orders.rs
+++ b/clayplankd/src/orders.rs
@@ -99,7 +99,7 @@
             Err(Refusal::new(RefusalReason::UpstreamRefused, wait_ms))
         }
         FenceCheck::Lease => {
-            tokio::time::sleep(millis(wait_ms)).await;
+            clayplank_clock::sleep(millis(wait_ms)).await;
             Ok(token)
         }
     }
--- a/clayplankd/src/owner.rs
+++ b/clayplankd/src/owner.rs
@@ -516,7 +516,7 @@
             if polls.is_multiple_of(REPORTS_PER_CACHE_POLL) {
                 last_event = self.poll_cache(last_event).await;
             }
-            tokio::time::sleep(self.interval).await;
+            clayplank_clock::sleep(self.interval).await;
         }
     }
 
--- a/clayplankd/src/peers.rs
+++ b/clayplankd/src/peers.rs
@@ -78,7 +78,7 @@
         F: Future<Output = Result<tonic::Response<T>, tonic::Status>>,
     {
         let client = self.client(host).ok_or_else(|| PeerError::NotKnown { host: host.clone() })?;
-        match tokio::time::timeout(patience, call(client)).await {
+        match clayplank_clock::timeout(patience, call(client)).await {
             Ok(Ok(response)) => Ok(response.into_inner()),
             Ok(Err(status)) => Err(PeerError::Call { host: host.clone(), code: status.code() }),
             Err(_) => Err(PeerError::TimedOut { host: host.clone() }),
--- a/clayplankd/src/reserve.rs
+++ b/clayplankd/src/reserve.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use clayplank_clock::Instant;
 use clayplank_schedule::{Ask, GrantId, GrantPart, HeldGrant, PoolLoad, Usage, choose_pool};
 use clayplank_types::{
     AttemptId, EnginePriority, HostId, Incarnation, PoolId, Refusal, RefusalReason, RequestId,
@@ -13,7 +14,6 @@
     FinishRequest, FirstTokenRequest, GrantedEngine, HeldGrant as WireGrant, RenewRequest,
     ReserveReply, ReserveRequest, reserve_reply,
 };
-use tokio::time::Instant;
 
 use crate::clock::millis;
 use crate::host::Host;
@@ -103,7 +103,7 @@
                 None => return Err(refusal),
             },
             // Nothing was dispatched yet: asking again is safe.
-            Ok(Answer::NotOwner) | Err(_) => tokio::time::sleep(OWNER_RETRY.min(left)).await,
+            Ok(Answer::NotOwner) | Err(_) => clayplank_clock::sleep(OWNER_RETRY.min(left)).await,
         }
     }
 }
@@ -262,7 +262,7 @@
 pub(crate) async fn run_renewals(host: Arc<Host>) {
     let interval = millis(host.settings.timing.grant_lease_ms / 4);
     loop {
-        tokio::time::sleep(interval).await;
+        clayplank_clock::sleep(interval).await;
         for (owner, request) in plan_renewals(&host) {
             let host = Arc::clone(&host);
             tokio::spawn(async move {
--- a/clayplankd/src/run_seeded.rs
+++ b/clayplankd/src/run_seeded.rs
@@ -32,7 +32,7 @@
             _ = stop.recv() => break,
             _ = interrupt.recv() => break,
             _ = reload.recv() => {}
-            () = tokio::time::sleep(SETTINGS_POLL) => {}
+            () = clayplank_clock::sleep(SETTINGS_POLL) => {}
             error = daemon.failed() => return Err(Report::new(error)),
         }
         match read_changed(path, &text) {
--- a/clayplankd/src/seeded.rs
+++ b/clayplankd/src/seeded.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use clayplank_clock::Instant;
 use clayplank_forward::{Gate, serve_simple};
 use clayplank_settings::{Role, SeededSettings};
 use clayplank_types::HostId;
@@ -15,7 +16,6 @@
 use http_body_util::Full;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
-use tokio::time::Instant;
 
 use crate::contract::SharedContract;
 use crate::control_door::Registered;
@@ -25,8 +25,9 @@
 use crate::keeper_stop::give_up_vote;
 use crate::logging::{part, set_log_level};
 use crate::peers::Peers;
-use crate::seeded_entry::EntryHost;
+use crate::seeded_entry::{EntryFigures, EntryHost};
 use crate::seeded_keeper::run_keeper_start;
+use crate::suspension::{run_suspension_watch, suspension_figures};
 
 /// The balancer asks every second, and turns away after two misses: until then new
 /// connections come. Requests that come later could be cut off at the end of the grace.
@@ -81,11 +82,12 @@
         };
         let metrics = bind(settings.listen.metrics).await?;
         tokio::spawn(run_leader_search(keepers.clone()));
+        tokio::spawn(run_suspension_watch());
         let entry = match settings.role {
             Role::Entry => Some(parts.start_entry(closing_receiver).await?),
             Role::Keeper => None,
         };
-        let figures = entry.as_ref().map(|entry| Arc::clone(&entry.figures));
+        let figures = entry.as_ref().map(EntryHost::figures);
         let fleet = settings.is_keeper().then(|| parts.new_fleet());
         if let Some(fleet) = &fleet {
             tokio::spawn(run_keeper_start(parts, Arc::clone(fleet), failed_sender));
@@ -94,9 +96,9 @@
             parts.start_door(bind(control).await?, Registered::Followed, spread);
         }
         serve_metrics(metrics, move || {
-            let of_entry = figures.as_ref().map(|figures| figures.to_text()).unwrap_or_default();
+            let of_entry = figures.as_ref().map(EntryFigures::to_text).unwrap_or_default();
             let of_keeper = fleet.as_deref().map(FleetKeeper::to_text).unwrap_or_default();
-            of_entry + &of_keeper
+            of_entry + &of_keeper + &suspension_figures()
         });
         log::info!(target: part::DAEMON,
             name = settings.name, role:? = settings.role, keeper = settings.is_keeper(),
@@ -170,13 +172,13 @@
             Instant::now() + Duration::from_secs_f64(self.settings.bounds.grace_s) - GRACE_MARGIN;
         log::info!(target: part::DAEMON, in_progress = gate.in_progress(); "Stops");
         gate.leave();
-        tokio::time::sleep(TURN_AWAY).await;
+        clayplank_clock::sleep(TURN_AWAY).await;
         gate.close();
         self.closing.send_replace(true);
         while gate.in_progress() > 0 && Instant::now() < end {
-            tokio::time::sleep(DRAIN_POLL).await;
+            clayplank_clock::sleep(DRAIN_POLL).await;
         }
-        tokio::time::sleep(LINGER).await;
+        clayplank_clock::sleep(LINGER).await;
     }
 }
 
--- a/clayplankd/src/seeded_entry.rs
+++ b/clayplankd/src/seeded_entry.rs
@@ -28,12 +28,31 @@
 pub(crate) struct EntryHost {
     /// Whether it takes requests.
     pub(crate) gate: Arc<Gate>,
-    /// What it counts.
-    pub(crate) figures: Arc<Figures>,
+    figures: Arc<Figures>,
     entry: Arc<Entry>,
 }
 
+/// What an entry host counts.
+#[derive(Clone)]
+pub(crate) struct EntryFigures {
+    figures: Arc<Figures>,
+    entry: Arc<Entry>,
+}
+
+impl EntryFigures {
+    /// Figures in the Prometheus text format.
+    pub(crate) fn to_text(&self) -> String {
+        let held_back = self.entry.held_back_count();
+        format!("{}clayplank_entry_held_back {held_back}\n", self.figures.to_text())
+    }
+}
+
 impl EntryHost {
+    /// What it counts, for those who ask later.
+    pub(crate) fn figures(&self) -> EntryFigures {
+        EntryFigures { figures: Arc::clone(&self.figures), entry: Arc::clone(&self.entry) }
+    }
+
     /// Takes in bounds that were changed.
     pub(crate) fn set_bounds(&self, bounds: &Bounds) {
         self.gate.set_lease_ms(lease_ms(bounds));
--- a/clayplankd/src/serve.rs
+++ b/clayplankd/src/serve.rs
@@ -76,7 +76,7 @@
     patience: Duration,
 ) -> Result<Bytes, Problem> {
     let limited = Limited::new(body, limit_bytes as usize);
-    match tokio::time::timeout(patience, limited.collect()).await {
+    match clayplank_clock::timeout(patience, limited.collect()).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Problem::TooLarge { limit_bytes }),
         Ok(Err(_)) => Err(Problem::Malformed("the body broke off".to_owned())),
--- a/clayplankd/src/services.rs
+++ b/clayplankd/src/services.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use bytes::Bytes;
+use clayplank_clock::Instant;
 use clayplank_settings::ServiceSettings;
 use clayplank_state::Answer;
 use clayplank_types::{AccountId, Outcome, Refusal, RefusalReason, UpstreamId};
@@ -12,7 +13,6 @@
 use http::header::{CONTENT_TYPE, HeaderValue};
 use http::{Response, StatusCode};
 use siphasher::sip128::{Hasher128, SipHasher13};
-use tokio::time::Instant;
 
 use crate::accounts::AccountPass;
 use crate::claims::{Claimed, claim, release, settle};
--- a/clayplankd/src/sightings.rs
+++ b/clayplankd/src/sightings.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
+use clayplank_clock::Instant;
 use clayplank_forward::{BoxFuture, Judge, Observation};
 use clayplank_state::{Body, HeldBack, Reply, Trial, Verdicts};
 use clayplank_types::{RequestFingerprint, Sighting};
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 
 use crate::keeper_client::KeeperClient;
 use crate::logging::part;
@@ -71,7 +71,7 @@
     mut observations: mpsc::Receiver<Observation>,
 ) {
     while let Some(first) = observations.recv().await {
-        tokio::time::sleep(COLLECT).await;
+        clayplank_clock::sleep(COLLECT).await;
         let mut batch = vec![first];
         while batch.len() < MAX_BATCH
             && let Ok(next) = observations.try_recv()
--- a/clayplankd/src/spread.rs
+++ b/clayplankd/src/spread.rs
@@ -118,7 +118,7 @@
 /// Passes on what a keeper collected to the other keepers, again and again.
 pub(crate) async fn run_spread(spread: Spread) {
     loop {
-        tokio::time::sleep(COLLECT).await;
+        clayplank_clock::sleep(COLLECT).await;
         let collected = spread.take_waiting();
         if collected.is_empty() {
             continue;
@@ -136,7 +136,7 @@
 /// them, 295 hosts made 2,000 calls a second at each of five keepers.
 pub(crate) async fn run_spread_to_one(spread: Spread) {
     loop {
-        tokio::time::sleep(COLLECT_TO_ONE).await;
+        clayplank_clock::sleep(COLLECT_TO_ONE).await;
         let collected = spread.take_waiting();
         if !collected.is_empty() {
             let spread = spread.clone();
--- a/clayplankd/src/upstream_memory.rs
+++ b/clayplankd/src/upstream_memory.rs
@@ -41,7 +41,7 @@
 pub(crate) async fn run_upstream_memory(fleet: Arc<FleetKeeper>, notes: Notes) {
     let mut saved = Cursor::default();
     loop {
-        tokio::time::sleep(SAVE_EVERY).await;
+        clayplank_clock::sleep(SAVE_EVERY).await;
         let Some((cursor, known)) = fleet.upstreams_after(saved) else {
             continue;
         };
