Operators read what is held back, and lift it

GET /v1/held-back and DELETE /v1/held-back/FINGERPRINT at any keeper or door, clayplank held-back list and lift. A test of processes: the list names the caller and the upstreams that ended, a figure counts it, and after it is lifted the request is sent again at once.

--- a/clayplank-ctl/src/main.rs
+++ b/clayplank-ctl/src/main.rs
@@ -12,7 +12,7 @@
 mod losses;
 mod options;
 mod output;
-mod plan;
+mod seeded;
 
 use std::process::ExitCode;
 
--- a/clayplank-ctl/src/options.rs
+++ b/clayplank-ctl/src/options.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use bpaf::Bpaf;
+use clayplank_types::RequestFingerprint;
 
 /// What the tool is asked to do, and where.
 #[derive(Bpaf, Clone, Debug)]
@@ -48,6 +49,10 @@
     /// The serving plan of seeded hosts; --host names control addresses of keepers
     #[bpaf(command)]
     Plan(#[bpaf(external(plan_command))] PlanCommand),
+    /// Requests that are held back since upstreams ended under them; --host names control addresses
+    /// of keepers
+    #[bpaf(command("held-back"))]
+    HeldBack(#[bpaf(external(held_back_command))] HeldBackCommand),
     /// Tell a request's story from the logs of several hosts
     #[bpaf(command)]
     Explain {
@@ -175,6 +180,21 @@
     },
 }
 
+/// What to do with requests that are held back.
+#[derive(Bpaf, Clone, Debug)]
+pub(crate) enum HeldBackCommand {
+    /// Print them, with the upstreams that ended under each
+    #[bpaf(command)]
+    List,
+    /// Hold one back no more, once upstreams run it well or it was held back by mistake
+    #[bpaf(command)]
+    Lift {
+        /// The request, as the list and the logs name it
+        #[bpaf(positional("FINGERPRINT"))]
+        fingerprint: RequestFingerprint,
+    },
+}
+
 /// What makes a change safe to send twice, and safe beside others.
 #[derive(Bpaf, Clone, Debug)]
 pub(crate) struct Guard {
--- a/clayplankd/src/contract.rs
+++ b/clayplankd/src/contract.rs
@@ -7,6 +7,7 @@
 use clayplank_registry::Heartbeat;
 use clayplank_routes::ServingPlan;
 use clayplank_settings::Faults;
+use clayplank_types::RequestFingerprint;
 use http::{Method, Request};
 use http_body_util::Full;
 use serde::Deserialize;
@@ -22,6 +23,10 @@
     Heartbeat(Heartbeat),
     /// An upstream leaves: the life that it names, or the newest.
     Leave(Heartbeat),
+    /// An operator asks which requests are held back.
+    ReadHeldBack,
+    /// An operator holds a request back no more.
+    Lift(RequestFingerprint),
 }
 
 impl ControlCall {
--- a/clayplankd/src/control_door.rs
+++ b/clayplankd/src/control_door.rs
@@ -11,11 +11,12 @@
 use clayplank_registry::{Heartbeat, Standing};
 use clayplank_routes::ServingPlan;
 use clayplank_settings::Faults;
-use clayplank_state::{Body, PlanDocument, Reply};
-use clayplank_types::HostId;
+use clayplank_state::{Body, HeldBack, PlanDocument, Reply};
+use clayplank_types::{HostId, RequestFingerprint};
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use serde_json::Value;
 use xtra::Address;
 
 use crate::contract::{ControlCall, ControlFault, SharedContract};
@@ -83,6 +84,8 @@
             Ok(ControlCall::ReadPlan) => self.read_plan().await,
             Ok(ControlCall::Heartbeat(heartbeat)) => self.take_heartbeat(heartbeat).await,
             Ok(ControlCall::Leave(gone)) => self.take_leave(gone).await,
+            Ok(ControlCall::ReadHeldBack) => self.read_held_back().await,
+            Ok(ControlCall::Lift(fingerprint)) => self.lift(fingerprint).await,
             Err(ControlFault::NotFound) => fault(StatusCode::NOT_FOUND, "no such call"),
             Err(ControlFault::Malformed(faults)) => malformed(&faults),
         }
@@ -125,6 +128,37 @@
         }
     }
 
+    /// The requests that a quorum confirms to be held back.
+    async fn read_held_back(&self) -> Answer {
+        match self.keepers.watch(&self.own, 0, PATIENCE).await {
+            Ok((delta, _)) => {
+                let held_back = delta.held_back.unwrap_or_default();
+                let told: Vec<_> = held_back.iter().map(held_back_json).collect();
+                json(StatusCode::OK, Bytes::from(Value::from(told).to_string()))
+            }
+            Err(error) => {
+                log::info!(target: part::KEEPER, "What is held back is not known: {error}.");
+                fault(StatusCode::SERVICE_UNAVAILABLE, "no quorum in time")
+            }
+        }
+    }
+
+    async fn lift(&self, fingerprint: RequestFingerprint) -> Answer {
+        let reply = self.keepers.execute(&Body::Lift(fingerprint), PATIENCE).await;
+        let (answer, outcome) = match &reply {
+            Ok(Reply::Lifted { was_held_back: true }) => (empty(StatusCode::OK), "lifted"),
+            Ok(Reply::Lifted { was_held_back: false }) => {
+                (fault(StatusCode::NOT_FOUND, "no such request is held back"), "not_held_back")
+            }
+            Ok(_) => (fault(StatusCode::INTERNAL_SERVER_ERROR, "an unfit reply"), "unfit"),
+            Err(_) => (fault(StatusCode::SERVICE_UNAVAILABLE, "no quorum in time"), "no_quorum"),
+        };
+        log::info!(target: part::KEEPER,
+            fingerprint:% = fingerprint, outcome = outcome;
+            "An operator lifts a request that is held back");
+        answer
+    }
+
     async fn take_heartbeat(&self, heartbeat: Heartbeat) -> Answer {
         let takes_work = heartbeat.standing == Standing::Ready;
         if let Registered::Kept { fleet, .. } = &self.registered {
@@ -172,6 +206,15 @@
     }
 }
 
+fn held_back_json(one: &HeldBack) -> Value {
+    serde_json::json!({
+        "fingerprint": one.fingerprint.to_string(),
+        "caller": one.caller,
+        "ended": one.ended,
+        "next_trial_in_ms": one.next_trial_in_ms,
+    })
+}
+
 fn empty(status: StatusCode) -> Answer {
     json(status, Bytes::from_static(b"{}"))
 }
--- a/clayplankd/src/native.rs
+++ b/clayplankd/src/native.rs
@@ -13,6 +13,7 @@
 
 const PLAN_PATH: &str = "/v1/plan";
 const UPSTREAMS_PATH: &str = "/v1/upstreams/";
+const HELD_BACK_PATH: &str = "/v1/held-back";
 const HEALTH_PATH: &str = "/health";
 const REPORT_PATH: &str = "/v1/report";
 const RESERVATIONS_PATH: &str = "/v1/reservations";
@@ -63,6 +64,8 @@
                 Ok(ControlCall::Publish(Box::new(plan)))
             }
             (&Method::GET, PLAN_PATH) => Ok(ControlCall::ReadPlan),
+            (&Method::GET, HELD_BACK_PATH) => Ok(ControlCall::ReadHeldBack),
+            (&Method::DELETE, _) => scan_lift(path),
             _ => Err(ControlFault::NotFound),
         }
     }
@@ -87,6 +90,13 @@
     }
 }
 
+/// Reads the fingerprint of a request that is to be held back no more.
+fn scan_lift(path: &str) -> Result<ControlCall, ControlFault> {
+    let named = path.strip_prefix(HELD_BACK_PATH).and_then(|rest| rest.strip_prefix('/'));
+    let named = named.ok_or(ControlFault::NotFound)?;
+    named.parse().map(ControlCall::Lift).map_err(|error| malformed(&error))
+}
+
 fn scan_upstream_call(method: &Method, id: &str, body: &[u8]) -> Result<ControlCall, ControlFault> {
     match *method {
         Method::PUT => {
--- a/clayplankd/tests/seeded/deadly.rs
+++ b/clayplankd/tests/seeded/deadly.rs
@@ -245,3 +245,34 @@
     assert_eq!(reached(&fleet), before, "sends after the restart");
     assert!(statuses.iter().all(|status| *status == 503), "{statuses:?}");
 }
+
+/// What the keepers hold back, as an operator reads it.
+fn held_back(system: &System) -> Vec<Value> {
+    let answer = call(system.keepers[0].control(), "GET", "/v1/held-back", &[], "");
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    serde_json::from_str(&answer.text()).unwrap()
+}
+
+/// An operator reads what is held back and why, and lifts it: the request is sent again at once.
+#[test]
+fn an_operator_sees_what_is_held_back_and_lifts_it() {
+    let (system, fleet) = start();
+    assert_eq!(held_back(&system), Vec::<Value>::new());
+    press(&system, "/repeatable/x", Duration::from_secs(2));
+    let before = reached(&fleet);
+    let held = held_back(&system);
+    let [one] = held.as_slice() else { panic!("{held:?}") };
+    assert_eq!(one["caller"], "timekeepers");
+    assert!(one["ended"].as_array().unwrap().len() >= 3, "{one}");
+    let figures = system.entries[0].figures();
+    assert!(figures.contains("clayplank_entry_held_back 1"), "{figures}");
+    let path = format!("/v1/held-back/{}", one["fingerprint"].as_str().unwrap());
+    let control = system.keepers[1].control();
+    assert_eq!(call(control, "DELETE", &path, &[], "").status, 200);
+    assert_eq!(call(control, "DELETE", &path, &[], "").status, 404, "it is lifted already");
+    assert_eq!(call(control, "DELETE", "/v1/held-back/7", &[], "").status, 400);
+    wait_for("hosts that send the request again", || {
+        press(&system, "/repeatable/x", Duration::from_millis(200));
+        reached(&fleet) > before
+    });
+}
