The project's own doors hold back a request under which upstreams ended

Verdicts come with the settings, evidence goes through the same link. A test with real engines that are ended whenever one begins a prompt: refused as held-back at all hosts, no engine begins it again; without the check (a mutation) it ran again and was answered.

--- a/clayplank-forward/src/ends.rs
+++ b/clayplank-forward/src/ends.rs
@@ -4,8 +4,6 @@
 //! if nobody listens at its address any more, or if another life of it follows.
 
 use std::collections::{BTreeSet, HashMap};
-use std::io::ErrorKind;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -15,7 +13,7 @@
 
 use crate::call::Call;
 use crate::entry::Entry;
-use crate::exchange::connect;
+use crate::exchange::is_refused;
 use crate::suspicion::Observation;
 
 /// Connections of an upstream that ends break within this time, nearly all.
@@ -111,9 +109,3 @@
     }
     None
 }
-
-/// Whether the machine at an address answers that nobody listens there.
-async fn is_refused(address: SocketAddr) -> bool {
-    let refused = connect(address).await.err();
-    refused.is_some_and(|error| error.kind() == ErrorKind::ConnectionRefused)
-}
--- a/clayplank-forward/src/exchange.rs
+++ b/clayplank-forward/src/exchange.rs
@@ -1,5 +1,6 @@
 //! One request to one upstream, on a connection of its own.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -69,6 +70,12 @@
     Ok(stream)
 }
 
+/// Whether the machine at an address answers that nobody listens there.
+pub async fn is_refused(address: SocketAddr) -> bool {
+    let refused = connect(address).await.err();
+    refused.is_some_and(|error| error.kind() == ErrorKind::ConnectionRefused)
+}
+
 /// A peer that says nothing any more must not hold a socket for good.
 pub(crate) fn limit_silence(stream: &TcpStream) {
     let socket = socket2::SockRef::from(stream);
--- a/clayplank-forward/src/suspicion.rs
+++ b/clayplank-forward/src/suspicion.rs
@@ -60,15 +60,22 @@
 }
 
 /// What this host knows of requests that end upstreams.
-pub(crate) struct Suspicion {
+pub struct Suspicion {
     judge: Arc<dyn Judge>,
     /// When each request that is held back may be tried next.
     held_back: ArcSwap<HashMap<RequestFingerprint, Instant>>,
     seen: Mutex<Seen>,
 }
 
+impl std::fmt::Debug for Suspicion {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Suspicion").field("held_back", &self.count()).finish_non_exhaustive()
+    }
+}
+
 impl Suspicion {
-    pub(crate) fn new(judge: Arc<dyn Judge>) -> Self {
+    /// Knows nothing yet; `judge` decides for all hosts.
+    pub fn new(judge: Arc<dyn Judge>) -> Self {
         Self { judge, held_back: ArcSwap::default(), seen: Mutex::default() }
     }
 
@@ -77,7 +84,7 @@
     }
 
     /// How long a request is held back until its next trial; `None` if it is not held back.
-    pub(crate) fn held_for(&self, fingerprint: RequestFingerprint) -> Option<Duration> {
+    pub fn held_for(&self, fingerprint: RequestFingerprint) -> Option<Duration> {
         let next_trial = self.held_back.load().get(&fingerprint).copied()?;
         Some(next_trial.saturating_duration_since(Instant::now()))
     }
@@ -88,13 +95,13 @@
     }
 
     /// Whether this host may try a request that is held back, once.
-    pub(crate) async fn claim_trial(&self, fingerprint: RequestFingerprint) -> bool {
+    pub async fn claim_trial(&self, fingerprint: RequestFingerprint) -> bool {
         self.judge.claim_trial(fingerprint).await
     }
 
     /// Takes in all requests that are held back. One that was answered here lately is told of: it may
     /// have been held back for what others did.
-    pub(crate) fn set_held_back(
+    pub fn set_held_back(
         &self,
         held_back: impl IntoIterator<Item = (RequestFingerprint, String, Duration)>,
     ) {
@@ -129,7 +136,7 @@
     }
 
     /// Notes that an upstream answered a request whole.
-    pub(crate) fn note_answered(&self, fingerprint: RequestFingerprint, caller: &str) {
+    pub fn note_answered(&self, fingerprint: RequestFingerprint, caller: &str) {
         let at = Instant::now();
         let mut seen = self.lock();
         seen.answered.push_back((fingerprint, at));
@@ -145,7 +152,7 @@
     }
 
     /// Tells that an upstream ended under a request, unless that was answered since.
-    pub(crate) fn note_ended(&self, observation: Observation) {
+    pub fn note_ended(&self, observation: Observation) {
         let answered_at = self.answered_at(observation.fingerprint);
         if answered_at.is_some_and(|answered_at| answered_at >= observation.at) {
             return;
--- a/clayplank-types/src/outcome.rs
+++ b/clayplank-types/src/outcome.rs
@@ -62,6 +62,8 @@
     UpstreamRefused,
     /// The service has as many requests in progress as it may.
     ServiceBusy,
+    /// Upstreams ended under the same request before.
+    HeldBack,
 }
 
 impl RefusalReason {
@@ -79,6 +81,7 @@
             Self::OwnerUnreachable => "owner-unreachable",
             Self::UpstreamRefused => "upstream-refused",
             Self::ServiceBusy => "service-busy",
+            Self::HeldBack => "held-back",
         }
     }
 }
--- a/clayplankd/src/callers.rs
+++ b/clayplankd/src/callers.rs
@@ -6,7 +6,7 @@
 use clayplank_clock::Instant;
 use clayplank_settings::Effective;
 use clayplank_state::SettingsView;
-use clayplank_types::{AccountId, Refusal, RefusalReason};
+use clayplank_types::{AccountId, Refusal, RefusalReason, RequestFingerprint, RequestIdentity};
 use clayplank_upstream::ServiceRequest;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -19,6 +19,7 @@
 use crate::replies::{Body, Problem, json, text};
 use crate::serve::{bearer_key, read_body};
 use crate::services::{ServiceCall, is_service_path, run_call};
+use crate::suspects::Identity;
 
 /// Names the template of a request.
 const TEMPLATE_HEADER: &str = "x-clayplank-template";
@@ -180,6 +181,7 @@
     let idempotency_key = read_idempotency_key(&head.headers)?;
     let body = read_body(body, host.settings.doors.max_body_bytes, read_patience(host)).await?;
     let call_body = CallBody::parse(&body)?;
+    let identity = identity(&caller, style.path(), &body);
     let prompt = call_body.to_prompt(style)?;
     // What account and template say goes before what the request says.
     let model = effective.model.clone().or_else(|| call_body.model.clone());
@@ -200,11 +202,20 @@
         deadline,
         band: bands.name(bands.index_of(prompt_tokens)),
         prompt,
+        identity,
     };
     let call = Call { work, style, is_streamed: call_body.stream, idempotency_key, body };
     run_completion(host, call, caller.pass, caller.guard).await
 }
 
+/// What a request is known by when its caller sends it again.
+fn identity(caller: &Caller, path: &str, body: &[u8]) -> Identity {
+    let caller = caller.account.to_string();
+    let fingerprint =
+        RequestFingerprint::of(&RequestIdentity { caller: &caller, host: "", path, body });
+    Identity { fingerprint, caller }
+}
+
 fn models(host: &Host) -> Response<Body> {
     let data: Vec<_> = host
         .pools
@@ -226,6 +237,7 @@
     let body = read_body(body, host.settings.doors.max_body_bytes, read_patience(host)).await?;
     let path = head.uri.path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string);
     let call = ServiceCall {
+        identity: identity(&caller, &path, &body),
         account: caller.account,
         // Safe methods change nothing at the service (RFC 9110, section 9.2.1); any
         // other may be run twice only if its template says so by name.
--- a/clayplankd/src/daemon.rs
+++ b/clayplankd/src/daemon.rs
@@ -6,6 +6,7 @@
 
 use clayplank_agreement::{Options, Store, StoreError};
 use clayplank_clock::Instant;
+use clayplank_forward::Suspicion;
 use clayplank_settings::{Faults, HostSettings, Role};
 use clayplank_types::{HostId, Incarnation};
 use clayplank_upstream::{EngineEdge, HttpClient, HttpEngines};
@@ -33,6 +34,7 @@
 use crate::reserve::run_renewals;
 use crate::serve::{DoorLimits, serve};
 use crate::settings_watch::{CurrentSettings, run_settings_watch};
+use crate::sightings::{SightingLink, run_sightings};
 use crate::suspension::run_suspension_watch;
 use crate::upstreams::UpstreamStates;
 
@@ -136,7 +138,7 @@
         tokio::spawn(serve_inner(inner_listener, inner));
         let own = settings.host.clone();
         tokio::spawn(run_leader_search(host.keepers.clone()));
-        tokio::spawn(run_settings_watch(Arc::clone(&host.current), host.keepers.clone(), own));
+        tokio::spawn(run_settings_watch(Arc::clone(&host), own));
         start_doors(&host, owner, callers_listener, operators_listener);
         log::info!(target: part::DAEMON, "Host {} takes callers at {}.", settings.host, settings.listen.callers);
         Ok(Self { host, membership, failed, _failed_sender: failed_sender })
@@ -181,11 +183,14 @@
     pools: Arc<PoolDirectory>,
 ) -> Arc<Host> {
     let engines: Arc<dyn EngineEdge> = Arc::new(HttpEngines::default());
+    let keepers = KeeperClient::new(settings, peers.clone());
+    let (judge, observations) = SightingLink::new(keepers.clone());
+    tokio::spawn(run_sightings(keepers.clone(), observations));
     Arc::new_cyclic(|own| Host {
         own: own.clone(),
         settings: Arc::clone(settings),
         incarnation,
-        keepers: KeeperClient::new(settings, peers.clone()),
+        keepers,
         peers,
         current: Arc::new(CurrentSettings::new(settings.timing.settings_lease_ms)),
         members,
@@ -200,6 +205,7 @@
         metrics: Default::default(),
         progress: InProgress::default(),
         service_loads: Default::default(),
+        suspicion: Arc::new(Suspicion::new(Arc::new(judge))),
     })
 }
 
--- a/clayplankd/src/dispatch.rs
+++ b/clayplankd/src/dispatch.rs
@@ -19,6 +19,7 @@
 use crate::metrics::Span;
 use crate::replies::Problem;
 use crate::reserve::{Held, finish, new_ask, reserve, tell_first_token};
+use crate::suspects::Identity;
 
 /// Tries of one request, the first among them.
 const MAX_TRIES: usize = 3;
@@ -36,6 +37,7 @@
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
     pub(crate) band: String,
+    pub(crate) identity: Identity,
 }
 
 /// Where the chunks go.
@@ -103,7 +105,11 @@
     let mut may_have_run = false;
     for tries in 1.. {
         let ask = plan_ask(host, work, &avoid);
-        let held = match reserve(host, &ask, work.deadline).await {
+        let reserved = match host.let_through(&work.identity, tries == 1).await {
+            Ok(()) => reserve(host, &ask, work.deadline).await,
+            Err(refusal) => Err(refusal),
+        };
+        let held = match reserved {
             Ok(held) => held,
             // What ran before is told, not that the last try did not run.
             Err(refusal) if may_have_run => {
@@ -113,9 +119,15 @@
         };
         let mut progress = Progress::default();
         let error = match run_attempt(host, work, &held, sink, &mut progress).await {
-            Ok(finish) => return Ok(finish),
+            Ok(finish) => {
+                host.note_answered(&work.identity);
+                return Ok(finish);
+            }
             Err(error) => error,
         };
+        if let AttemptError::Broken(_) = &error {
+            note_break(host, work, &held);
+        }
         avoid.extend(held.grant.parts.iter().map(|part| part.engine.clone()));
         let is_safe = match &error {
             AttemptError::NotBegun => true,
@@ -133,6 +145,16 @@
     Err(Problem::Failed("no try was left".to_owned()))
 }
 
+/// The last engine of a grant writes the answer: it is the one that broke it off.
+fn note_break(host: &Host, work: &Work, held: &Held) {
+    let engine = held.grant.parts.last().map(|part| &part.engine);
+    let address = engine.and_then(|engine| host.addresses.get(engine));
+    if let (Some(engine), Some(&address)) = (engine, address) {
+        let attempt = held.grant.attempt_id.to_string();
+        host.note_break(&work.identity, engine, address, &attempt);
+    }
+}
+
 fn explain(error: AttemptError, may_have_run: bool) -> Problem {
     match error {
         AttemptError::NotBegun if may_have_run => Problem::Failed("an engine failed".to_owned()),
--- a/clayplankd/src/host.rs
+++ b/clayplankd/src/host.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Weak};
 
+use clayplank_forward::Suspicion;
 use clayplank_settings::HostSettings;
 use clayplank_types::{Incarnation, UpstreamId};
 use clayplank_upstream::{EngineEdge, HttpClient};
@@ -42,6 +43,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) progress: InProgress,
     pub(crate) service_loads: ServiceLoads,
+    /// Requests that end upstreams.
+    pub(crate) suspicion: Arc<Suspicion>,
 }
 
 impl Host {
--- a/clayplankd/src/lib.rs
+++ b/clayplankd/src/lib.rs
@@ -63,6 +63,7 @@
 mod settings_watch;
 mod sightings;
 mod spread;
+mod suspects;
 mod suspension;
 mod unreached;
 mod upstream_memory;
--- a/clayplankd/src/replies.rs
+++ b/clayplankd/src/replies.rs
@@ -71,7 +71,8 @@
                 | RefusalReason::NoClaim
                 | RefusalReason::OwnerUnreachable
                 | RefusalReason::UpstreamRefused
-                | RefusalReason::ServiceBusy => StatusCode::SERVICE_UNAVAILABLE,
+                | RefusalReason::ServiceBusy
+                | RefusalReason::HeldBack => StatusCode::SERVICE_UNAVAILABLE,
             },
             Self::Failed(_) => StatusCode::BAD_GATEWAY,
             Self::Unknown(_) => StatusCode::GATEWAY_TIMEOUT,
--- a/clayplankd/src/services.rs
+++ b/clayplankd/src/services.rs
@@ -4,11 +4,12 @@
 use std::hash::Hasher;
 use std::sync::{Arc, Mutex, PoisonError};
 
+use crate::suspects::Identity;
 use bytes::Bytes;
 use clayplank_clock::Instant;
 use clayplank_settings::ServiceSettings;
 use clayplank_state::Answer;
-use clayplank_types::{AccountId, Outcome, Refusal, RefusalReason, UpstreamId};
+use clayplank_types::{AccountId, AttemptId, Outcome, Refusal, RefusalReason, UpstreamId};
 use clayplank_upstream::{EdgeError, ServiceAnswer, ServiceRequest, forward};
 use http::header::{CONTENT_TYPE, HeaderValue};
 use http::{Response, StatusCode};
@@ -33,6 +34,7 @@
     pub(crate) is_repeatable: bool,
     pub(crate) idempotency_key: Option<String>,
     pub(crate) deadline: Instant,
+    pub(crate) identity: Identity,
 }
 
 /// Requests that this host has open at each service.
@@ -122,14 +124,26 @@
             Err(_) if may_have_run => break,
             Err(refusal) => return Err(refusal.into()),
         };
+        match host.let_through(&call.identity, tries == 1).await {
+            Ok(()) => {}
+            Err(_) if may_have_run => break,
+            Err(refusal) => return Err(refusal.into()),
+        }
         let _open = host.service_loads.enter(&service.id);
         let left = call.deadline.saturating_duration_since(Instant::now());
         let limit_bytes = host.settings.doors.max_body_bytes as usize;
         let error =
             match forward(&host.http, service.address, &call.request, left, limit_bytes).await {
-                Ok(answer) => return Ok(answer),
+                Ok(answer) => {
+                    host.note_answered(&call.identity);
+                    return Ok(answer);
+                }
                 Err(error) => error,
             };
+        if !error.proves_not_begun() {
+            let attempt = AttemptId::random().to_string();
+            host.note_break(&call.identity, &service.id, service.address, &attempt);
+        }
         avoid.push(service.id.clone());
         may_have_run |= !error.proves_not_begun();
         let is_safe = error.proves_not_begun() || call.is_repeatable;
--- a/clayplankd/src/settings_watch.rs
+++ b/clayplankd/src/settings_watch.rs
@@ -8,9 +8,10 @@
 use clayplank_types::HostId;
 
 use crate::clock::{millis, now_ms};
-use crate::keeper_client::KeeperClient;
+use crate::host::Host;
 use crate::keeper_messages::WATCH_WAIT_MS;
 use crate::logging::part;
+use crate::sightings::as_told;
 
 /// The newest settings, and when they were confirmed.
 #[derive(Debug)]
@@ -44,21 +45,22 @@
 
 /// Follows the settings. The lease counts from when the keeper that confirmed
 /// was asked, not from when its answer came: on the way it may have been held up.
-pub(crate) async fn run_settings_watch(
-    current: Arc<CurrentSettings>,
-    keepers: KeeperClient,
-    host: HostId,
-) {
+pub(crate) async fn run_settings_watch(host: Arc<Host>, own: HostId) {
+    let current = &host.current;
     let patience = millis(WATCH_WAIT_MS + current.lease_ms);
     loop {
         let applied = current.view();
-        let (delta, asked_ms) = match keepers.watch(&host, applied.revision(), patience).await {
+        let watched = host.keepers.watch(&own, applied.revision(), patience).await;
+        let (mut delta, asked_ms) = match watched {
             Ok(answer) => answer,
             Err(error) => {
                 log::warn!(target: part::SETTINGS, "The settings are not confirmed: {error}.");
                 continue;
             }
         };
+        if let Some(held_back) = delta.held_back.take() {
+            host.suspicion.set_held_back(as_told(held_back));
+        }
         if !delta.items.is_empty() || delta.revision > applied.revision() {
             let mut next = SettingsView::clone(&applied);
             let (revision, count) = (delta.revision, delta.items.len());
--- a/clayplankd/tests/faults/main.rs
+++ b/clayplankd/tests/faults/main.rs
@@ -7,6 +7,7 @@
 mod capacity;
 mod claims;
 mod common;
+mod deadly;
 #[path = "../harness/mod.rs"]
 mod harness;
 mod pairs;
