--- a/clayplank-forward/tests/suspended.rs
+++ b/clayplank-forward/tests/suspended.rs
@@ -18,6 +18,7 @@
 use clayplank_routes::{
     CallerLimits, PlanIndex, RequestKind, Route, ServiceGroup, ServingPlan, Target,
 };
+use proptest::prelude::*;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -150,3 +151,67 @@
     // The limit was six seconds, by a clock that stood still all the while.
     assert!(awake.elapsed() < Duration::from_secs(3), "{:?}", awake.elapsed());
 }
+
+/// What befalls a host that follows the keepers.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// Time passes.
+    Awake { span_ms: u64 },
+    /// The machine is suspended.
+    Suspended { span_ms: u64 },
+    /// A keeper is asked for a confirmation.
+    Asks,
+    /// The answer to the last question comes, however late.
+    IsConfirmed,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        (1_u64..3_000).prop_map(|span_ms| Step::Awake { span_ms }),
+        (1_u64..40_000).prop_map(|span_ms| Step::Suspended { span_ms }),
+        Just(Step::Asks),
+        Just(Step::IsConfirmed),
+    ];
+    prop::collection::vec(step, 1..40)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(10_000))]
+
+    /// In whichever order a host is suspended, asks and hears: it serves under a plan only within the
+    /// lease from the last question that was answered, by a clock that never stands still.
+    #[test]
+    fn no_series_of_suspensions_makes_a_lease_longer(steps in steps()) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .unwrap();
+        runtime.block_on(async {
+            let gate = Gate::new(LEASE_MS);
+            let (mut true_ms, mut asked, mut confirmed_ms) = (0, None, None);
+            for step in steps {
+                match step {
+                    Step::Awake { span_ms } => {
+                        tokio::time::advance(Duration::from_millis(span_ms)).await;
+                        true_ms += span_ms;
+                    }
+                    Step::Suspended { span_ms } => {
+                        suspend(Duration::from_millis(span_ms));
+                        true_ms += span_ms;
+                    }
+                    Step::Asks => asked = Some((true_ms, now_ms())),
+                    Step::IsConfirmed => {
+                        if let Some((true_asked_ms, asked_ms)) = asked {
+                            gate.confirm(asked_ms);
+                            confirmed_ms = Some(true_asked_ms);
+                        }
+                    }
+                }
+                let is_within = confirmed_ms.is_some_and(|asked_ms| true_ms < asked_ms + LEASE_MS);
+                prop_assert_eq!(gate.is_confirmed(), is_within);
+            }
+            Ok(())
+        })?;
+    }
+}
