--- /dev/null
+++ b/clayplank-wire/tests/broken_bytes.rs
@@ -0,0 +1,124 @@
+//! Bytes that hosts send each other inside the calls, broken: whoever reads them refuses them, or
+//! reads another value of the same type, and neither ends nor takes memory for what is not there.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use clayplank_agreement::{Configuration, Envelope, Introduction, ReplicaId};
+use clayplank_members::Rumour;
+use clayplank_placement::{Ask, Event, Placed, PlacementId, Renewed};
+use clayplank_registry::{Buckets, Changes, Cursor, Digest, Heartbeat, Record};
+use clayplank_state::{
+    Body, Command, Delta, HeldBack, Machine, PlanDocument, PlanEdit, Reply, decode, encode, pack,
+    unpack,
+};
+use clayplank_types::{RequestFingerprint, SeenOutcome, Sighting, UpstreamId};
+use proptest::prelude::*;
+use serde::de::DeserializeOwned;
+
+/// Reads bytes as each type that crosses between hosts.
+fn read_as_all(bytes: &[u8]) {
+    fn read<T: DeserializeOwned>(bytes: &[u8]) {
+        decode::<T>(bytes).ok();
+        unpack::<T>(bytes).ok();
+    }
+    read::<Vec<Envelope>>(bytes);
+    read::<Introduction>(bytes);
+    read::<ReplicaId>(bytes);
+    read::<Configuration>(bytes);
+    read::<Vec<Rumour>>(bytes);
+    read::<Ask>(bytes);
+    read::<Placed>(bytes);
+    read::<Vec<Renewed>>(bytes);
+    read::<Vec<(PlacementId, Event)>>(bytes);
+    read::<Vec<Heartbeat>>(bytes);
+    read::<Cursor>(bytes);
+    read::<Digest>(bytes);
+    read::<Buckets>(bytes);
+    read::<Changes>(bytes);
+    read::<Body>(bytes);
+    read::<Command>(bytes);
+    read::<Reply>(bytes);
+    read::<Delta>(bytes);
+    read::<Vec<HeldBack>>(bytes);
+    Machine::from_snapshot(bytes).ok();
+    PlanEdit::unpack(bytes).ok();
+}
+
+fn sighting(number: u64) -> Sighting {
+    Sighting {
+        fingerprint: RequestFingerprint::new(u128::from(number) << 70),
+        caller: "clubs".to_owned(),
+        outcome: SeenOutcome::Ended(UpstreamId::new(format!("u{number}"))),
+        ago_ms: number * 40,
+    }
+}
+
+/// Values as hosts send them, encoded and packed.
+fn samples() -> Vec<Vec<u8>> {
+    let mut machine = Machine::default();
+    let document = PlanDocument { version: 7, text: "{\"version\":7}".into() };
+    machine.apply(&Command { at_ms: 9, body: Body::Publish(document) });
+    let same = (0..3)
+        .map(|number| Sighting { fingerprint: RequestFingerprint::new(1), ..sighting(number) });
+    let body = Body::NoteSightings(same.collect());
+    let command = Command { at_ms: 1_000, body };
+    let reply = machine.apply(&command);
+    assert_eq!(machine.held_back().len(), 1);
+    let heartbeat = Heartbeat { service: "pool".to_owned(), ..Heartbeat::default() }.named("u");
+    let record = Record { heartbeat: heartbeat.clone(), is_silent: true };
+    let changes = Changes { cursor: Cursor { life: 3, change: 4 }, records: vec![record] };
+    vec![
+        encode(&command).unwrap(),
+        encode(&reply).unwrap(),
+        encode(&machine.delta_after(0)).unwrap(),
+        machine.to_snapshot().unwrap(),
+        encode(&vec![heartbeat]).unwrap(),
+        encode(&changes).unwrap(),
+        pack(&changes).unwrap(),
+    ]
+}
+
+/// The start of a value is not the value.
+#[test]
+fn a_value_that_is_cut_short_is_refused() {
+    let body = Body::NoteSightings((0..3).map(sighting).collect());
+    let bytes = encode(&Command { at_ms: 1_000, body }).unwrap();
+    for length in 0..bytes.len() {
+        assert!(decode::<Command>(&bytes[..length]).is_err(), "{length} of {} bytes", bytes.len());
+    }
+}
+
+/// A count of what is not there takes no memory for it.
+#[test]
+fn a_count_without_its_items_is_refused() {
+    let mut bytes = vec![0xff; 9];
+    bytes.push(0x01);
+    assert!(decode::<Vec<Heartbeat>>(&bytes).is_err());
+    assert!(decode::<Vec<Envelope>>(&bytes).is_err());
+    assert!(decode::<String>(&bytes).is_err());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+
+    #[test]
+    fn random_bytes_end_nobody(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        read_as_all(&bytes);
+    }
+
+    #[test]
+    fn damaged_values_end_nobody(
+        which in any::<prop::sample::Index>(),
+        place in any::<prop::sample::Index>(),
+        byte in any::<u8>(),
+        length in any::<prop::sample::Index>(),
+    ) {
+        let samples = samples();
+        let mut bytes = which.get(&samples).clone();
+        let place = place.index(bytes.len());
+        bytes[place] = byte;
+        read_as_all(&bytes);
+        bytes.truncate(length.index(bytes.len()));
+        read_as_all(&bytes);
+    }
+}
