An upstream that ends soon after a connection to it broke is asked about at once

Cause: while a host waited up to 4 s for the next life of an upstream that had broken off a connection and lived, a further break there asked nothing. If the upstream ended meanwhile, its end was told seconds late, or not at all. Change: each break asks anew; only the wait for the next life goes on with its own breaks. The check of what is held back stands once, for both kinds of doors.

--- a/clayplank-forward/src/admit.rs
+++ b/clayplank-forward/src/admit.rs
@@ -18,6 +18,7 @@
 use crate::entry::Entry;
 use crate::facts::RequestFacts;
 use crate::refusal::{AnswerBody, Refusal};
+use crate::suspicion::Passage;
 
 /// When to come back if the host has no confirmed plan, in ms: after a restart of all
 /// keepers, an election and the first heartbeats of upstreams. Callers come back once
@@ -29,10 +30,6 @@
 /// leader within about this time.
 const FIRST_PLAN_WAIT: Duration = Duration::from_millis(800);
 
-/// When to come back at the earliest with a request that is held back, in ms: another host may be
-/// trying it.
-const HELD_RETRY_MS: u64 = 1_000;
-
 /// When to come back if this host is stopping, in ms: the balancer sends the caller to another.
 const CLOSED_RETRY_MS: u64 = 50;
 
@@ -124,19 +121,15 @@
         attempt_id: &str,
         fingerprint: RequestFingerprint,
     ) -> Result<bool, Refusal> {
-        let Some(held_for) = self.suspicion.held_for(fingerprint) else {
-            return Ok(false);
-        };
-        if held_for.is_zero() && self.suspicion.claim_trial(fingerprint).await {
-            log::info!(target: "forward",
-                request = attempt_id, fingerprint:% = fingerprint;
-                "Tries a request that is held back");
-            return Ok(true);
+        match self.suspicion.let_through(fingerprint).await {
+            Ok(passage) => Ok(passage == Passage::Trial),
+            Err(retry_after_ms) => {
+                log::info!(target: "forward",
+                    request = attempt_id, fingerprint:% = fingerprint;
+                    "Does not send a request that is held back");
+                Err(Refusal::HeldBack { retry_after_ms })
+            }
         }
-        log::info!(target: "forward",
-            request = attempt_id, fingerprint:% = fingerprint;
-            "Does not send a request that is held back");
-        Err(Refusal::HeldBack { retry_after_ms: (held_for.as_millis() as u64).max(HELD_RETRY_MS) })
     }
 }
 
--- a/clayplank-forward/src/ends.rs
+++ b/clayplank-forward/src/ends.rs
@@ -77,12 +77,30 @@
 /// Finds out what became of an upstream at which requests broke off, and tells of its end.
 async fn find_out(entry: Arc<Entry>, record: Record) {
     clayplank_clock::sleep(COLLECT).await;
+    let is_over = is_refused(record.heartbeat.address).await;
+    // From here on a further break asks anew: one that lives may end a moment later.
+    let breaks = entry.ends.take(&record.heartbeat.id);
+    if is_over {
+        tell(&entry, &record, breaks, "refused");
+    } else if is_replaced(&entry, &record).await {
+        tell(&entry, &record, breaks, "replaced");
+    }
+}
+
+/// Whether another life of an upstream follows soon.
+async fn is_replaced(entry: &Entry, record: &Record) -> bool {
+    for pause in NEXT_LIFE_AFTER {
+        clayplank_clock::sleep(pause).await;
+        if entry.directory.has_successor(&record.heartbeat) {
+            return true;
+        }
+    }
+    false
+}
+
+/// Tells that an upstream ended under requests.
+fn tell(entry: &Entry, record: &Record, breaks: Vec<Break>, cause: &'static str) {
     let upstream = &record.heartbeat.id;
-    let cause = how_ended(&entry, &record).await;
-    let breaks = entry.ends.take(upstream);
-    let Some(cause) = cause else {
-        return;
-    };
     let fingerprints: BTreeSet<_> = breaks.iter().map(|one| one.fingerprint).collect();
     let told: Vec<_> = fingerprints.iter().take(MAX_TOLD).map(ToString::to_string).collect();
     log::info!(target: "forward",
@@ -95,17 +113,3 @@
         entry.suspicion.note_ended(Observation { fingerprint, caller, outcome, at });
     }
 }
-
-/// By what it is known that an upstream has ended; `None` if it has not, as far as can be told.
-async fn how_ended(entry: &Entry, record: &Record) -> Option<&'static str> {
-    if is_refused(record.heartbeat.address).await {
-        return Some("refused");
-    }
-    for pause in NEXT_LIFE_AFTER {
-        clayplank_clock::sleep(pause).await;
-        if entry.directory.has_successor(&record.heartbeat) {
-            return Some("replaced");
-        }
-    }
-    None
-}
--- a/clayplank-forward/src/lib.rs
+++ b/clayplank-forward/src/lib.rs
@@ -57,4 +57,4 @@
 pub use names::HeaderNames;
 pub use placer::{BoxFuture, Placer};
 pub use reserve::{OrderFormat, Reservation, Ticket};
-pub use suspicion::{Judge, Observation, Suspicion};
+pub use suspicion::{Judge, Observation, Passage, Suspicion};
--- a/clayplank-forward/src/suspicion.rs
+++ b/clayplank-forward/src/suspicion.rs
@@ -18,6 +18,19 @@
 /// Requests under which upstreams ended here and that were not answered since.
 const MAX_ENDED: usize = 1_024;
 
+/// When to come back at the earliest with a request that is held back, in ms: another host may be
+/// trying it.
+const HELD_RETRY_MS: u64 = 1_000;
+
+/// Why a request may be sent to an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Passage {
+    /// It is not held back.
+    Free,
+    /// It is held back, and this host may try it once.
+    Trial,
+}
+
 /// What a host tells of a request, and when it happened.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Observation {
@@ -94,9 +107,21 @@
         self.held_back.load().len()
     }
 
-    /// Whether this host may try a request that is held back, once.
-    pub async fn claim_trial(&self, fingerprint: RequestFingerprint) -> bool {
-        self.judge.claim_trial(fingerprint).await
+    /// Lets a request through that is not held back, and one that this host may try now; `Err` tells
+    /// when to come back, in ms.
+    ///
+    /// # Errors
+    /// The request is held back.
+    pub async fn let_through(&self, fingerprint: RequestFingerprint) -> Result<Passage, u64> {
+        let Some(held_for) = self.held_for(fingerprint) else {
+            return Ok(Passage::Free);
+        };
+        if held_for.is_zero() && self.judge.claim_trial(fingerprint).await {
+            log::info!(target: "forward",
+                fingerprint:% = fingerprint; "Tries a request that is held back");
+            return Ok(Passage::Trial);
+        }
+        Err((held_for.as_millis() as u64).max(HELD_RETRY_MS))
     }
 
     /// Takes in all requests that are held back. One that was answered here lately is told of: it may
--- a/clayplank-forward/tests/held_back.rs
+++ b/clayplank-forward/tests/held_back.rs
@@ -69,6 +69,8 @@
     Resets,
     /// Closes the connection, and listens no more.
     Ends,
+    /// Closes the first connection, and ends with the next request.
+    ResetsThenEnds,
 }
 
 /// One upstream; returns where it listens, and counts what it gets.
@@ -76,6 +78,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
+        let mut count = 0;
         while let Ok((mut stream, _)) = listener.accept().await {
             let mut bytes = [0; 4_096];
             // A connection without a request only asks whether somebody listens.
@@ -83,6 +86,7 @@
                 continue;
             }
             requests.fetch_add(1, Ordering::SeqCst);
+            count += 1;
             match way {
                 Way::Answers => {
                     let answer = "HTTP/1.1 200 OK\r\nx-clayplank-attempt-id: a\r\n\
@@ -90,7 +94,8 @@
                     stream.write_all(answer.as_bytes()).await.unwrap();
                 }
                 Way::Resets => {}
-                Way::Ends => {
+                Way::ResetsThenEnds if count == 1 => {}
+                Way::Ends | Way::ResetsThenEnds => {
                     tokio::time::sleep(RUNS_FOR).await;
                     return;
                 }
@@ -212,6 +217,16 @@
     assert_eq!((count, told.len()), (ends, ends), "{told:?}");
 }
 
+/// Whether its next life follows is looked for during seconds after the first break.
+#[tokio::test]
+async fn an_end_soon_after_a_broken_connection_is_told_at_once() {
+    let world = World::start(&[Way::ResetsThenEnds]).await;
+    world.ask("first").await;
+    assert_eq!(world.told().await, []);
+    world.ask("second").await;
+    assert_eq!(world.told().await.len(), 1);
+}
+
 #[tokio::test]
 async fn an_answer_after_an_end_is_told() {
     let world = World::start(&[Way::Ends]).await;
--- a/clayplank-state/src/suspects.rs
+++ b/clayplank-state/src/suspects.rs
@@ -203,7 +203,7 @@
         suspect.held = Some(Held { since_ms: now_ms, trials: 0, next_trial_ms });
         let caller = suspect.caller.clone();
         let ended: Vec<_> = suspect.ends.iter().map(|end| end.upstream.clone()).collect();
-        verdicts.held_back.extend(held_back(now_ms, fingerprint, suspect));
+        verdicts.held_back.extend(describe(now_ms, fingerprint, suspect));
         self.explain(now_ms, fingerprint, ended);
         self.limit_held(&caller, verdicts);
     }
@@ -271,7 +271,7 @@
     pub(crate) fn held_back(&self, now_ms: u64) -> Vec<HeldBack> {
         self.suspects
             .iter()
-            .filter_map(|(fingerprint, suspect)| held_back(now_ms, *fingerprint, suspect))
+            .filter_map(|(fingerprint, suspect)| describe(now_ms, *fingerprint, suspect))
             .collect()
     }
 
@@ -321,7 +321,8 @@
     }
 }
 
-fn held_back(now_ms: u64, fingerprint: RequestFingerprint, suspect: &Suspect) -> Option<HeldBack> {
+/// A request as hosts know it, if it is held back.
+fn describe(now_ms: u64, fingerprint: RequestFingerprint, suspect: &Suspect) -> Option<HeldBack> {
     let held = suspect.held?;
     Some(HeldBack {
         fingerprint,
--- a/clayplankd/src/suspects.rs
+++ b/clayplankd/src/suspects.rs
@@ -16,10 +16,6 @@
 /// From the break of a connection to the question whether somebody still listens.
 const ASK_AFTER: Duration = Duration::from_millis(5);
 
-/// When to come back at the earliest with a request that is held back, in ms: another host may be
-/// trying it.
-const HELD_RETRY_MS: u64 = 1_000;
-
 /// A request, as it is known again.
 #[derive(Clone, Debug)]
 pub(crate) struct Identity {
@@ -34,18 +30,19 @@
         identity: &Identity,
         is_first_try: bool,
     ) -> Result<(), Refusal> {
-        let Some(held_for) = self.suspicion.held_for(identity.fingerprint) else {
-            return Ok(());
+        let fingerprint = identity.fingerprint;
+        let let_through = if is_first_try {
+            self.suspicion.let_through(fingerprint).await.map(|_| ())
+        } else {
+            let held_for = self.suspicion.held_for(fingerprint);
+            held_for.map_or(Ok(()), |held_for| Err(held_for.as_millis() as u64))
         };
-        let is_due = is_first_try && held_for.is_zero();
-        if is_due && self.suspicion.claim_trial(identity.fingerprint).await {
-            return Ok(());
-        }
-        let retry_after_ms = (held_for.as_millis() as u64).max(HELD_RETRY_MS);
-        log::info!(target: part::CALLERS,
-            fingerprint:% = identity.fingerprint;
-            "Does not send a request that is held back");
-        Err(Refusal::new(RefusalReason::HeldBack, retry_after_ms))
+        let_through.map_err(|retry_after_ms| {
+            log::info!(target: part::CALLERS,
+                fingerprint:% = fingerprint;
+                "Does not send a request that is held back");
+            Refusal::new(RefusalReason::HeldBack, retry_after_ms)
+        })
     }
 
     /// Finds out whether an upstream ended when it broke off an attempt, and tells so.
