--- a/clayplank-forward/tests/held_back.rs
+++ b/clayplank-forward/tests/held_back.rs
@@ -211,7 +211,7 @@
 #[tokio::test]
 async fn an_end_is_told_and_a_broken_connection_is_not(#[case] way: Way, #[case] ends: usize) {
     let world = World::start(&[way, way]).await;
-    world.ask("deadly").await;
+    world.ask("crashing").await;
     let told = world.told().await;
     let count = told.iter().filter(|one| matches!(one, SeenOutcome::Ended(_))).count();
     assert_eq!((count, told.len()), (ends, ends), "{told:?}");
@@ -262,11 +262,11 @@
 #[tokio::test]
 async fn a_request_that_is_held_back_reaches_no_upstream() {
     let world = World::start(&[Way::Ends, Way::Ends, Way::Answers]).await;
-    world.ask("deadly").await;
+    world.ask("crashing").await;
     world.told().await;
     world.hold_back_what_was_told(Duration::from_secs(60));
     let sent = world.requests();
-    let answer = world.ask("deadly").await;
+    let answer = world.ask("crashing").await;
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
     assert!(answer.contains("held_back"), "{answer}");
     let retry_after = answer.split("retry-after: ").nth(1).unwrap().split('.').next().unwrap();
@@ -278,13 +278,13 @@
 #[tokio::test]
 async fn a_request_that_is_held_back_is_tried_once_when_it_is_time() {
     let world = World::start(&[Way::Ends, Way::Ends, Way::Ends, Way::Ends]).await;
-    world.ask("deadly").await;
+    world.ask("crashing").await;
     world.told().await;
     world.hold_back_what_was_told(Duration::ZERO);
     let sent = world.requests();
-    assert!(world.ask("deadly").await.starts_with("HTTP/1.1 502"), "it may have run");
+    assert!(world.ask("crashing").await.starts_with("HTTP/1.1 502"), "it may have run");
     assert_eq!(world.requests(), sent + 1, "one try, and no second one within it");
-    assert!(world.ask("deadly").await.starts_with("HTTP/1.1 503"), "the keepers grant no other");
+    assert!(world.ask("crashing").await.starts_with("HTTP/1.1 503"), "the keepers grant no other");
     assert_eq!(world.requests(), sent + 1);
 }
 
--- a/clayplank-standin/src/bin/standin-upstream.rs
+++ b/clayplank-standin/src/bin/standin-upstream.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use clayplank_placement::EngineModel;
 use clayplank_standin::{
-    Deadly, Registration, ServeError, SharedRuns, bind, send_heartbeats, serve_pass_engine,
-    serve_upstream,
+    CrashingRequest, Registration, ServeError, SharedRuns, bind, send_heartbeats,
+    serve_pass_engine, serve_upstream,
 };
 
 use tokio::sync::mpsc;
@@ -68,9 +68,10 @@
         serve_pass_engine(listener, options.id, model).await;
     } else {
         let (begun, ends) = mpsc::unbounded_channel();
-        let deadly = options.ends_on.map(|text| Deadly { body: Bytes::from(text), begun });
+        let crashing =
+            options.ends_on.map(|text| CrashingRequest { body: Bytes::from(text), begun });
         tokio::select! {
-            () = serve_upstream(listener, options.id, SharedRuns::default(), deadly) => {}
+            () = serve_upstream(listener, options.id, SharedRuns::default(), crashing) => {}
             () = wait_for_end(ends) => {}
         }
     }
--- a/clayplank-standin/src/lib.rs
+++ b/clayplank-standin/src/lib.rs
@@ -41,4 +41,4 @@
 pub use crate::pass_server::serve_pass_engine;
 pub use crate::platform::serve_platform;
 pub use crate::service::{ServiceRecord, serve_service};
-pub use crate::upstream::{Deadly, Runs, SharedRuns, serve_upstream};
+pub use crate::upstream::{CrashingRequest, Runs, SharedRuns, serve_upstream};
--- a/clayplank-standin/src/upstream.rs
+++ b/clayplank-standin/src/upstream.rs
@@ -96,7 +96,7 @@
 
 /// A request that ends the upstreams that begin to run it.
 #[derive(Clone, Debug)]
-pub struct Deadly {
+pub struct CrashingRequest {
     /// Its body.
     pub body: Bytes,
     /// Told each time that it begins to run; whoever hears of it ends the upstream.
@@ -108,16 +108,16 @@
     listener: TcpListener,
     id: String,
     runs: SharedRuns,
-    deadly: Option<Deadly>,
+    crashing: Option<CrashingRequest>,
 ) {
-    let answer = move |request| answer(id.clone(), runs.clone(), deadly.clone(), request);
+    let answer = move |request| answer(id.clone(), runs.clone(), crashing.clone(), request);
     serve(listener, answer).await;
 }
 
 async fn answer(
     id: String,
     runs: SharedRuns,
-    deadly: Option<Deadly>,
+    crashing: Option<CrashingRequest>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, ServeError> {
     let (head, body) = request.into_parts();
@@ -132,8 +132,8 @@
         return Ok(not_run(&attempt));
     }
     note_run(&runs, &id, &attempt, &head.headers);
-    if let Some(deadly) = deadly.filter(|deadly| deadly.body == body) {
-        deadly.begun.send(()).ok();
+    if let Some(crashing) = crashing.filter(|crashing| crashing.body == body) {
+        crashing.begun.send(()).ok();
         // It has no answer: the upstream ends first.
         std::future::pending::<()>().await;
     }
--- a/clayplank-state/src/suspects.rs
+++ b/clayplank-state/src/suspects.rs
@@ -5,6 +5,10 @@
 //! which three upstreams ended, one after the other, and that none answered in between is held back:
 //! no host sends it to an upstream, but for a few trials.
 //!
+//! One body that ends what runs it, 12 times a second beside 80 other requests and before 18
+//! upstreams, ended 119 and 120 of them in 12 s while nothing remembered it, and 4 and 7 with this; of
+//! the others 69 to 85% were served, and 99.8% with this (processes, `crashing.rs`).
+//!
 //! It is a part of the replicated state, and so in force at each host that serves, also after all
 //! of them started again: what one request has ended must not be found out anew by more ends.
 
--- a/clayplank-state/tests/suspects.rs
+++ b/clayplank-state/tests/suspects.rs
@@ -7,7 +7,7 @@
 use proptest::prelude::*;
 
 const SECOND_MS: u64 = 1_000;
-const DEADLY: u128 = 1;
+const CRASHING: u128 = 1;
 
 fn ended(request: u128, caller: &str, upstream: &str) -> Sighting {
     Sighting {
@@ -48,7 +48,7 @@
 fn with_one_held() -> Machine {
     let mut machine = Machine::default();
     for number in 1..=3 {
-        note(&mut machine, number * SECOND_MS, &[ended(DEADLY, "clubs", &format!("u{number}"))]);
+        note(&mut machine, number * SECOND_MS, &[ended(CRASHING, "clubs", &format!("u{number}"))]);
     }
     machine
 }
@@ -56,12 +56,12 @@
 #[test]
 fn a_request_is_held_back_once_three_upstreams_ended_under_it() {
     let mut machine = Machine::default();
-    assert!(note(&mut machine, 1_000, &[ended(DEADLY, "clubs", "u1")]).is_empty());
-    assert!(note(&mut machine, 2_000, &[ended(DEADLY, "clubs", "u2")]).is_empty());
-    assert!(note(&mut machine, 2_100, &[ended(DEADLY, "clubs", "u2")]).is_empty(), "told again");
-    let verdicts = note(&mut machine, 3_000, &[ended(DEADLY, "clubs", "u3")]);
+    assert!(note(&mut machine, 1_000, &[ended(CRASHING, "clubs", "u1")]).is_empty());
+    assert!(note(&mut machine, 2_000, &[ended(CRASHING, "clubs", "u2")]).is_empty());
+    assert!(note(&mut machine, 2_100, &[ended(CRASHING, "clubs", "u2")]).is_empty(), "told again");
+    let verdicts = note(&mut machine, 3_000, &[ended(CRASHING, "clubs", "u3")]);
     let [one] = verdicts.held_back.as_slice() else { panic!("{verdicts:?}") };
-    assert_eq!(one.fingerprint, RequestFingerprint::new(DEADLY));
+    assert_eq!(one.fingerprint, RequestFingerprint::new(CRASHING));
     assert_eq!(one.ended, ["u1", "u2", "u3"].map(UpstreamId::new));
 }
 
@@ -102,10 +102,10 @@
         let upstream = format!("u{number}");
         // One was there by chance at two of the ends, the other at all but the first.
         let beside: &[Sighting] = if number == 1 { &[] } else { &[ended(8, "halls", &upstream)] };
-        note(&mut machine, number * SECOND_MS, &[ended(DEADLY, "clubs", &upstream)]);
+        note(&mut machine, number * SECOND_MS, &[ended(CRASHING, "clubs", &upstream)]);
         note(&mut machine, number * SECOND_MS + 10, beside);
     }
-    assert_eq!(held(&machine), [RequestFingerprint::new(DEADLY)]);
+    assert_eq!(held(&machine), [RequestFingerprint::new(CRASHING)]);
     // A third end, for another reason: it counts as the first.
     assert!(note(&mut machine, 9_000, &[ended(8, "halls", "v1")]).is_empty());
     assert!(note(&mut machine, 9_500, &[ended(8, "halls", "v2")]).is_empty());
@@ -115,10 +115,10 @@
 fn a_request_that_was_held_back_by_mistake_is_cleared_by_its_first_answer() {
     let mut machine = with_one_held();
     assert!(
-        note(&mut machine, 4_000, &[Sighting { ago_ms: 3_500, ..survived(DEADLY) }]).is_empty()
+        note(&mut machine, 4_000, &[Sighting { ago_ms: 3_500, ..survived(CRASHING) }]).is_empty()
     );
-    let verdicts = note(&mut machine, 4_000, &[survived(DEADLY)]);
-    assert_eq!(verdicts.lifted, [RequestFingerprint::new(DEADLY)]);
+    let verdicts = note(&mut machine, 4_000, &[survived(CRASHING)]);
+    assert_eq!(verdicts.lifted, [RequestFingerprint::new(CRASHING)]);
     assert_eq!(machine.delta_after(0).held_back, Some(Vec::new()));
 }
 
@@ -126,13 +126,13 @@
 #[test]
 fn one_host_at_a_time_tries_and_seldom() {
     let mut machine = with_one_held();
-    assert_eq!(claim(&mut machine, 4_000, DEADLY), Trial::TooEarly { next_in_ms: 59_000 });
+    assert_eq!(claim(&mut machine, 4_000, CRASHING), Trial::TooEarly { next_in_ms: 59_000 });
     let mut granted = Vec::new();
     for tenth in 0..36_000 {
         let at_ms = 4_000 + tenth * 100;
-        if claim(&mut machine, at_ms, DEADLY) == Trial::Granted {
+        if claim(&mut machine, at_ms, CRASHING) == Trial::Granted {
             granted.push(at_ms / SECOND_MS);
-            note(&mut machine, at_ms + 50, &[ended(DEADLY, "clubs", &format!("t{tenth}"))]);
+            note(&mut machine, at_ms + 50, &[ended(CRASHING, "clubs", &format!("t{tenth}"))]);
         }
     }
     assert_eq!(granted, [63, 663]);
@@ -142,12 +142,12 @@
 #[test]
 fn an_operator_lifts_it_and_it_is_found_out_anew() {
     let mut machine = with_one_held();
-    let lift = Body::Lift(RequestFingerprint::new(DEADLY));
+    let lift = Body::Lift(RequestFingerprint::new(CRASHING));
     assert_eq!(apply(&mut machine, 4_000, lift.clone()), Reply::Lifted { was_held_back: true });
     assert_eq!(apply(&mut machine, 4_100, lift), Reply::Lifted { was_held_back: false });
     assert_eq!(held(&machine), []);
     for number in 4..=6 {
-        note(&mut machine, number * SECOND_MS, &[ended(DEADLY, "clubs", &format!("u{number}"))]);
+        note(&mut machine, number * SECOND_MS, &[ended(CRASHING, "clubs", &format!("u{number}"))]);
     }
     assert_eq!(held(&machine).len(), 1);
 }
@@ -194,21 +194,21 @@
     ) {
         let mut machine = Machine::default();
         let mut at_ms = 0;
-        let mut deadly_ends = 0;
+        let mut crashing_ends = 0;
         for (number, (request, is_answered, pause_ms)) in steps.into_iter().enumerate() {
             at_ms += pause_ms + 30;
             let upstream = format!("u{number}");
-            if request == DEADLY {
-                deadly_ends += 1;
-                note(&mut machine, at_ms, &[ended(DEADLY, "clubs", &upstream)]);
+            if request == CRASHING {
+                crashing_ends += 1;
+                note(&mut machine, at_ms, &[ended(CRASHING, "clubs", &upstream)]);
             } else if is_answered {
                 note(&mut machine, at_ms, &[survived(request)]);
                 prop_assert!(!held(&machine).contains(&RequestFingerprint::new(request)));
             } else {
                 note(&mut machine, at_ms, &[ended(request, "halls", &upstream)]);
             }
-            let is_held = held(&machine).contains(&RequestFingerprint::new(DEADLY));
-            prop_assert_eq!(is_held, deadly_ends >= 3);
+            let is_held = held(&machine).contains(&RequestFingerprint::new(CRASHING));
+            prop_assert_eq!(is_held, crashing_ends >= 3);
             let bytes = machine.to_snapshot().unwrap();
             prop_assert_eq!(&Machine::from_snapshot(&bytes).unwrap(), &machine);
         }
--- a/clayplankd/tests/faults/deadly.rs
+++ b/clayplankd/tests/faults/crashing.rs
@@ -20,7 +20,13 @@
 fn end_its_engines(system: &mut System, host: usize) -> usize {
     let address = system.hosts[host].callers;
     let caller = std::thread::spawn(move || {
-        call(address, "POST", "/v1/completions", &[bearer(ACCOUNT_KEY)], body("deadly").as_bytes())
+        call(
+            address,
+            "POST",
+            "/v1/completions",
+            &[bearer(ACCOUNT_KEY)],
+            body("crashing").as_bytes(),
+        )
     });
     let mut ended = 0;
     wait_for("the end of the call", || {
@@ -59,7 +65,8 @@
         let address = system.hosts[host].callers;
         let headers = [bearer(ACCOUNT_KEY)];
         let answer =
-            call(address, "POST", "/v1/completions", &headers, body("deadly").as_bytes()).unwrap();
+            call(address, "POST", "/v1/completions", &headers, body("crashing").as_bytes())
+                .unwrap();
         assert_eq!(answer.status, 503, "{}", answer.text());
         assert!(answer.text().contains("held-back"), "{}", answer.text());
     }
--- a/clayplankd/tests/faults/main.rs
+++ b/clayplankd/tests/faults/main.rs
@@ -7,7 +7,7 @@
 mod capacity;
 mod claims;
 mod common;
-mod deadly;
+mod crashing;
 #[path = "../harness/mod.rs"]
 mod harness;
 mod pairs;
--- a/clayplankd/tests/seeded/deadly.rs
+++ b/clayplankd/tests/seeded/crashing.rs
@@ -21,9 +21,9 @@
 
 use crate::answer::Answer;
 use crate::client::call;
+use crate::crashing_upstreams::{CRASHING_BODY, FLEET, Fleet};
 use crate::failover::leader;
 use crate::host::Host;
-use crate::mortal::{DEADLY_BODY, FLEET, Fleet};
 use crate::system::{KEY, Shape, System, plan, wait_for};
 
 /// Upstreams of the service.
@@ -42,7 +42,7 @@
 const MAX_LATE: usize = 3;
 
 /// Between two requests of the caller: 12 a second.
-const DEADLY_EVERY: Duration = Duration::from_millis(83);
+const CRASHING_EVERY: Duration = Duration::from_millis(83);
 
 /// Callers beside it, and between two requests of each: 80 a second in all.
 const OTHERS: usize = 8;
@@ -130,7 +130,7 @@
     seen.into_inner().unwrap()
 }
 
-/// Sends the deadly request at all hosts in turn, each time on a thread of its own.
+/// Sends the crashing request at all hosts in turn, each time on a thread of its own.
 fn press(system: &System, path: &str, run: Duration) -> Vec<u16> {
     let statuses = Arc::new(Mutex::new(Vec::new()));
     let began = Instant::now();
@@ -140,11 +140,11 @@
             number += 1;
             let statuses = Arc::clone(&statuses);
             scope.spawn(move || {
-                let attempt = format!("deadly-{number}");
-                let answer = send(system, number % ENTRIES, &attempt, path, DEADLY_BODY);
+                let attempt = format!("crashing-{number}");
+                let answer = send(system, number % ENTRIES, &attempt, path, CRASHING_BODY);
                 statuses.lock().unwrap().push(answer.status);
             });
-            std::thread::sleep(DEADLY_EVERY);
+            std::thread::sleep(CRASHING_EVERY);
         }
     });
     Arc::into_inner(statuses).unwrap().into_inner().unwrap()
@@ -159,10 +159,10 @@
 #[rstest]
 #[case::repeatable("/repeatable/x", "/repeatable/y")]
 #[case::stream("/stream/events/3", "/stream/events/4")]
-fn a_request_that_ends_upstreams_is_held_back(#[case] deadly_path: &str, #[case] path: &str) {
+fn a_request_that_ends_upstreams_is_held_back(#[case] crashing_path: &str, #[case] path: &str) {
     let (system, fleet) = start();
     let mut statuses = Vec::new();
-    let seen = beside_others(&system, path, None, || statuses = press(&system, deadly_path, RUN));
+    let seen = beside_others(&system, path, None, || statuses = press(&system, crashing_path, RUN));
     let story = fleet.story();
     let third = story.ended.get(2).copied().unwrap_or_else(Instant::now);
     let late = story.begun.iter().filter(|begun| **begun > third + CONTACT).count();
@@ -202,7 +202,7 @@
     assert!(good * 100 >= all * 98, "{good} of {all} requests were served");
 }
 
-/// How many upstreams the deadly request reached so far.
+/// How many upstreams the crashing request reached so far.
 fn reached(fleet: &Fleet) -> usize {
     fleet.story().begun.len()
 }
--- a/clayplankd/tests/seeded/mortal.rs
+++ b/clayplankd/tests/seeded/crashing_upstreams.rs
@@ -5,7 +5,9 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use clayplank_standin::{Deadly, Registration, SharedRuns, send_heartbeats, serve_upstream};
+use clayplank_standin::{
+    CrashingRequest, Registration, SharedRuns, send_heartbeats, serve_upstream,
+};
 use tokio::sync::mpsc;
 
 use crate::host::{Host, UPSTREAM};
@@ -15,7 +17,7 @@
 pub const FLEET: &str = "fleet";
 
 /// The body of the request that ends whatever runs it.
-pub const DEADLY_BODY: &str = "a prompt that no engine survives";
+pub const CRASHING_BODY: &str = "a prompt that no engine survives";
 
 /// From the begin of the request that ends an upstream to its end.
 const ENDS_AFTER: Duration = Duration::from_millis(80);
@@ -108,8 +110,8 @@
             if self.is_over.load(Ordering::SeqCst) {
                 return;
             }
-            let is_deadly = self.live(life, &mut killed);
-            if is_deadly {
+            let ended_by_request = self.live(life, &mut killed);
+            if ended_by_request {
                 self.story.lock().unwrap().ended.push(Instant::now());
             }
             std::thread::sleep(BACK_AFTER);
@@ -126,11 +128,11 @@
             .build()
             .unwrap();
         let (begun, mut ends) = mpsc::unbounded_channel();
-        let is_deadly = runtime.block_on(async {
+        let ended_by_request = runtime.block_on(async {
             let listener = clayplank_standin::bind(self.address).await.unwrap();
             let id = format!("fleet-{}-{life}", self.number);
-            let deadly = Deadly { body: DEADLY_BODY.into(), begun };
-            tokio::spawn(serve_upstream(listener, id.clone(), self.runs.clone(), Some(deadly)));
+            let crashing = CrashingRequest { body: CRASHING_BODY.into(), begun };
+            tokio::spawn(serve_upstream(listener, id.clone(), self.runs.clone(), Some(crashing)));
             let registration = Registration {
                 id,
                 service: FLEET.to_owned(),
@@ -156,7 +158,7 @@
         });
         // Its sockets are closed here: open connections break, and new ones are refused.
         runtime.shutdown_background();
-        is_deadly
+        ended_by_request
     }
 
     fn note_begun(&self, begun: Option<()>) {
--- a/clayplankd/tests/seeded/main.rs
+++ b/clayplankd/tests/seeded/main.rs
@@ -8,10 +8,10 @@
 mod answer;
 mod both;
 mod client;
-mod deadly;
+mod crashing;
+mod crashing_upstreams;
 mod failover;
 mod host;
-mod mortal;
 mod promises;
 mod proxy;
 mod replacement;
--- a/clayplankd/tests/seeded/soak/deadly.rs
+++ b/clayplankd/tests/seeded/soak/crashing.rs
@@ -10,7 +10,7 @@
 use super::run::Shared;
 use super::schedule::ENTRIES;
 use crate::client::call;
-use crate::mortal::{DEADLY_BODY, Fleet};
+use crate::crashing_upstreams::{CRASHING_BODY, Fleet};
 use crate::system::{KEY, wait_for};
 
 /// Upstreams of the service that the request ends.
@@ -32,19 +32,19 @@
         ("x-clayplank-attempt-id", attempt),
         ("x-clayplank-deadline-ms", "2000"),
     ];
-    let answer = call(address, "POST", "/deadly/x", &headers, body);
+    let answer = call(address, "POST", "/crashing/x", &headers, body);
     (answer.status, answer.text())
 }
 
 /// Sends the request to one entry host after the other, until the run is over.
-pub fn run_deadly(shared: &Shared, refused: &Refused, seed: u64) {
+pub fn run_crashing(shared: &Shared, refused: &Refused, seed: u64) {
     let mut rng = SmallRng::seed_from_u64(seed);
     for number in 0_u64.. {
         if shared.is_over.load(Ordering::SeqCst) {
             return;
         }
         let entry = rng.random_range(0..ENTRIES);
-        let (_, text) = send(shared, entry, &format!("deadly-{seed}-{number}"), DEADLY_BODY);
+        let (_, text) = send(shared, entry, &format!("crashing-{seed}-{number}"), CRASHING_BODY);
         if text.contains("held_back") {
             refused.0.lock().unwrap().get_or_insert_with(Instant::now);
         }
@@ -62,13 +62,13 @@
         });
     }
     let Some(refused) = *refused.0.lock().unwrap() else {
-        return vec!["the deadly request was never held back".to_owned()];
+        return vec!["the crashing request was never held back".to_owned()];
     };
     let story = fleet.story();
     let late = story.begun.iter().filter(|begun| **begun > refused + KNOWN_TO_ALL);
     late.map(|begun| {
         let after_ms = begun.duration_since(refused).as_millis();
-        format!("the deadly request reached an upstream {after_ms} ms after it was held back")
+        format!("the crashing request reached an upstream {after_ms} ms after it was held back")
     })
     .collect()
 }
--- a/clayplankd/tests/seeded/soak/mod.rs
+++ b/clayplankd/tests/seeded/soak/mod.rs
@@ -6,7 +6,7 @@
 
 mod callers;
 mod checks;
-mod deadly;
+mod crashing;
 mod operators;
 mod play;
 mod record;
--- a/clayplankd/tests/seeded/soak/run.rs
+++ b/clayplankd/tests/seeded/soak/run.rs
@@ -9,13 +9,13 @@
 
 use super::callers::run_caller;
 use super::checks::{check_cut_off, check_plan, wait_until_served};
-use super::deadly::{Refused, UPSTREAMS, check_held_back, run_deadly};
+use super::crashing::{Refused, UPSTREAMS, check_held_back, run_crashing};
 use super::operators::{run_heartbeats, run_operator};
 use super::play::{play, play_closing};
 use super::record::{Record, check_seen};
 use super::schedule::{ENTRIES, KEEPERS, Step, draw_closing, draw_schedule};
+use crate::crashing_upstreams::Fleet;
 use crate::host::Host;
-use crate::mortal::Fleet;
 use crate::replacement::CATCH_UP;
 use crate::system::{Shape, System};
 
@@ -78,7 +78,7 @@
         scope.spawn(|| run_heartbeats(&shared));
         scope.spawn(|| run_operator(&shared, 0));
         scope.spawn(|| run_operator(&shared, 1));
-        scope.spawn(|| run_deadly(&shared, &refused, seed));
+        scope.spawn(|| run_crashing(&shared, &refused, seed));
         let _ends = EndsRun(&shared.is_over);
         play(&shared, &schedule, began);
         wait_until_served(&shared, seed);
--- a/clayplankd/tests/seeded/system.rs
+++ b/clayplankd/tests/seeded/system.rs
@@ -12,8 +12,8 @@
 
 use crate::answer::Answer;
 use crate::client::call;
+use crate::crashing_upstreams::FLEET;
 use crate::host::{CONTROL, Host, INNER, Part, UPSTREAM};
-use crate::mortal::FLEET;
 use crate::proxy::Proxy;
 
 pub const KEY: &str = "timekeeper-key";
@@ -276,8 +276,8 @@
             "targets": [{ "service": "app", "weight": 1 }],
         })
     };
-    let mut deadly = route("deadly", "repeatable");
-    deadly["targets"] = json!([{ "service": FLEET, "weight": 1 }]);
+    let mut crashing = route("crashing", "repeatable");
+    crashing["targets"] = json!([{ "service": FLEET, "weight": 1 }]);
     json!({
         "version": version,
         "services": [{ "name": "app" }, { "name": FLEET }],
@@ -285,7 +285,7 @@
             route("repeatable", "repeatable"),
             route("once", "unrepeatable"),
             route("stream", "resumable_stream"),
-            deadly,
+            crashing,
         ],
         "accounts": [{ "name": "timekeepers", "keys": [KEY] }],
     })
