Callers without an account are named by a digest of their key

Cause: on a route that asks for no account, the key that a caller sends stood for it in what hosts tell the keepers, in the replicated state and in the log. Change: a digest of it does. The test failed before.

--- a/clayplank-forward/src/admit.rs
+++ b/clayplank-forward/src/admit.rs
@@ -13,7 +13,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
-use crate::call::{Call, caller};
+use crate::call::Call;
 use crate::clock::{millis, now_ms};
 use crate::entry::Entry;
 use crate::facts::RequestFacts;
@@ -85,7 +85,8 @@
         let path = head.uri.path();
         let route = plan.find_route(&facts.host, path).ok_or(Refusal::NoRoute)?.clone();
         let (account, rank) = find_account(&plan, &route, &facts)?;
-        let fingerprint = fingerprint(&head, &facts, account.as_deref(), &body);
+        let caller = caller(account.as_deref(), &facts);
+        let fingerprint = fingerprint(&head, &facts, &caller, &body);
         let is_trial = self.let_in(&facts.attempt_id, fingerprint).await?;
         let draw = rand::random::<f64>();
         let service = plan.choose_target(&route, draw).ok_or(Refusal::NoRoute)?.to_owned();
@@ -95,6 +96,7 @@
         Ok(Call {
             entry: Arc::clone(self),
             facts,
+            caller,
             fingerprint,
             head,
             body,
@@ -133,14 +135,26 @@
     }
 }
 
+/// The account; callers without one are told apart by a digest of the key that they send, if any: the
+/// key itself must not stand in logs.
+fn caller(account: Option<&str>, facts: &RequestFacts) -> String {
+    match (account, facts.key.as_deref()) {
+        (Some(account), _) => account.to_owned(),
+        (None, Some(key)) => {
+            let key = RequestIdentity { caller: key, host: "", path: "", body: &[] };
+            format!("key {}", RequestFingerprint::of(&key))
+        }
+        (None, None) => String::new(),
+    }
+}
+
 fn fingerprint(
     head: &Parts,
     facts: &RequestFacts,
-    account: Option<&str>,
+    caller: &str,
     body: &[u8],
 ) -> RequestFingerprint {
     let path = head.uri.path_and_query().map_or("/", PathAndQuery::as_str);
-    let caller = caller(account, facts);
     RequestFingerprint::of(&RequestIdentity { caller, host: &facts.host, path, body })
 }
 
--- a/clayplank-forward/src/call.rs
+++ b/clayplank-forward/src/call.rs
@@ -34,6 +34,8 @@
 pub(crate) struct Call {
     pub(crate) entry: Arc<Entry>,
     pub(crate) facts: RequestFacts,
+    /// Who sent it; empty if nothing tells.
+    pub(crate) caller: String,
     /// The same whenever its caller sends it again, at any host.
     pub(crate) fingerprint: RequestFingerprint,
     pub(crate) head: Parts,
@@ -77,17 +79,7 @@
     }
 }
 
-/// Callers without an account are told apart by the key that they send, if any.
-pub(crate) fn caller<'a>(account: Option<&'a str>, facts: &'a RequestFacts) -> &'a str {
-    account.or(facts.key.as_deref()).unwrap_or_default()
-}
-
 impl Call {
-    /// Who sent it; empty if nothing tells.
-    pub(crate) fn caller(&self) -> &str {
-        caller(self.account.as_deref(), &self.facts)
-    }
-
     /// Whether it must not be sent to an upstream: others ended under the same request.
     pub(crate) fn is_held_back(&self) -> bool {
         let may_be_tried = self.is_trial && self.sent_count == 0;
@@ -164,7 +156,7 @@
 
     /// Notes that an upstream answered it whole, and lived.
     pub(crate) fn note_answered(&self) {
-        self.entry.suspicion.note_answered(self.fingerprint, self.caller());
+        self.entry.suspicion.note_answered(self.fingerprint, &self.caller);
     }
 
     pub(crate) fn kind(&self) -> RequestKind {
--- a/clayplank-forward/src/ends.rs
+++ b/clayplank-forward/src/ends.rs
@@ -66,7 +66,7 @@
         if record.heartbeat.standing != Standing::Ready {
             return;
         }
-        let caller = self.caller().to_owned();
+        let caller = self.caller.clone();
         let one = Break { fingerprint: self.fingerprint, caller, at: Instant::now() };
         if entry.ends.add(upstream, one) {
             tokio::spawn(find_out(Arc::clone(entry), record));
--- a/clayplank-forward/tests/held_back.rs
+++ b/clayplank-forward/tests/held_back.rs
@@ -18,7 +18,7 @@
 use clayplank_routes::{
     CallerLimits, PlanIndex, RequestKind, Route, ServiceGroup, ServingPlan, Target,
 };
-use clayplank_types::{RequestFingerprint, SeenOutcome};
+use clayplank_types::{RequestFingerprint, RequestIdentity, SeenOutcome};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -39,6 +39,9 @@
     }
 }
 
+/// Sent by all callers, on a route that asks for none.
+const KEY: &str = "a-secret-key";
+
 /// From the begin of a request that ends an upstream to its end.
 const RUNS_FOR: Duration = Duration::from_millis(20);
 
@@ -178,7 +181,7 @@
         let mut stream = TcpStream::connect(self.callers).await.unwrap();
         let request = format!(
             "POST /x HTTP/1.1\r\nhost: dala.example\r\nx-clayplank-attempt-id: a\r\n\
-             connection: close\r\ncontent-length: {}\r\n\r\n{body}",
+             authorization: Bearer {KEY}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
             body.len()
         );
         stream.write_all(request.as_bytes()).await.unwrap();
@@ -215,6 +218,8 @@
     let told = world.told().await;
     let count = told.iter().filter(|one| matches!(one, SeenOutcome::Ended(_))).count();
     assert_eq!((count, told.len()), (ends, ends), "{told:?}");
+    let told = world.judge.told.lock().unwrap();
+    assert!(told.iter().all(|one| !one.caller.contains(KEY)), "a key stands in what is told");
 }
 
 /// Whether its next life follows is looked for during seconds after the first break.
@@ -293,16 +298,15 @@
     let world = World::start(&[Way::Answers]).await;
     world.ask("popular").await;
     assert_eq!(world.told().await, []);
-    let fingerprint = {
-        // Whatever is held back: the one that was answered is known by its own fingerprint alone.
-        world.entry.set_held_back([(RequestFingerprint::new(7), String::new(), Duration::ZERO)]);
-        clayplank_types::RequestFingerprint::of(&clayplank_types::RequestIdentity {
-            caller: "",
-            host: "dala.example",
-            path: "/x",
-            body: b"popular",
-        })
-    };
+    // Whatever is held back: the one that was answered is known by its own fingerprint alone.
+    world.entry.set_held_back([(RequestFingerprint::new(7), String::new(), Duration::ZERO)]);
+    let key = RequestIdentity { caller: KEY, host: "", path: "", body: b"" };
+    let fingerprint = RequestFingerprint::of(&RequestIdentity {
+        caller: &format!("key {}", RequestFingerprint::of(&key)),
+        host: "dala.example",
+        path: "/x",
+        body: b"popular",
+    });
     assert_eq!(world.told().await, []);
     world.entry.set_held_back([(fingerprint, String::new(), Duration::ZERO)]);
     assert_eq!(world.told().await, [SeenOutcome::Survived]);
