--- a/clayplank-forward/src/ends.rs
+++ b/clayplank-forward/src/ends.rs
@@ -4,6 +4,7 @@
 //! if nobody listens at its address any more, or if another life of it follows.
 
 use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -14,10 +15,11 @@
 use crate::call::Call;
 use crate::entry::Entry;
 use crate::exchange::is_refused;
-use crate::suspicion::Observation;
+use crate::suspicion::{Observation, Suspicion};
 
-/// Connections of an upstream that ends break within this time, nearly all.
-const COLLECT: Duration = Duration::from_millis(5);
+/// From the break of a connection to the question whether somebody still listens: the connections
+/// of an upstream that ends break within this time, nearly all.
+const ASK_AFTER: Duration = Duration::from_millis(5);
 
 /// Where an upstream listens that may have ended, its next life may listen already: it tells of
 /// itself with its first heartbeats.
@@ -28,10 +30,53 @@
 
 /// A request that ran at an upstream when its connection broke, or when nothing more came.
 #[derive(Clone, Debug, PartialEq, Eq)]
-struct Break {
-    fingerprint: RequestFingerprint,
-    caller: String,
-    at: Instant,
+pub struct Break {
+    /// Which request.
+    pub fingerprint: RequestFingerprint,
+    /// Whose it is.
+    pub caller: String,
+    /// When.
+    pub at: Instant,
+}
+
+/// By what it is known that an upstream has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndCause {
+    /// Nobody listens at its address.
+    Refused,
+    /// Another life of it follows.
+    Replaced,
+}
+
+impl EndCause {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::Replaced => "replaced",
+        }
+    }
+}
+
+/// Whether nobody listens any more where a connection broke just now.
+pub async fn has_stopped_listening(address: SocketAddr) -> bool {
+    clayplank_clock::sleep(ASK_AFTER).await;
+    is_refused(address).await
+}
+
+impl Suspicion {
+    /// Tells that an upstream ended under requests.
+    pub fn note_upstream_ended(&self, upstream: &UpstreamId, cause: EndCause, breaks: Vec<Break>) {
+        let fingerprints: BTreeSet<_> = breaks.iter().map(|one| one.fingerprint).collect();
+        let told: Vec<_> = fingerprints.iter().take(MAX_TOLD).map(ToString::to_string).collect();
+        log::info!(target: "forward",
+            upstream = upstream.as_str(), cause = cause.as_str(), requests = breaks.len(),
+            fingerprints = told.join(" ");
+            "An upstream ended under requests");
+        for Break { fingerprint, caller, at } in breaks {
+            let outcome = SeenOutcome::Ended(upstream.clone());
+            self.note_ended(Observation { fingerprint, caller, outcome, at });
+        }
+    }
 }
 
 /// Breaks at upstreams of which is not known yet whether they ended.
@@ -76,15 +121,18 @@
 
 /// Finds out what became of an upstream at which requests broke off, and tells of its end.
 async fn find_out(entry: Arc<Entry>, record: Record) {
-    clayplank_clock::sleep(COLLECT).await;
-    let is_over = is_refused(record.heartbeat.address).await;
+    let is_over = has_stopped_listening(record.heartbeat.address).await;
     // From here on a further break asks anew: one that lives may end a moment later.
     let breaks = entry.ends.take(&record.heartbeat.id);
-    if is_over {
-        tell(&entry, &record, breaks, "refused");
+    let cause = if is_over {
+        EndCause::Refused
     } else if is_replaced(&entry, &record).await {
-        tell(&entry, &record, breaks, "replaced");
-    }
+        EndCause::Replaced
+    } else {
+        return;
+    };
+    entry.figures.count_attempt("upstream_ended");
+    entry.suspicion.note_upstream_ended(&record.heartbeat.id, cause, breaks);
 }
 
 /// Whether another life of an upstream follows soon.
@@ -97,19 +145,3 @@
     }
     false
 }
-
-/// Tells that an upstream ended under requests.
-fn tell(entry: &Entry, record: &Record, breaks: Vec<Break>, cause: &'static str) {
-    let upstream = &record.heartbeat.id;
-    let fingerprints: BTreeSet<_> = breaks.iter().map(|one| one.fingerprint).collect();
-    let told: Vec<_> = fingerprints.iter().take(MAX_TOLD).map(ToString::to_string).collect();
-    log::info!(target: "forward",
-        upstream = upstream.as_str(), cause = cause, requests = breaks.len(),
-        fingerprints = told.join(" ");
-        "An upstream ended under requests");
-    entry.figures.count_attempt("upstream_ended");
-    for Break { fingerprint, caller, at } in breaks {
-        let outcome = SeenOutcome::Ended(upstream.clone());
-        entry.suspicion.note_ended(Observation { fingerprint, caller, outcome, at });
-    }
-}
--- a/clayplank-forward/src/entry.rs
+++ b/clayplank-forward/src/entry.rs
@@ -1,9 +1,8 @@
 //! What an entry host needs to forward requests, and how it is put together.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
-use clayplank_types::{DataCentre, RequestFingerprint};
+use clayplank_types::{DataCentre, HeldBack};
 
 use crate::budget::{BudgetLimits, RetryBudget};
 use crate::directory::Directory;
@@ -24,7 +23,7 @@
     /// How engines are told to hold memory; `None` where no engine can.
     pub(crate) orders: Option<Arc<dyn OrderFormat>>,
     pub(crate) budget: Mutex<RetryBudget>,
-    pub(crate) figures: Arc<Figures>,
+    pub(crate) figures: Figures,
     pub(crate) data_centre: DataCentre,
     /// Upstreams that may have ended under requests.
     pub(crate) ends: Ends,
@@ -44,7 +43,6 @@
     names: HeaderNames,
     budget: Option<RetryBudget>,
     orders: Option<Arc<dyn OrderFormat>>,
-    figures: Arc<Figures>,
     data_centre: DataCentre,
     judge: Option<Arc<dyn Judge>>,
 }
@@ -74,12 +72,6 @@
         self
     }
 
-    /// Sets where figures go.
-    pub fn figures(mut self, figures: Arc<Figures>) -> Self {
-        self.figures = figures;
-        self
-    }
-
     /// Sets where the host stands.
     pub fn data_centre(mut self, data_centre: DataCentre) -> Self {
         self.data_centre = data_centre;
@@ -107,7 +99,7 @@
             placer,
             orders: self.orders,
             budget: Mutex::new(budget),
-            figures: self.figures,
+            figures: Figures::default(),
             data_centre: self.data_centre,
             ends: Ends::default(),
             suspicion: Suspicion::new(self.judge.unwrap_or_else(|| Arc::new(NoJudge))),
@@ -130,17 +122,14 @@
         self.lock_budget().set_hosts(hosts);
     }
 
-    /// Takes in all requests that are held back, each with its caller and the time until it may
-    /// be tried.
-    pub fn set_held_back(
-        &self,
-        held_back: impl IntoIterator<Item = (RequestFingerprint, String, Duration)>,
-    ) {
+    /// Takes in all requests that are held back.
+    pub fn set_held_back(&self, held_back: Vec<HeldBack>) {
         self.suspicion.set_held_back(held_back);
     }
 
-    /// How many requests are held back here.
-    pub fn held_back_count(&self) -> usize {
-        self.suspicion.count()
+    /// All figures in the Prometheus text format.
+    pub fn to_text(&self) -> String {
+        let held_back = self.suspicion.count();
+        format!("{}clayplank_entry_held_back {held_back}\n", self.figures.to_text())
     }
 }
--- a/clayplank-forward/src/exchange.rs
+++ b/clayplank-forward/src/exchange.rs
@@ -71,7 +71,7 @@
 }
 
 /// Whether the machine at an address answers that nobody listens there.
-pub async fn is_refused(address: SocketAddr) -> bool {
+pub(crate) async fn is_refused(address: SocketAddr) -> bool {
     let refused = connect(address).await.err();
     refused.is_some_and(|error| error.kind() == ErrorKind::ConnectionRefused)
 }
--- a/clayplank-forward/src/lib.rs
+++ b/clayplank-forward/src/lib.rs
@@ -14,6 +14,8 @@
 //! assert_eq!(HeaderNames::default().attempt_id.as_str(), "x-clayplank-attempt-id");
 //! ```
 
+#![warn(clippy::disallowed_methods, reason = "what decides by time goes by clayplank_clock")]
+
 mod admit;
 mod answer;
 mod attempt;
@@ -48,11 +50,11 @@
 pub use clock::{millis, now_ms};
 pub use directory::Directory;
 pub use door::{serve_callers, serve_simple};
+pub use ends::{Break, EndCause, has_stopped_listening};
 pub use entry::{Entry, EntryBuilder};
 pub use events::{EventSplitter, StreamEvent};
-pub use exchange::{CallError, ExchangeError, call_whole, connect, is_refused};
+pub use exchange::{CallError, ExchangeError, call_whole, connect};
 pub use facts::RequestFacts;
-pub use figures::Figures;
 pub use gate::Gate;
 pub use names::HeaderNames;
 pub use placer::{BoxFuture, Placer};
--- a/clayplank-forward/src/suspicion.rs
+++ b/clayplank-forward/src/suspicion.rs
@@ -7,8 +7,9 @@
 
 use arc_swap::ArcSwap;
 use clayplank_clock::Instant;
-use clayplank_types::{RequestFingerprint, SeenOutcome};
+use clayplank_types::{HeldBack, RequestFingerprint, SeenOutcome};
 
+use crate::clock::millis;
 use crate::placer::BoxFuture;
 
 /// Requests that were answered here last, by which one is cleared that is held back by mistake: one
@@ -126,21 +127,18 @@
 
     /// Takes in all requests that are held back. One that was answered here lately is told of: it may
     /// have been held back for what others did.
-    pub fn set_held_back(
-        &self,
-        held_back: impl IntoIterator<Item = (RequestFingerprint, String, Duration)>,
-    ) {
+    pub fn set_held_back(&self, held_back: Vec<HeldBack>) {
         let now = Instant::now();
         let former = self.held_back.load_full();
         let mut next = HashMap::new();
-        for (fingerprint, caller, next_trial_in) in held_back {
-            next.insert(fingerprint, now + next_trial_in);
+        for HeldBack { fingerprint, caller, next_trial_in_ms, .. } in held_back {
+            next.insert(fingerprint, now + millis(next_trial_in_ms));
             if former.contains_key(&fingerprint) {
                 continue;
             }
             log::info!(target: "forward",
                 fingerprint:% = fingerprint, caller = caller,
-                next_trial_in_ms = next_trial_in.as_millis() as u64;
+                next_trial_in_ms = next_trial_in_ms;
                 "A request is held back");
             if let Some(at) = self.answered_at(fingerprint) {
                 let outcome = SeenOutcome::Survived;
@@ -177,7 +175,7 @@
     }
 
     /// Tells that an upstream ended under a request, unless that was answered since.
-    pub fn note_ended(&self, observation: Observation) {
+    pub(crate) fn note_ended(&self, observation: Observation) {
         let answered_at = self.answered_at(observation.fingerprint);
         if answered_at.is_some_and(|answered_at| answered_at >= observation.at) {
             return;
--- /dev/null
+++ b/clayplank-forward/tests/entry/harness.rs
@@ -0,0 +1,130 @@
+//! An entry host in the test's process, and what stands around it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use clayplank_forward::{
+    BoxFuture, Directory, Entry, EntryBuilder, Gate, OrderFormat, Placer, now_ms, serve_callers,
+};
+use clayplank_placement::{Ask, Event, Placed, PlacementId};
+use clayplank_registry::{Heartbeat, Record};
+use clayplank_routes::{
+    CallerLimits, PlanIndex, RequestKind, Route, ServiceGroup, ServingPlan, Target,
+};
+use http::Request;
+use http_body_util::Full;
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// The service behind the one route of each plan here.
+const SERVICE: &str = "app";
+
+/// No engines here.
+pub struct NoPlacer;
+
+impl Placer for NoPlacer {
+    fn place<'a>(&'a self, _: &'a Ask) -> BoxFuture<'a, Placed> {
+        Box::pin(std::future::ready(Placed::Full { retry_after_ms: 100 }))
+    }
+
+    fn note(&self, _: PlacementId, _: Event) {}
+
+    fn next_id(&self) -> PlacementId {
+        PlacementId::default()
+    }
+}
+
+/// Orders that say what they are by their path alone.
+pub struct Orders;
+
+impl OrderFormat for Orders {
+    fn reserve(&self, _: &str, _: u64, _: u64) -> Request<Full<Bytes>> {
+        order("/reserve")
+    }
+
+    fn release(&self, _: &str) -> Request<Full<Bytes>> {
+        order("/release")
+    }
+}
+
+fn order(path: &str) -> Request<Full<Bytes>> {
+    Request::post(path).header("host", "engine").body(Full::default()).unwrap()
+}
+
+/// An upstream that takes work.
+pub fn record(name: &str, address: SocketAddr) -> Record {
+    let heartbeat =
+        Heartbeat { address, service: SERVICE.to_owned(), slots: 4, ..Heartbeat::default() };
+    Record { heartbeat: heartbeat.named(name), is_silent: false }
+}
+
+/// A route for all paths, which asks for no account.
+pub fn route(kind: RequestKind) -> Route {
+    Route {
+        name: "all".to_owned(),
+        host: "dala.example".to_owned(),
+        path_prefix: "/".to_owned(),
+        kind,
+        time_limit_ms: 9_000,
+        goal_ms: 300,
+        pause_goal_ms: None,
+        rank: 0,
+        targets: vec![Target { service: SERVICE.to_owned(), weight: 1 }],
+        max_attempts: 2,
+        allows_anonymous: true,
+    }
+}
+
+/// An entry host that runs.
+pub struct Host {
+    pub entry: Arc<Entry>,
+    /// Where it takes callers.
+    pub callers: SocketAddr,
+    _closing: watch::Sender<bool>,
+}
+
+impl Host {
+    /// Starts one whose plan is confirmed for a minute, with one route to one service.
+    pub async fn start(
+        builder: EntryBuilder,
+        route: Route,
+        service: ServiceGroup,
+        directory: Arc<Directory>,
+        placer: Arc<dyn Placer>,
+    ) -> Self {
+        let gate = Arc::new(Gate::new(60_000));
+        gate.set_plan(PlanIndex::new(ServingPlan {
+            version: 1,
+            routes: vec![route],
+            services: vec![service],
+            accounts: Vec::new(),
+            limits: CallerLimits::default(),
+        }));
+        gate.confirm(now_ms());
+        let entry = Arc::new(builder.build(gate, directory, placer));
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let callers = listener.local_addr().unwrap();
+        let (closing, is_closing) = watch::channel(false);
+        tokio::spawn(serve_callers(listener, Arc::clone(&entry), is_closing));
+        Self { entry, callers, _closing: closing }
+    }
+
+    /// A connection of a caller.
+    pub async fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.callers).await.unwrap()
+    }
+}
+
+/// A service without engines.
+pub fn plain_service() -> ServiceGroup {
+    ServiceGroup { name: SERVICE.to_owned(), engine: None }
+}
+
+/// What came at once, as text; nothing once the peer has closed.
+pub async fn read_some(stream: &mut TcpStream) -> String {
+    let mut bytes = vec![0; 4_096];
+    let count = stream.read(&mut bytes).await.unwrap_or_default();
+    String::from_utf8_lossy(&bytes[..count]).into_owned()
+}
--- a/clayplank-forward/tests/held_back.rs
+++ b/clayplank-forward/tests/entry/held_back.rs
@@ -1,43 +1,20 @@
 //! What a host tells of requests under which upstreams ended, and what it does with one that is held
 //! back.
 
-#![allow(clippy::disallowed_methods, reason = "tests measure and wait by the runtime's clock")]
-#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
-
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use clayplank_forward::{
-    BoxFuture, Directory, Entry, EntryBuilder, Gate, Judge, Observation, Placer, now_ms,
-    serve_callers,
-};
-use clayplank_placement::{Ask, Event, Placed, PlacementId};
-use clayplank_registry::{Heartbeat, Record, Standing};
-use clayplank_routes::{
-    CallerLimits, PlanIndex, RequestKind, Route, ServiceGroup, ServingPlan, Target,
-};
-use clayplank_types::{RequestFingerprint, RequestIdentity, SeenOutcome};
+use clayplank_forward::{BoxFuture, Directory, EntryBuilder, Judge, Observation};
+use clayplank_registry::Standing;
+use clayplank_routes::{RequestKind, Route};
+use clayplank_types::{HeldBack, RequestFingerprint, RequestIdentity, SeenOutcome};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
-
-/// No engines here.
-struct NoPlacer;
-
-impl Placer for NoPlacer {
-    fn place<'a>(&'a self, _: &'a Ask) -> BoxFuture<'a, Placed> {
-        Box::pin(std::future::ready(Placed::Full { retry_after_ms: 100 }))
-    }
+use tokio::net::TcpListener;
 
-    fn note(&self, _: PlacementId, _: Event) {}
-
-    fn next_id(&self) -> PlacementId {
-        PlacementId::default()
-    }
-}
+use crate::harness::{Host, NoPlacer, plain_service, record, route};
 
 /// Sent by all callers, on a route that asks for none.
 const KEY: &str = "a-secret-key";
@@ -108,47 +85,12 @@
     address
 }
 
-fn record(name: &str, address: SocketAddr, standing: Standing) -> Record {
-    let heartbeat = Heartbeat {
-        address,
-        standing,
-        service: "app".to_owned(),
-        slots: 4,
-        ..Heartbeat::default()
-    };
-    Record { heartbeat: heartbeat.named(name), is_silent: false }
-}
-
-fn plan() -> PlanIndex {
-    PlanIndex::new(ServingPlan {
-        version: 1,
-        routes: vec![Route {
-            name: "app".to_owned(),
-            host: "dala.example".to_owned(),
-            path_prefix: "/".to_owned(),
-            kind: RequestKind::Repeatable,
-            time_limit_ms: 5_000,
-            goal_ms: 300,
-            pause_goal_ms: None,
-            rank: 0,
-            targets: vec![Target { service: "app".to_owned(), weight: 1 }],
-            max_attempts: 2,
-            allows_anonymous: true,
-        }],
-        services: vec![ServiceGroup { name: "app".to_owned(), engine: None }],
-        accounts: Vec::new(),
-        limits: CallerLimits::default(),
-    })
-}
-
 struct World {
-    entry: Arc<Entry>,
+    host: Host,
     directory: Arc<Directory>,
     judge: Arc<Kept>,
-    callers: SocketAddr,
     /// Requests that upstreams got.
     requests: Arc<AtomicUsize>,
-    _closing: watch::Sender<bool>,
 }
 
 impl World {
@@ -157,28 +99,23 @@
         let directory = Arc::new(Directory::default());
         for (number, way) in ways.iter().enumerate() {
             let address = upstream(*way, Arc::clone(&requests)).await;
-            directory.apply(vec![record(&format!("u{number}"), address, Standing::Ready)]);
+            directory.apply(vec![record(&format!("u{number}"), address)]);
         }
-        let gate = Arc::new(Gate::new(60_000));
-        gate.set_plan(plan());
-        gate.confirm(now_ms());
         let judge = Arc::<Kept>::default();
-        let entry = EntryBuilder::default().judge(judge.clone()).build(
-            gate,
+        let host = Host::start(
+            EntryBuilder::default().judge(judge.clone()),
+            Route { time_limit_ms: 5_000, ..route(RequestKind::Repeatable) },
+            plain_service(),
             Arc::clone(&directory),
             Arc::new(NoPlacer),
-        );
-        let entry = Arc::new(entry);
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let callers = listener.local_addr().unwrap();
-        let (closing, is_closing) = watch::channel(false);
-        tokio::spawn(serve_callers(listener, Arc::clone(&entry), is_closing));
-        Self { entry, directory, judge, callers, requests, _closing: closing }
+        )
+        .await;
+        Self { host, directory, judge, requests }
     }
 
     /// The answer to a request, as text.
     async fn ask(&self, body: &str) -> String {
-        let mut stream = TcpStream::connect(self.callers).await.unwrap();
+        let mut stream = self.host.connect().await;
         let request = format!(
             "POST /x HTTP/1.1\r\nhost: dala.example\r\nx-clayplank-attempt-id: a\r\n\
              authorization: Bearer {KEY}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
@@ -200,10 +137,20 @@
         self.requests.load(Ordering::SeqCst)
     }
 
+    /// Holds back one request, and no other.
+    fn hold_back(&self, fingerprint: RequestFingerprint, next_trial_in: Duration) {
+        self.host.entry.set_held_back(vec![HeldBack {
+            fingerprint,
+            caller: String::new(),
+            ended: Vec::new(),
+            next_trial_in_ms: next_trial_in.as_millis() as u64,
+        }]);
+    }
+
     /// Holds back the request that the host told of.
     fn hold_back_what_was_told(&self, next_trial_in: Duration) {
         let fingerprint = self.judge.told.lock().unwrap()[0].fingerprint;
-        self.entry.set_held_back([(fingerprint, String::new(), next_trial_in)]);
+        self.hold_back(fingerprint, next_trial_in);
     }
 }
 
@@ -238,7 +185,7 @@
     world.ask("beside").await;
     assert_eq!(world.told().await.len(), 1);
     let address = upstream(Way::Answers, Arc::clone(&world.requests)).await;
-    world.directory.apply(vec![record("next", address, Standing::Ready)]);
+    world.directory.apply(vec![record("next", address)]);
     assert!(world.ask("beside").await.starts_with("HTTP/1.1 200"));
     assert_eq!(world.told().await[1], SeenOutcome::Survived);
 }
@@ -251,11 +198,12 @@
     let left = async {
         // Between the choice of the upstream and its end.
         while world.requests() == 0 {
-            world.directory.apply(vec![record("u0", address, Standing::Ready)]);
+            world.directory.apply(vec![record("u0", address)]);
             tokio::task::yield_now().await;
         }
     };
-    let mut draining = record("u0", address, Standing::Draining);
+    let mut draining = record("u0", address);
+    draining.heartbeat.standing = Standing::Draining;
     draining.heartbeat.sequence = 2;
     tokio::join!(asked, async {
         left.await;
@@ -299,7 +247,7 @@
     world.ask("popular").await;
     assert_eq!(world.told().await, []);
     // Whatever is held back: the one that was answered is known by its own fingerprint alone.
-    world.entry.set_held_back([(RequestFingerprint::new(7), String::new(), Duration::ZERO)]);
+    world.hold_back(RequestFingerprint::new(7), Duration::ZERO);
     let key = RequestIdentity { caller: KEY, host: "", path: "", body: b"" };
     let fingerprint = RequestFingerprint::of(&RequestIdentity {
         caller: &format!("key {}", RequestFingerprint::of(&key)),
@@ -308,6 +256,6 @@
         body: b"popular",
     });
     assert_eq!(world.told().await, []);
-    world.entry.set_held_back([(fingerprint, String::new(), Duration::ZERO)]);
+    world.hold_back(fingerprint, Duration::ZERO);
     assert_eq!(world.told().await, [SeenOutcome::Survived]);
 }
--- a/clayplank-forward/tests/late_orders.rs
+++ b/clayplank-forward/tests/entry/late_orders.rs
@@ -5,35 +5,19 @@
 //! is, after the release, sets the memory aside anew, and each further one that comes late keeps
 //! it; nobody gives it back.
 
-#![allow(clippy::disallowed_methods, reason = "tests measure and wait by the runtime's clock")]
-#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
-
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use clayplank_forward::{OrderFormat, Reservation, Ticket};
-use http::Request;
-use http_body_util::Full;
+use clayplank_forward::{Reservation, Ticket};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::harness::Orders;
+
 /// What a wait may take before the test counts as failed; nothing is timed by it.
 const PATIENCE: Duration = Duration::from_secs(30);
 
-struct Orders;
-
-impl OrderFormat for Orders {
-    fn reserve(&self, _: &str, _: u64, _: u64) -> Request<Full<Bytes>> {
-        Request::post("/reserve").header("host", "engine").body(Full::default()).unwrap()
-    }
-
-    fn release(&self, _: &str) -> Request<Full<Bytes>> {
-        Request::post("/release").header("host", "engine").body(Full::default()).unwrap()
-    }
-}
-
 /// An engine whose memory is given back by a release alone.
 #[derive(Default)]
 struct Engine {
--- a/clayplank-forward/tests/suspended.rs
+++ b/clayplank-forward/tests/entry/suspended.rs
@@ -1,28 +1,18 @@
 //! An entry host whose machine is suspended: what held before does not hold for longer, and the time
 //! counts against the limits of requests that it has.
 
-#![allow(clippy::disallowed_methods, reason = "tests measure and wait by the runtime's clock")]
-#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
-
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use clayplank_clock::suspend;
-use clayplank_forward::{
-    BoxFuture, BudgetLimits, Directory, EntryBuilder, Gate, Placer, RetryBudget, now_ms,
-    serve_callers,
-};
-use clayplank_placement::{Ask, Event, Placed, PlacementId};
-use clayplank_registry::{Heartbeat, Record};
-use clayplank_routes::{
-    CallerLimits, PlanIndex, RequestKind, Route, ServiceGroup, ServingPlan, Target,
-};
+use clayplank_forward::{BudgetLimits, Directory, EntryBuilder, Gate, RetryBudget, now_ms};
+use clayplank_routes::{RequestKind, Route};
 use proptest::prelude::*;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+
+use crate::harness::{Host, NoPlacer, plain_service, read_some, record, route};
 
 /// A plan holds for this long after a keeper confirmed it, in ms.
 const LEASE_MS: u64 = 4_000;
@@ -52,84 +42,42 @@
     assert!(budget.take_retry(now_ms(), "app"));
 }
 
-/// No engines here.
-struct NoPlacer;
-
-impl Placer for NoPlacer {
-    fn place<'a>(&'a self, _: &'a Ask) -> BoxFuture<'a, Placed> {
-        Box::pin(std::future::ready(Placed::Full { retry_after_ms: 100 }))
-    }
-
-    fn note(&self, _: PlacementId, _: Event) {}
-
-    fn next_id(&self) -> PlacementId {
-        PlacementId::default()
-    }
+/// A request that has begun: its head, and a part of its body of four bytes.
+struct Begun {
+    upstream: TcpListener,
+    caller: TcpStream,
+    _host: Host,
 }
 
-fn plan() -> PlanIndex {
-    PlanIndex::new(ServingPlan {
-        version: 1,
-        routes: vec![Route {
-            name: "app".to_owned(),
-            host: "dala.example".to_owned(),
-            path_prefix: "/".to_owned(),
-            kind: RequestKind::Unrepeatable,
-            time_limit_ms: 9_000,
-            goal_ms: 300,
-            pause_goal_ms: None,
-            rank: 0,
-            targets: vec![Target { service: "app".to_owned(), weight: 1 }],
-            max_attempts: 1,
-            allows_anonymous: true,
-        }],
-        services: vec![ServiceGroup { name: "app".to_owned(), engine: None }],
-        accounts: Vec::new(),
-        limits: CallerLimits::default(),
-    })
-}
-
-/// An entry host before one upstream; returns where it takes callers.
-async fn start_entry(upstream: SocketAddr) -> (SocketAddr, watch::Sender<bool>) {
-    let heartbeat = Heartbeat {
-        address: upstream,
-        service: "app".to_owned(),
-        slots: 4,
-        ..Heartbeat::default()
-    };
+/// Sends the head of a request, and a part of its body, to an entry host before one upstream.
+async fn begin(body: &str) -> Begun {
+    let upstream = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let directory = Arc::new(Directory::default());
-    directory.apply(vec![Record { heartbeat: heartbeat.named("u"), is_silent: false }]);
-    let gate = Arc::new(Gate::new(60_000));
-    gate.set_plan(plan());
-    gate.confirm(now_ms());
-    let entry = EntryBuilder::default().build(gate, directory, Arc::new(NoPlacer));
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let callers = listener.local_addr().unwrap();
-    let (closing, is_closing) = watch::channel(false);
-    tokio::spawn(serve_callers(listener, Arc::new(entry), is_closing));
-    (callers, closing)
+    directory.apply(vec![record("u", upstream.local_addr().unwrap())]);
+    let host = Host::start(
+        EntryBuilder::default(),
+        Route { max_attempts: 1, ..route(RequestKind::Unrepeatable) },
+        plain_service(),
+        directory,
+        Arc::new(NoPlacer),
+    )
+    .await;
+    let mut caller = host.connect().await;
+    caller.write_all(format!("{HEAD}{body}").as_bytes()).await.unwrap();
+    Begun { upstream, caller, _host: host }
 }
 
 const HEAD: &str = "POST /x HTTP/1.1\r\nhost: dala.example\r\nx-clayplank-attempt-id: a\r\n\
     x-clayplank-deadline-ms: 6000\r\nconnection: close\r\ncontent-length: 4\r\n\r\n";
 
-async fn read_head(stream: &mut TcpStream) -> String {
-    let mut bytes = vec![0; 4_096];
-    let count = stream.read(&mut bytes).await.unwrap();
-    String::from_utf8_lossy(&bytes[..count]).into_owned()
-}
-
 #[tokio::test]
 async fn an_upstream_is_told_what_is_left_of_the_callers_time() {
-    let upstream = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let (callers, _closing) = start_entry(upstream.local_addr().unwrap()).await;
-    let mut caller = TcpStream::connect(callers).await.unwrap();
-    caller.write_all(format!("{HEAD}bo").as_bytes()).await.unwrap();
+    let mut begun = begin("bo").await;
     tokio::time::sleep(Duration::from_millis(50)).await;
     suspend(Duration::from_secs(2));
-    caller.write_all(b"dy").await.unwrap();
-    let (mut stream, _) = upstream.accept().await.unwrap();
-    let head = read_head(&mut stream).await;
+    begun.caller.write_all(b"dy").await.unwrap();
+    let (mut stream, _) = begun.upstream.accept().await.unwrap();
+    let head = read_some(&mut stream).await;
     let left = head.split("x-clayplank-deadline-ms: ").nth(1).unwrap();
     let left_ms: u64 = left.split("\r\n").next().unwrap().parse().unwrap();
     assert!(left_ms <= 4_000, "{left_ms} ms of 6,000 after two seconds");
@@ -137,16 +85,13 @@
 
 #[tokio::test]
 async fn a_request_is_given_up_when_the_machine_wakes_after_its_limit() {
-    let upstream = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let (callers, _closing) = start_entry(upstream.local_addr().unwrap()).await;
-    let mut caller = TcpStream::connect(callers).await.unwrap();
-    caller.write_all(format!("{HEAD}body").as_bytes()).await.unwrap();
-    let (mut stream, _) = upstream.accept().await.unwrap();
-    read_head(&mut stream).await;
+    let mut begun = begin("body").await;
+    let (mut stream, _) = begun.upstream.accept().await.unwrap();
+    read_some(&mut stream).await;
     let awake = tokio::time::Instant::now();
     suspend(Duration::from_secs(30));
     let mut answer = String::new();
-    caller.read_to_string(&mut answer).await.unwrap();
+    begun.caller.read_to_string(&mut answer).await.unwrap();
     assert!(answer.starts_with("HTTP/1.1 504"), "{answer}");
     // The limit was six seconds, by a clock that stood still all the while.
     assert!(awake.elapsed() < Duration::from_secs(3), "{:?}", awake.elapsed());
--- a/clayplank-forward/tests/parts.rs
+++ b/clayplank-forward/tests/parts.rs
@@ -1,6 +1,5 @@
 //! Events, the retry budget and the directory, without a socket.
 
-#![allow(clippy::disallowed_methods, reason = "tests measure and wait by the runtime's clock")]
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use std::sync::Arc;
--- a/clayplank-state/src/lib.rs
+++ b/clayplank-state/src/lib.rs
@@ -45,5 +45,5 @@
 pub use packing::{PackError, pack, unpack};
 pub use plan_edit::{EditError, PlanEdit};
 pub use settings::{Delta, SettingKey, SettingValue, Versioned};
-pub use suspects::{HeldBack, Trial, Verdicts};
+pub use suspects::{Trial, Verdicts};
 pub use view::{SettingsView, StaleDelta};
--- a/clayplank-state/src/machine.rs
+++ b/clayplank-state/src/machine.rs
@@ -2,14 +2,14 @@
 
 use std::collections::BTreeMap;
 
-use clayplank_types::{HostId, RequestFingerprint, Sighting, UpstreamId};
+use clayplank_types::{HeldBack, HostId, RequestFingerprint, Sighting, UpstreamId};
 use serde::{Deserialize, Serialize};
 
 use crate::claims::Claims;
 use crate::command::{Body, CodecError, Command, PlanDocument, Reply, decode, encode};
 use crate::plan::Plan;
 use crate::settings::{Delta, Settings};
-use crate::suspects::{HeldBack, Suspects, Trial};
+use crate::suspects::{Suspects, Trial};
 
 /// How much a machine holds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/clayplank-state/src/settings.rs
+++ b/clayplank-state/src/settings.rs
@@ -3,11 +3,10 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use clayplank_settings::{ClientAccount, Template};
-use clayplank_types::Partner;
+use clayplank_types::{HeldBack, Partner};
 use serde::{Deserialize, Serialize};
 
 use crate::command::{PlanDocument, Reply, SettingChange};
-use crate::suspects::HeldBack;
 
 /// Replies to changes that are kept for resends: some months of changes.
 const KEPT_CHANGES: usize = 100_000;
--- a/clayplank-state/src/suspects.rs
+++ b/clayplank-state/src/suspects.rs
@@ -14,7 +14,7 @@
 
 use std::collections::BTreeMap;
 
-use clayplank_types::{RequestFingerprint, SeenOutcome, Sighting, UpstreamId};
+use clayplank_types::{HeldBack, RequestFingerprint, SeenOutcome, Sighting, UpstreamId};
 use serde::{Deserialize, Serialize};
 
 /// Upstreams that end under a request before it is held back. Two may end by chance under one that
@@ -84,6 +84,22 @@
         }
     }
 
+    /// Upstreams that ended under it.
+    fn ended(&self) -> Vec<UpstreamId> {
+        self.ends.iter().map(|end| end.upstream.clone()).collect()
+    }
+
+    /// The request as hosts know it, if it is held back.
+    fn describe(&self, now_ms: u64, fingerprint: RequestFingerprint) -> Option<HeldBack> {
+        let held = self.held?;
+        Some(HeldBack {
+            fingerprint,
+            caller: self.caller.clone(),
+            ended: self.ended(),
+            next_trial_in_ms: held.next_trial_ms.saturating_sub(now_ms),
+        })
+    }
+
     /// How often upstreams ended, those that ended at once counted as one.
     fn moments(&self) -> usize {
         let mut count = 0;
@@ -98,19 +114,6 @@
     }
 }
 
-/// A request that is held back, as a host has to know it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HeldBack {
-    /// Which request.
-    pub fingerprint: RequestFingerprint,
-    /// Whose it is.
-    pub caller: String,
-    /// Upstreams that ended under it.
-    pub ended: Vec<UpstreamId>,
-    /// When it may be tried, in ms from now.
-    pub next_trial_in_ms: u64,
-}
-
 /// What a host is told that would try a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Trial {
@@ -174,8 +177,14 @@
 
     fn note_end(&mut self, now_ms: u64, sighting: &Sighting, end: End, verdicts: &mut Verdicts) {
         let fingerprint = sighting.fingerprint;
-        let is_held = self.suspects.get(&fingerprint).is_some_and(|one| one.held.is_some());
-        if !is_held && self.explained.contains_key(&end.upstream) {
+        let known = self.suspects.get_mut(&fingerprint);
+        if let Some(suspect) = known.filter(|suspect| suspect.held.is_some()) {
+            // It stays held back; what it ended meanwhile has its explanation.
+            suspect.heard_ms = now_ms;
+            self.explain(now_ms, fingerprint, vec![end.upstream]);
+            return;
+        }
+        if self.explained.contains_key(&end.upstream) {
             return;
         }
         if !self.suspects.contains_key(&fingerprint) {
@@ -188,28 +197,16 @@
             held: None,
         });
         suspect.heard_ms = now_ms;
-        if is_held {
-            // It stays held back; what it ended meanwhile has its explanation.
-            self.explain(now_ms, fingerprint, vec![end.upstream]);
-            return;
-        }
         suspect.add(end);
-        if suspect.moments() >= HELD_AFTER {
-            self.hold_back(now_ms, fingerprint, verdicts);
-        }
-    }
-
-    fn hold_back(&mut self, now_ms: u64, fingerprint: RequestFingerprint, verdicts: &mut Verdicts) {
-        let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
+        if suspect.moments() < HELD_AFTER {
             return;
-        };
+        }
         let next_trial_ms = now_ms + TRIAL_PAUSES_MS[0];
         suspect.held = Some(Held { since_ms: now_ms, trials: 0, next_trial_ms });
-        let caller = suspect.caller.clone();
-        let ended: Vec<_> = suspect.ends.iter().map(|end| end.upstream.clone()).collect();
-        verdicts.held_back.extend(describe(now_ms, fingerprint, suspect));
+        let ended = suspect.ended();
+        verdicts.held_back.extend(suspect.describe(now_ms, fingerprint));
         self.explain(now_ms, fingerprint, ended);
-        self.limit_held(&caller, verdicts);
+        self.limit_held(&sighting.caller, verdicts);
     }
 
     /// Takes upstreams that one request ended off the others' accounts.
@@ -275,7 +272,7 @@
     pub(crate) fn held_back(&self, now_ms: u64) -> Vec<HeldBack> {
         self.suspects
             .iter()
-            .filter_map(|(fingerprint, suspect)| describe(now_ms, *fingerprint, suspect))
+            .filter_map(|(fingerprint, suspect)| suspect.describe(now_ms, *fingerprint))
             .collect()
     }
 
@@ -288,6 +285,9 @@
     /// Forgets the suspect of which nothing was heard for the longest time, if there are too many
     /// of a caller, or of all.
     fn make_room(&mut self, caller: &str) {
+        if self.suspects.len() < MAX_SUSPECTS_OF_CALLER {
+            return;
+        }
         let is_free = |suspect: &Suspect| suspect.held.is_none();
         let of_caller =
             self.suspects.values().filter(|one| is_free(one) && one.caller == caller).count();
@@ -324,14 +324,3 @@
         }
     }
 }
-
-/// A request as hosts know it, if it is held back.
-fn describe(now_ms: u64, fingerprint: RequestFingerprint, suspect: &Suspect) -> Option<HeldBack> {
-    let held = suspect.held?;
-    Some(HeldBack {
-        fingerprint,
-        caller: suspect.caller.clone(),
-        ended: suspect.ends.iter().map(|end| end.upstream.clone()).collect(),
-        next_trial_in_ms: held.next_trial_ms.saturating_sub(now_ms),
-    })
-}
--- a/clayplank-types/src/sighting.rs
+++ b/clayplank-types/src/sighting.rs
@@ -1,4 +1,4 @@
-//! What hosts tell of requests under which upstreams ended.
+//! What hosts tell of requests under which upstreams ended, and what they are told.
 
 use serde::{Deserialize, Serialize};
 
@@ -26,3 +26,16 @@
     /// How long ago that was, in ms, when it was told.
     pub ago_ms: u64,
 }
+
+/// A request that is held back, as a host has to know it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldBack {
+    /// Which request.
+    pub fingerprint: RequestFingerprint,
+    /// Whose it is.
+    pub caller: String,
+    /// Upstreams that ended under it.
+    pub ended: Vec<UpstreamId>,
+    /// When it may be tried, in ms from now.
+    pub next_trial_in_ms: u64,
+}
--- a/clayplank-upstream/src/lib.rs
+++ b/clayplank-upstream/src/lib.rs
@@ -14,6 +14,8 @@
 //! assert_eq!(ready.iter().map(|chunk| chunk.text.as_str()).collect::<String>(), "ab");
 //! ```
 
+#![warn(clippy::disallowed_methods, reason = "what decides by time goes by clayplank_clock")]
+
 mod answer;
 mod assemble;
 mod client;
--- a/clayplank-upstream/tests/assemble.rs
+++ b/clayplank-upstream/tests/assemble.rs
@@ -1,6 +1,5 @@
 //! An answer is passed on whole, in order and once, however its chunks come.
 
-#![allow(clippy::disallowed_methods, reason = "tests measure and wait by the runtime's clock")]
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use clayplank_upstream::{Assembler, Chunk, Finish, OrderError};
--- a/clayplank-wire/tests/broken_bytes.rs
+++ b/clayplank-wire/tests/broken_bytes.rs
@@ -8,10 +8,9 @@
 use clayplank_placement::{Ask, Event, Placed, PlacementId, Renewed};
 use clayplank_registry::{Buckets, Changes, Cursor, Digest, Heartbeat, Record};
 use clayplank_state::{
-    Body, Command, Delta, HeldBack, Machine, PlanDocument, PlanEdit, Reply, decode, encode, pack,
-    unpack,
+    Body, Command, Delta, Machine, PlanDocument, PlanEdit, Reply, decode, encode, pack, unpack,
 };
-use clayplank_types::{RequestFingerprint, SeenOutcome, Sighting, UpstreamId};
+use clayplank_types::{HeldBack, RequestFingerprint, SeenOutcome, Sighting, UpstreamId};
 use proptest::prelude::*;
 use serde::de::DeserializeOwned;
 
--- a/clayplankd/src/following.rs
+++ b/clayplankd/src/following.rs
@@ -18,7 +18,6 @@
 use crate::fleet_link::FleetLink;
 use crate::keeper_client::KeeperClient;
 use crate::logging::part;
-use crate::sightings::as_told;
 
 /// Time for one exchange with the leader, which answers within half a second, news or not: a
 /// host that asks for nothing else learns by this that the leader is gone.
@@ -179,7 +178,7 @@
             position.plan = plan;
         }
         if let Some(held_back) = delta.held_back {
-            self.entry.set_held_back(as_told(held_back));
+            self.entry.set_held_back(held_back);
         }
         let changed = self.directory.apply(changes.records);
         if is_new_plan {
--- a/clayplankd/src/lib.rs
+++ b/clayplankd/src/lib.rs
@@ -13,6 +13,8 @@
 //! # }
 //! ```
 
+#![warn(clippy::disallowed_methods, reason = "what decides by time goes by clayplank_clock")]
+
 mod accounts;
 mod callers;
 mod claims;
--- a/clayplankd/src/main.rs
+++ b/clayplankd/src/main.rs
@@ -1,5 +1,7 @@
 //! Starts the daemon.
 
+#![warn(clippy::disallowed_methods, reason = "what decides by time goes by clayplank_clock")]
+
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
--- a/clayplankd/src/seeded.rs
+++ b/clayplankd/src/seeded.rs
@@ -25,7 +25,7 @@
 use crate::keeper_stop::give_up_vote;
 use crate::logging::{part, set_log_level};
 use crate::peers::Peers;
-use crate::seeded_entry::{EntryFigures, EntryHost};
+use crate::seeded_entry::EntryHost;
 use crate::seeded_keeper::run_keeper_start;
 use crate::suspension::{run_suspension_watch, suspension_figures};
 
@@ -87,7 +87,7 @@
             Role::Entry => Some(parts.start_entry(closing_receiver).await?),
             Role::Keeper => None,
         };
-        let figures = entry.as_ref().map(EntryHost::figures);
+        let counting = entry.as_ref().map(|host| Arc::clone(&host.entry));
         let fleet = settings.is_keeper().then(|| parts.new_fleet());
         if let Some(fleet) = &fleet {
             tokio::spawn(run_keeper_start(parts, Arc::clone(fleet), failed_sender));
@@ -96,7 +96,7 @@
             parts.start_door(bind(control).await?, Registered::Followed, spread);
         }
         serve_metrics(metrics, move || {
-            let of_entry = figures.as_ref().map(EntryFigures::to_text).unwrap_or_default();
+            let of_entry = counting.as_ref().map(|entry| entry.to_text()).unwrap_or_default();
             let of_keeper = fleet.as_deref().map(FleetKeeper::to_text).unwrap_or_default();
             of_entry + &of_keeper + &suspension_figures()
         });
--- a/clayplankd/src/seeded_entry.rs
+++ b/clayplankd/src/seeded_entry.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use clayplank_forward::{
-    BudgetLimits, Directory, Entry, EntryBuilder, Figures, Gate, OrderFormat, RetryBudget,
-    serve_callers, serve_simple,
+    BudgetLimits, Directory, Entry, EntryBuilder, Gate, OrderFormat, RetryBudget, serve_callers,
+    serve_simple,
 };
 use clayplank_settings::Bounds;
 use http::{Request, StatusCode};
@@ -28,31 +28,10 @@
 pub(crate) struct EntryHost {
     /// Whether it takes requests.
     pub(crate) gate: Arc<Gate>,
-    figures: Arc<Figures>,
-    entry: Arc<Entry>,
-}
-
-/// What an entry host counts.
-#[derive(Clone)]
-pub(crate) struct EntryFigures {
-    figures: Arc<Figures>,
-    entry: Arc<Entry>,
-}
-
-impl EntryFigures {
-    /// Figures in the Prometheus text format.
-    pub(crate) fn to_text(&self) -> String {
-        let held_back = self.entry.held_back_count();
-        format!("{}clayplank_entry_held_back {held_back}\n", self.figures.to_text())
-    }
+    pub(crate) entry: Arc<Entry>,
 }
 
 impl EntryHost {
-    /// What it counts, for those who ask later.
-    pub(crate) fn figures(&self) -> EntryFigures {
-        EntryFigures { figures: Arc::clone(&self.figures), entry: Arc::clone(&self.entry) }
-    }
-
     /// Takes in bounds that were changed.
     pub(crate) fn set_bounds(&self, bounds: &Bounds) {
         self.gate.set_lease_ms(lease_ms(bounds));
@@ -92,7 +71,6 @@
         let bounds = &self.settings.bounds;
         let gate = Arc::new(Gate::new(lease_ms(bounds)));
         let directory = Arc::new(Directory::default());
-        let figures = Arc::new(Figures::default());
         let (link, events) = FleetLink::new(self.peers.clone(), self.keepers.clone());
         let link = Arc::new(link);
         let (judge, observations) = SightingLink::new(self.keepers.clone());
@@ -102,7 +80,6 @@
             .budget(RetryBudget::new(budget_limits(bounds)))
             .orders(Arc::clone(&self.contract) as Arc<dyn OrderFormat>)
             .judge(Arc::new(judge))
-            .figures(Arc::clone(&figures))
             .data_centre(self.settings.data_centre.clone())
             .build(Arc::clone(&gate), Arc::clone(&directory), link.clone());
         let entry = Arc::new(entry);
@@ -119,7 +96,7 @@
         }));
         tokio::spawn(serve_callers(callers, Arc::clone(&entry), closing));
         serve_readiness(readiness, Arc::clone(&self.contract), Arc::clone(&gate));
-        Ok(EntryHost { gate, figures, entry })
+        Ok(EntryHost { gate, entry })
     }
 }
 
--- a/clayplankd/src/settings_watch.rs
+++ b/clayplankd/src/settings_watch.rs
@@ -11,7 +11,6 @@
 use crate::host::Host;
 use crate::keeper_messages::WATCH_WAIT_MS;
 use crate::logging::part;
-use crate::sightings::as_told;
 
 /// The newest settings, and when they were confirmed.
 #[derive(Debug)]
@@ -59,7 +58,7 @@
             }
         };
         if let Some(held_back) = delta.held_back.take() {
-            host.suspicion.set_held_back(as_told(held_back));
+            host.suspicion.set_held_back(held_back);
         }
         if !delta.items.is_empty() || delta.revision > applied.revision() {
             let mut next = SettingsView::clone(&applied);
--- a/clayplankd/src/sightings.rs
+++ b/clayplankd/src/sightings.rs
@@ -4,11 +4,10 @@
 
 use clayplank_clock::Instant;
 use clayplank_forward::{BoxFuture, Judge, Observation};
-use clayplank_state::{Body, HeldBack, Reply, Trial, Verdicts};
-use clayplank_types::{RequestFingerprint, Sighting};
+use clayplank_state::{Body, Reply, Trial, Verdicts};
+use clayplank_types::{HeldBack, RequestFingerprint, Sighting};
 use tokio::sync::mpsc;
 
-use crate::clock::millis;
 use crate::keeper_client::KeeperClient;
 use crate::logging::part;
 
@@ -31,14 +30,6 @@
 /// Observations that wait for the keepers; what comes beyond is not told.
 const MAX_WAITING: usize = 4_096;
 
-/// What is held back, as a host takes it in: its caller, and the time until it may be tried.
-pub(crate) fn as_told(
-    held_back: Vec<HeldBack>,
-) -> impl Iterator<Item = (RequestFingerprint, String, Duration)> {
-    let told = held_back.into_iter();
-    told.map(|one| (one.fingerprint, one.caller, millis(one.next_trial_in_ms)))
-}
-
 /// What the requests of a host tell the keepers.
 pub(crate) struct SightingLink {
     keepers: KeeperClient,
--- a/clayplankd/src/suspects.rs
+++ b/clayplankd/src/suspects.rs
@@ -4,18 +4,14 @@
 //! known by the attempt that broke off there.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use clayplank_clock::Instant;
-use clayplank_forward::{Observation, is_refused};
-use clayplank_types::{Refusal, RefusalReason, RequestFingerprint, SeenOutcome, UpstreamId};
+use clayplank_forward::{Break, EndCause, has_stopped_listening};
+use clayplank_types::{Refusal, RefusalReason, RequestFingerprint, UpstreamId};
 
 use crate::host::Host;
 use crate::logging::part;
 
-/// From the break of a connection to the question whether somebody still listens.
-const ASK_AFTER: Duration = Duration::from_millis(5);
-
 /// A request, as it is known again.
 #[derive(Clone, Debug)]
 pub(crate) struct Identity {
@@ -31,18 +27,17 @@
         is_first_try: bool,
     ) -> Result<(), Refusal> {
         let fingerprint = identity.fingerprint;
-        let let_through = if is_first_try {
-            self.suspicion.let_through(fingerprint).await.map(|_| ())
-        } else {
-            let held_for = self.suspicion.held_for(fingerprint);
-            held_for.map_or(Ok(()), |held_for| Err(held_for.as_millis() as u64))
+        let held_for_ms = match is_first_try {
+            true => self.suspicion.let_through(fingerprint).await.err(),
+            false => self.suspicion.held_for(fingerprint).map(|span| span.as_millis() as u64),
+        };
+        let Some(retry_after_ms) = held_for_ms else {
+            return Ok(());
         };
-        let_through.map_err(|retry_after_ms| {
-            log::info!(target: part::CALLERS,
-                fingerprint:% = fingerprint;
-                "Does not send a request that is held back");
-            Refusal::new(RefusalReason::HeldBack, retry_after_ms)
-        })
+        log::info!(target: part::CALLERS,
+            fingerprint:% = fingerprint;
+            "Does not send a request that is held back");
+        Err(Refusal::new(RefusalReason::HeldBack, retry_after_ms))
     }
 
     /// Finds out whether an upstream ended when it broke off an attempt, and tells so.
@@ -56,22 +51,13 @@
         let Some(host) = self.shared() else {
             return;
         };
-        let (identity, at) = (identity.clone(), Instant::now());
+        let Identity { fingerprint, caller } = identity.clone();
+        let one = Break { fingerprint, caller, at: Instant::now() };
         let life = UpstreamId::new(format!("{upstream}@{attempt}"));
         tokio::spawn(async move {
-            clayplank_clock::sleep(ASK_AFTER).await;
-            if !is_refused(address).await {
-                return;
+            if has_stopped_listening(address).await {
+                host.suspicion.note_upstream_ended(&life, EndCause::Refused, vec![one]);
             }
-            log::info!(target: part::CALLERS,
-                upstream = life.as_str(), fingerprints:% = identity.fingerprint;
-                "An upstream ended under requests");
-            host.suspicion.note_ended(Observation {
-                fingerprint: identity.fingerprint,
-                caller: identity.caller,
-                outcome: SeenOutcome::Ended(life),
-                at,
-            });
         });
     }
 
--- a/clayplankd/tests/faults/crashing.rs
+++ b/clayplankd/tests/faults/crashing.rs
@@ -62,11 +62,7 @@
     }
     let before = begun(&system);
     for host in 0..HOSTS {
-        let address = system.hosts[host].callers;
-        let headers = [bearer(ACCOUNT_KEY)];
-        let answer =
-            call(address, "POST", "/v1/completions", &headers, body("crashing").as_bytes())
-                .unwrap();
+        let answer = system.complete(host, "crashing", 60);
         assert_eq!(answer.status, 503, "{}", answer.text());
         assert!(answer.text().contains("held-back"), "{}", answer.text());
     }
--- a/clayplankd/tests/faults/main.rs
+++ b/clayplankd/tests/faults/main.rs
@@ -1,6 +1,5 @@
 //! The promises, over real processes, under kills, freezes, cuts and lost disks.
 
-#![allow(clippy::disallowed_methods, reason = "tests measure and wait by the runtime's clock")]
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod answers;
--- a/clayplankd/tests/seeded/crashing.rs
+++ b/clayplankd/tests/seeded/crashing.rs
@@ -21,10 +21,10 @@
 
 use crate::answer::Answer;
 use crate::client::call;
-use crate::crashing_upstreams::{CRASHING_BODY, FLEET, Fleet};
+use crate::crashing_upstreams::{CRASHING_BODY, FLEET, Fleet, Story};
 use crate::failover::leader;
 use crate::host::Host;
-use crate::system::{KEY, Shape, System, plan, wait_for};
+use crate::system::{Shape, System, call_with_key, plan, wait_for};
 
 /// Upstreams of the service.
 const UPSTREAMS: u8 = 18;
@@ -71,14 +71,7 @@
     let system = System::start_as(Shape { entries: ENTRIES, ..Shape::default() });
     let fleet = Fleet::start(&system, UPSTREAMS);
     system.wait_for_plan(&fleet_plan(2));
-    for entry in 0..ENTRIES {
-        let mut number = 0;
-        wait_for("service by the fleet", || {
-            number += 1;
-            let attempt = format!("first-{entry}-{number}");
-            send(&system, entry, &attempt, "/repeatable/x", "hello").status == 200
-        });
-    }
+    wait_until_served(&system, "service by the fleet");
     // All of them have told of themselves by then.
     std::thread::sleep(Duration::from_millis(700));
     (system, fleet)
@@ -86,16 +79,22 @@
 
 /// The answer; its status is 0 if it was not whole.
 fn send(system: &System, entry: usize, attempt: &str, path: &str, body: &str) -> Answer {
-    let key = format!("Bearer {KEY}");
-    let headers = [
-        ("authorization", key.as_str()),
-        ("x-clayplank-attempt-id", attempt),
-        ("x-clayplank-deadline-ms", "5000"),
-    ];
-    let answer = call(system.entries[entry].callers(), "POST", path, &headers, body);
+    let answer = call_with_key(system.entries[entry].callers(), attempt, 5_000, path, body);
     if answer.is_whole { answer } else { Answer::default() }
 }
 
+/// Waits until each entry host has an answer of the fleet.
+fn wait_until_served(system: &System, what: &str) {
+    for entry in 0..ENTRIES {
+        let mut number = 0;
+        wait_for(what, || {
+            number += 1;
+            let attempt = format!("{what} {entry}-{number}").replace(' ', "-");
+            send(system, entry, &attempt, "/repeatable/x", "hello").status == 200
+        });
+    }
+}
+
 /// Plays others' requests beside `main`, and returns what became of them.
 fn beside_others(
     system: &System,
@@ -150,6 +149,17 @@
     Arc::into_inner(statuses).unwrap().into_inner().unwrap()
 }
 
+/// From when on all hosts can know that the request has ended three upstreams.
+fn known_at(story: &Story) -> Instant {
+    story.ended.get(2).copied().unwrap_or_else(Instant::now) + CONTACT
+}
+
+/// How often the request reached an upstream after that.
+fn late_sends(story: &Story) -> usize {
+    let known_at = known_at(story);
+    story.begun.iter().filter(|begun| **begun > known_at).count()
+}
+
 fn served(seen: &[Seen]) -> (usize, usize) {
     (seen.iter().filter(|one| one.is_served).count(), seen.len())
 }
@@ -164,9 +174,9 @@
     let mut statuses = Vec::new();
     let seen = beside_others(&system, path, None, || statuses = press(&system, crashing_path, RUN));
     let story = fleet.story();
-    let third = story.ended.get(2).copied().unwrap_or_else(Instant::now);
-    let late = story.begun.iter().filter(|begun| **begun > third + CONTACT).count();
-    let after: Vec<_> = seen.iter().filter(|one| one.sent_at > third + CONTACT).copied().collect();
+    let known_at = known_at(&story);
+    let late = late_sends(&story);
+    let after: Vec<_> = seen.iter().filter(|one| one.sent_at > known_at).copied().collect();
     println!(
         "{} upstreams ended, {late} sends late; others served {:?}, after that time {:?}; the caller got {:?}",
         story.ended.len(),
@@ -219,8 +229,7 @@
     press(&system, path, Duration::from_secs(6));
     system.keepers[leader].start();
     let story = fleet.story();
-    let third = story.ended.get(2).copied().unwrap_or_else(Instant::now);
-    let late = story.begun.iter().filter(|begun| **begun > third + CONTACT).count();
+    let late = late_sends(&story);
     println!("{} upstreams ended, {late} sends late", story.ended.len());
     assert!(late <= MAX_LATE, "{late} sends later than {CONTACT:?} after the third end");
 }
@@ -234,13 +243,7 @@
     let before = reached(&fleet);
     system.keepers.iter_mut().chain(&mut system.entries).for_each(Host::kill);
     system.keepers.iter_mut().chain(&mut system.entries).for_each(Host::start);
-    for entry in 0..ENTRIES {
-        let mut number = 0;
-        wait_for("service after the restart", || {
-            number += 1;
-            send(&system, entry, &format!("again-{entry}-{number}"), path, "hello").status == 200
-        });
-    }
+    wait_until_served(&system, "service after the restart");
     let statuses = press(&system, path, Duration::from_secs(3));
     assert_eq!(reached(&fleet), before, "sends after the restart");
     assert!(statuses.iter().all(|status| *status == 503), "{statuses:?}");
--- a/clayplankd/tests/seeded/main.rs
+++ b/clayplankd/tests/seeded/main.rs
@@ -1,6 +1,5 @@
 //! Seeded hosts as processes: their promises one by one, and a randomised run of them all.
 
-#![allow(clippy::disallowed_methods, reason = "tests measure and wait by the runtime's clock")]
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 #![allow(clippy::print_stdout, reason = "the soak tells its seeds, and what each came to")]
 
--- a/clayplankd/tests/seeded/soak/crashing.rs
+++ b/clayplankd/tests/seeded/soak/crashing.rs
@@ -9,9 +9,8 @@
 
 use super::run::Shared;
 use super::schedule::ENTRIES;
-use crate::client::call;
 use crate::crashing_upstreams::{CRASHING_BODY, Fleet};
-use crate::system::{KEY, wait_for};
+use crate::system::{call_with_key, wait_for};
 
 /// Upstreams of the service that the request ends.
 pub const UPSTREAMS: u8 = 5;
@@ -26,13 +25,7 @@
 
 fn send(shared: &Shared, entry: usize, attempt: &str, body: &str) -> (u16, String) {
     let address = shared.system.lock().unwrap().entries[entry].callers();
-    let key = format!("Bearer {KEY}");
-    let headers = [
-        ("authorization", key.as_str()),
-        ("x-clayplank-attempt-id", attempt),
-        ("x-clayplank-deadline-ms", "2000"),
-    ];
-    let answer = call(address, "POST", "/crashing/x", &headers, body);
+    let answer = call_with_key(address, attempt, 2_000, "/crashing/x", body);
     (answer.status, answer.text())
 }
 
--- a/clayplankd/tests/seeded/system.rs
+++ b/clayplankd/tests/seeded/system.rs
@@ -256,6 +256,23 @@
     }
 }
 
+/// Sends one request with the account's key.
+pub fn call_with_key(
+    host: SocketAddr,
+    attempt: &str,
+    deadline_ms: u64,
+    path: &str,
+    body: &str,
+) -> Answer {
+    let (key, deadline_ms) = (format!("Bearer {KEY}"), deadline_ms.to_string());
+    let headers = [
+        ("authorization", key.as_str()),
+        ("x-clayplank-attempt-id", attempt),
+        ("x-clayplank-deadline-ms", deadline_ms.as_str()),
+    ];
+    call(host, "POST", path, &headers, body)
+}
+
 /// Sends a plan until there is a clear answer: 503 says that no quorum took it in time,
 /// which a busy disk brings about, and that it should be sent again.
 pub fn publish(keeper: &Host, plan: &Value) -> Answer {
