--- a/clayplank-agreement/tests/cluster/mod.rs
+++ b/clayplank-agreement/tests/cluster/mod.rs
@@ -9,6 +9,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::disk::write;
+use crate::network::Network;
 
 /// A replica with the disk below it.
 struct Node {
@@ -41,7 +42,7 @@
 pub struct Cluster {
     nodes: BTreeMap<String, Node>,
     /// Messages under way and when they arrive.
-    network: Vec<(u64, Envelope)>,
+    network: Network,
     now_ms: u64,
     rng: SmallRng,
     faults: Faults,
@@ -80,7 +81,7 @@
         };
         Self {
             nodes: ids.iter().map(|id| (id.host.clone(), node(id))).collect(),
-            network: Vec::new(),
+            network: Network::default(),
             now_ms: 0,
             rng: SmallRng::seed_from_u64(seed),
             faults,
@@ -217,10 +218,7 @@
 
     fn deliver(&mut self) {
         let now_ms = self.now_ms;
-        let (due, later): (Vec<_>, Vec<_>) =
-            self.network.drain(..).partition(|(at_ms, _)| *at_ms <= now_ms);
-        self.network = later;
-        for (_, envelope) in due {
+        for envelope in self.network.take_arrived(now_ms) {
             let Some(node) = self.nodes.get_mut(&envelope.to.host) else {
                 continue;
             };
@@ -293,7 +291,7 @@
             let copies = if is_faulty && self.rng.random_range(0..20) == 0 { 2 } else { 1 };
             for _ in 0..copies {
                 let delay_ms = self.rng.random_range(0..if is_faulty { 20 } else { 3 });
-                self.network.push((self.now_ms + delay_ms, message.clone()));
+                self.network.send(self.now_ms + delay_ms, message.clone());
             }
         }
     }
--- a/clayplank-agreement/tests/keepers/mod.rs
+++ b/clayplank-agreement/tests/keepers/mod.rs
@@ -3,16 +3,20 @@
 //! A model of the processes around the replicas: who is up, who makes itself known to whom, and
 //! which disks are lost. Time, delays and faults come from a seed.
 
+mod checks;
+mod faults;
+
 use std::collections::BTreeMap;
 
 use clayplank_agreement::{
-    BlankKeeper, Configuration, Envelope, Introduction, Join, Options, Payload, Replica, ReplicaId,
+    BlankKeeper, Configuration, Introduction, Join, Options, Payload, Replica, ReplicaId,
     StoredState, plan_join,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
 use crate::disk::write;
+use crate::network::Network;
 
 /// One step of time, in ms.
 const STEP_MS: u64 = 4;
@@ -29,9 +33,6 @@
 /// A keeper that is back, or new, counts as lost for this long, in ms.
 pub const CATCH_UP_MS: u64 = 4_000;
 
-/// Time for a keeper that stops to be taken out, in ms.
-const STOP_PATIENCE_MS: u64 = 2_000;
-
 /// What a keeper's process can do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Life {
@@ -77,7 +78,7 @@
     all: BTreeMap<String, Keeper>,
     seeds: Vec<String>,
     losses: usize,
-    network: Vec<(u64, Envelope)>,
+    network: Network,
     pub now_ms: u64,
     rng: SmallRng,
     next: u64,
@@ -111,7 +112,7 @@
             all: BTreeMap::new(),
             seeds: Vec::new(),
             losses,
-            network: Vec::new(),
+            network: Network::default(),
             now_ms: CATCH_UP_MS,
             rng: SmallRng::seed_from_u64(seed),
             next: 0,
@@ -208,10 +209,7 @@
 
     fn deliver(&mut self) {
         let now_ms = self.now_ms;
-        let (due, later): (Vec<_>, Vec<_>) =
-            self.network.drain(..).partition(|(at_ms, _)| *at_ms <= now_ms);
-        self.network = later;
-        for (_, envelope) in due {
+        for envelope in self.network.take_arrived(now_ms) {
             let Some(keeper) = self.all.get_mut(&envelope.to.host) else {
                 continue;
             };
@@ -312,225 +310,8 @@
         if !keeper.is_cut {
             for message in ready.messages {
                 let at_ms = now_ms + self.rng.random_range(0..12);
-                self.network.push((at_ms, message));
-            }
-        }
-    }
-
-    fn end_process(&mut self, host: &str, life: Life) {
-        let keeper = self.all.get_mut(host).unwrap();
-        keeper.life = life;
-        keeper.replica = None;
-        keeper.led_since_ms = None;
-    }
-
-    /// Starts a process, from what its disk holds.
-    fn start_process(&mut self, host: &str) {
-        let (now_ms, losses) = (self.now_ms, self.losses);
-        let keeper = self.all.get_mut(host).unwrap();
-        keeper.life = Life::Up;
-        keeper.is_cut = false;
-        keeper.back_ms = now_ms;
-        keeper.introduce_ms = now_ms;
-        let id = keeper.id.clone();
-        keeper.replica =
-            keeper.disk.clone().map(|state| Replica::new(id, state, options(losses), now_ms));
-    }
-
-    fn empty_disk(&mut self, host: &str) {
-        self.next += 1;
-        let keeper = self.all.get_mut(host).unwrap();
-        keeper.id = ReplicaId::new(host, self.next);
-        keeper.disk = None;
-        keeper.genesis = None;
-        keeper.may_begin = false;
-    }
-
-    /// One keeper ends, and comes back; with an empty disk, perhaps.
-    pub fn restart(&mut self, down_ms: u64, loses_disk: bool) {
-        if let Some(host) = self.pick() {
-            self.restart_host(&host, down_ms, loses_disk);
-        }
-    }
-
-    /// The same, with one that is named.
-    pub fn restart_host(&mut self, host: &str, down_ms: u64, loses_disk: bool) {
-        self.tell(&format!("{host} ends for {down_ms} ms, loses its disk: {loses_disk}"));
-        self.end_process(host, Life::Down);
-        if loses_disk {
-            self.empty_disk(host);
-        }
-        self.run_for(down_ms);
-        if !self.is_struck() {
-            self.start_process(host);
-        }
-    }
-
-    /// One keeper does nothing for a while, or nothing reaches it.
-    pub fn silence(&mut self, for_ms: u64, is_cut: bool) {
-        let Some(host) = self.pick() else {
-            return;
-        };
-        self.tell(&format!("{host} is silent for {for_ms} ms, cut off: {is_cut}"));
-        let keeper = self.all.get_mut(&host).unwrap();
-        match is_cut {
-            true => keeper.is_cut = true,
-            false => keeper.life = Life::Paused,
-        }
-        self.run_for(for_ms);
-        let keeper = self.all.get_mut(&host).unwrap();
-        keeper.is_cut = false;
-        keeper.life = Life::Up;
-        keeper.back_ms = self.now_ms;
-    }
-
-    /// All keepers lose power at once, and come back.
-    pub fn power_off_all(&mut self, down_ms: u64) {
-        self.tell(&format!("all lose power for {down_ms} ms"));
-        let hosts: Vec<_> = self.present();
-        hosts.iter().for_each(|host| self.end_process(host, Life::Down));
-        self.network.clear();
-        self.run_for(down_ms);
-        if !self.is_struck() {
-            hosts.iter().for_each(|host| self.start_process(host));
-        }
-    }
-
-    fn present(&self) -> Vec<String> {
-        let present = self.all.iter().filter(|(_, keeper)| keeper.life != Life::Gone);
-        present.map(|(host, _)| host.clone()).collect()
-    }
-
-    /// A keeper is gone for good; an empty one comes later.
-    pub fn replace_suddenly(&mut self, gap_ms: u64) {
-        let Some(host) = self.pick() else {
-            return;
-        };
-        self.tell(&format!("{host} is gone, another one comes {gap_ms} ms later"));
-        self.end_process(&host, Life::Gone);
-        // What comes in its place counts as lost by itself.
-        self.replaced_until_ms.push(self.now_ms + gap_ms);
-        self.run_for(gap_ms);
-        let newcomer = self.add(false);
-        self.tell(&format!("{newcomer} starts"));
-    }
-
-    /// An empty keeper comes first; the one that it replaces stops `after_ms` later.
-    pub fn replace_as_planned(&mut self, after_ms: u64) {
-        let Some(host) = self.pick() else {
-            return;
-        };
-        let newcomer = self.add(false);
-        self.tell(&format!("{newcomer} starts, to replace {host} {after_ms} ms later"));
-        self.run_for(after_ms);
-        if self.is_struck() || self.all[&host].life != Life::Up {
-            return;
-        }
-        let asked_ms = self.now_ms;
-        while !self.is_struck() && self.now_ms < asked_ms + STOP_PATIENCE_MS {
-            if self.ask_to_stop(&host) {
-                break;
-            }
-            self.run_for(20);
-        }
-        self.tell(&format!("{host} stops"));
-        self.end_process(&host, Life::Gone);
-    }
-
-    fn ask_to_stop(&mut self, host: &str) -> bool {
-        let now_ms = self.now_ms;
-        let reached = self.all.values_mut().filter(|keeper| keeper.is_reached());
-        let leaders = reached.filter_map(|keeper| keeper.replica.as_mut());
-        let Some(leader) = leaders.filter(|one| one.is_leader()).max_by_key(|one| one.term())
-        else {
-            return false;
-        };
-        leader.note_leaving(now_ms, host);
-        leader.keep_members(now_ms);
-        leader.may_stop(now_ms, host)
-    }
-
-    /// As many disks are lost as are tolerated, all others lose power; then all come back.
-    pub fn strike(&mut self) {
-        self.strike_ms = u64::MAX;
-        let budget = self.losses.saturating_sub(self.lost_count());
-        let mut sound = self.sound();
-        let mut lost = Vec::new();
-        for _ in 0..budget.min(sound.len()) {
-            lost.push(sound.swap_remove(self.rng.random_range(0..sound.len())));
-        }
-        self.tell(&format!("all lose power, {lost:?} their disks"));
-        let hosts = self.present();
-        hosts.iter().for_each(|host| self.end_process(host, Life::Down));
-        self.network.clear();
-        lost.iter().for_each(|host| self.empty_disk(host));
-        self.run_for(1_000);
-        hosts.iter().for_each(|host| self.start_process(host));
-    }
-
-    /// Whether some keeper leads, and holds all that was acknowledged; and if not, why.
-    pub fn check_led(&self) -> Result<(), String> {
-        let up = self.all.values().filter_map(|keeper| keeper.replica.as_ref());
-        let mut leaders: Vec<_> = up.filter(|replica| replica.is_leader()).collect();
-        leaders.sort_by_key(|replica| replica.term());
-        let Some(leader) = leaders.last() else {
-            return Err(format!("nobody leads\n{}", self.describe()));
-        };
-        if leader.term_at(leader.commit_index()) != Some(leader.term()) {
-            return Err(format!("{} commits nothing\n{}", leader.id(), self.describe()));
-        }
-        let disk = self.all[&leader.id().host].disk.as_ref().unwrap();
-        for (index, command) in &self.acknowledged {
-            let is_held = disk.entries.iter().any(|entry| {
-                entry.index == *index && entry.payload == Payload::Command(command.clone())
-            });
-            if !is_held {
-                return Err(format!("entry {index} is lost\n{}", self.describe()));
+                self.network.send(at_ms, message);
             }
         }
-        Ok(())
-    }
-
-    /// Whether every keeper that is there votes.
-    pub fn check_all_vote(&self) -> Result<(), String> {
-        let is_voter = |keeper: &&Keeper| {
-            keeper
-                .replica
-                .as_ref()
-                .is_some_and(|replica| replica.configuration().voters.contains(&keeper.id))
-        };
-        let present = self.all.values().filter(|keeper| keeper.life != Life::Gone);
-        match present.clone().all(|keeper| is_voter(&keeper)) {
-            true => Ok(()),
-            false => Err(format!("not all vote\n{}", self.describe())),
-        }
-    }
-
-    pub fn acknowledged_count(&self) -> usize {
-        self.acknowledged.len()
-    }
-
-    fn describe(&self) -> String {
-        let mut lines = self.told.clone();
-        for (host, keeper) in &self.all {
-            let replica = keeper.replica.as_ref().map(|replica| {
-                let members = replica.configuration();
-                let names = |ids: &std::collections::BTreeSet<ReplicaId>| {
-                    ids.iter().map(ToString::to_string).collect::<Vec<_>>().join(" ")
-                };
-                format!(
-                    "{} term {} last {} committed {} voters [{}] learners [{}]",
-                    replica.role_name(),
-                    replica.term(),
-                    replica.last_index(),
-                    replica.commit_index(),
-                    names(&members.voters),
-                    names(&members.learners),
-                )
-            });
-            let life = keeper.life;
-            lines.push(format!("{host}: {life:?}, {}", replica.unwrap_or("no log".to_owned())));
-        }
-        lines.join("\n")
     }
 }
--- a/clayplank-agreement/tests/losses.rs
+++ b/clayplank-agreement/tests/losses.rs
@@ -5,6 +5,7 @@
 
 mod disk;
 mod keepers;
+mod network;
 
 use keepers::{CATCH_UP_MS, Keepers};
 use rstest::rstest;
--- a/clayplank-agreement/tests/random.rs
+++ b/clayplank-agreement/tests/random.rs
@@ -4,6 +4,7 @@
 
 mod cluster;
 mod disk;
+mod network;
 
 use cluster::{Cluster, Faults};
 use proptest::prelude::*;
--- a/clayplank-types/tests/fingerprints.rs
+++ b/clayplank-types/tests/fingerprints.rs
@@ -1,7 +1,6 @@
-//! Fingerprints of requests: what makes two of them the same, and what a digest costs.
+//! Fingerprints of requests: what makes two of them the same.
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
-#![allow(clippy::print_stdout, reason = "the cost is printed, and judged by nobody's clock")]
 
 use clayplank_types::{RequestFingerprint, RequestIdentity};
 use rstest::rstest;
@@ -34,21 +33,3 @@
     assert!("7".parse::<RequestFingerprint>().is_err());
     assert!("0000000000000000000000000000000g".parse::<RequestFingerprint>().is_err());
 }
-
-/// Prints the cost of one digest; a body of 4 MB took 2.8 ms, one of 1 kB 0.001 ms, when it was measured last.
-#[test]
-#[ignore = "prints a figure for the docs; run with --release --ignored --nocapture"]
-fn fingerprint_cost() {
-    for bytes in [1_000, 20_000, 4_000_000] {
-        let body = vec![7; bytes];
-        let began = std::time::Instant::now();
-        let rounds = 50;
-        for _ in 0..rounds {
-            std::hint::black_box(RequestFingerprint::of(&RequestIdentity { body: &body, ..FIRST }));
-        }
-        println!(
-            "{bytes} bytes: {:.4} ms",
-            began.elapsed().as_secs_f64() * 1e3 / f64::from(rounds)
-        );
-    }
-}
