A host whose connections are all taken says that it is not ready

Cause: readiness told of the plan and of a planned stop only. A host with 2,000 open connections of callers takes none until one has rested for too long (15 s by default), and said meanwhile that it is ready, so that the balancer went on sending callers there. Ruled out: closing connections at rest, whose callers may be about to use them. Change: full is a part of readiness; the number is a setting of the builder. Test: a_host_whose_connections_are_all_taken_is_not_ready_until_one_ends, seen to fail (it can take none) without the line in the door.

--- a/clayplank-forward/src/door.rs
+++ b/clayplank-forward/src/door.rs
@@ -19,8 +19,8 @@
 use crate::entry::Entry;
 use crate::exchange::limit_silence;
 
-/// Connections of callers that are open at once; each holds a descriptor and some memory.
-const MAX_CONNECTIONS: usize = 2_000;
+/// Connections for small calls that are open at once; each holds a descriptor and some memory.
+const MAX_SIMPLE_CONNECTIONS: usize = 2_000;
 
 /// The largest head of a request that is read, in bytes; the plan's own limit is lower.
 const MAX_HEAD_BYTES: usize = 32 << 10;
@@ -41,10 +41,11 @@
     entry: Arc<Entry>,
     mut closing: watch::Receiver<bool>,
 ) {
-    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let permits = Arc::new(Semaphore::new(entry.max_connections));
     loop {
+        entry.gate.set_full(permits.available_permits() == 0);
         let accepted = tokio::select! {
-            accepted = accept_one(&listener, &permits) => accepted,
+            accepted = accept_when_free(&listener, &permits, &entry) => accepted,
             () = wait_until_closing(&mut closing) => return,
         };
         let Some((stream, permit)) = accepted else {
@@ -59,6 +60,17 @@
     }
 }
 
+/// Accepts a connection as soon as one more may be open, and then counts as not full any more.
+async fn accept_when_free(
+    listener: &TcpListener,
+    permits: &Arc<Semaphore>,
+    entry: &Entry,
+) -> Option<(TcpStream, OwnedSemaphorePermit)> {
+    let permit = Arc::clone(permits).acquire_owned().await.ok()?;
+    entry.gate.set_full(false);
+    Some((accept(listener).await?, permit))
+}
+
 async fn accept_one(
     listener: &TcpListener,
     permits: &Arc<Semaphore>,
@@ -117,7 +129,7 @@
     F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<Full<Bytes>>> + Send + 'static,
 {
-    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let permits = Arc::new(Semaphore::new(MAX_SIMPLE_CONNECTIONS));
     loop {
         let Some((stream, permit)) = accept_one(&listener, &permits).await else {
             continue;
--- a/clayplank-forward/src/entry.rs
+++ b/clayplank-forward/src/entry.rs
@@ -14,8 +14,14 @@
 use crate::reserve::OrderFormat;
 use crate::suspicion::{Judge, NoJudge, Suspicion};
 
+/// Connections of callers that are open at once unless the builder says otherwise; each holds a
+/// descriptor and some memory.
+const MAX_CONNECTIONS: usize = 2_000;
+
 /// What an entry host needs to forward requests.
 pub struct Entry {
+    /// Connections of callers that are open at once.
+    pub(crate) max_connections: usize,
     pub(crate) names: HeaderNames,
     pub(crate) gate: Arc<Gate>,
     pub(crate) directory: Arc<Directory>,
@@ -45,6 +51,7 @@
     orders: Option<Arc<dyn OrderFormat>>,
     data_centre: DataCentre,
     judge: Option<Arc<dyn Judge>>,
+    max_connections: Option<usize>,
 }
 
 impl std::fmt::Debug for EntryBuilder {
@@ -84,6 +91,12 @@
         self
     }
 
+    /// Sets how many connections of callers are open at once.
+    pub fn max_connections(mut self, max_connections: usize) -> Self {
+        self.max_connections = Some(max_connections);
+        self
+    }
+
     /// Builds it.
     pub fn build(
         self,
@@ -93,6 +106,7 @@
     ) -> Entry {
         let budget = self.budget.unwrap_or_else(|| RetryBudget::new(Default::default()));
         Entry {
+            max_connections: self.max_connections.unwrap_or(MAX_CONNECTIONS),
             names: self.names,
             gate,
             directory,
--- a/clayplank-forward/src/gate.rs
+++ b/clayplank-forward/src/gate.rs
@@ -21,6 +21,7 @@
     has_served: watch::Sender<bool>,
     is_leaving: AtomicBool,
     is_closed: AtomicBool,
+    is_full: AtomicBool,
     in_progress: AtomicU64,
 }
 
@@ -34,6 +35,7 @@
             has_served: watch::Sender::new(false),
             is_leaving: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
+            is_full: AtomicBool::new(false),
             in_progress: AtomicU64::new(0),
         }
     }
@@ -88,7 +90,13 @@
     /// Whether new connections should come here.
     pub fn is_ready(&self) -> bool {
         let is_served = self.is_confirmed() && self.plan.load().is_some();
-        is_served && !self.is_leaving()
+        is_served && !self.is_leaving() && !self.is_full.load(Ordering::SeqCst)
+    }
+
+    /// Notes whether no further connection can be taken. A host that says it is ready all the same is
+    /// sent callers whom it leaves waiting until one of its connections has rested for too long.
+    pub(crate) fn set_full(&self, is_full: bool) {
+        self.is_full.store(is_full, Ordering::SeqCst);
     }
 
     /// From now on the host is not ready.
--- a/clayplank-forward/tests/entry/harness.rs
+++ b/clayplank-forward/tests/entry/harness.rs
@@ -80,6 +80,7 @@
 /// An entry host that runs.
 pub struct Host {
     pub entry: Arc<Entry>,
+    pub gate: Arc<Gate>,
     /// Where it takes callers.
     pub callers: SocketAddr,
     _closing: watch::Sender<bool>,
@@ -103,12 +104,12 @@
             limits: CallerLimits::default(),
         }));
         gate.confirm(now_ms());
-        let entry = Arc::new(builder.build(gate, directory, placer));
+        let entry = Arc::new(builder.build(Arc::clone(&gate), directory, placer));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let callers = listener.local_addr().unwrap();
         let (closing, is_closing) = watch::channel(false);
         tokio::spawn(serve_callers(listener, Arc::clone(&entry), is_closing));
-        Self { entry, callers, _closing: closing }
+        Self { entry, gate, callers, _closing: closing }
     }
 
     /// A connection of a caller.
--- a/clayplank-forward/tests/entry/main.rs
+++ b/clayplank-forward/tests/entry/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod broken_stream;
+mod full;
 mod harness;
 mod held_back;
 mod late_orders;
