clayplankd: one folder for each job; files move, nothing else changes

Doors, owners of pools, keepers, following, fleet and process each have theirs; only paths of modules change with it.

--- a/clayplankd/src/accounts.rs
+++ b/clayplankd/src/doors/accounts.rs
@@ -7,7 +7,7 @@
 use clayplank_settings::ClientAccount;
 use clayplank_types::{AccountId, Refusal, RefusalReason};
 
-use crate::clock::now_ms;
+use crate::process::clock::now_ms;
 
 /// An account whose limit of open requests is reached may come back after this time.
 const FULL_RETRY_MS: u64 = 250;
--- a/clayplankd/src/callers.rs
+++ b/clayplankd/src/doors/callers.rs
@@ -11,15 +11,15 @@
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 
-use crate::accounts::AccountPass;
-use crate::clock::millis;
-use crate::completions::{Call, CallBody, Style, run_completion};
-use crate::dispatch::Work;
-use crate::host::{Host, InProgressGuard};
-use crate::replies::{Body, Problem, json, text};
-use crate::serve::{bearer_key, read_body};
-use crate::services::{ServiceCall, is_service_path, run_call};
-use crate::suspects::Identity;
+use crate::doors::accounts::AccountPass;
+use crate::doors::completions::{Call, CallBody, Style, run_completion};
+use crate::doors::dispatch::Work;
+use crate::doors::replies::{Body, Problem, json, text};
+use crate::doors::serve::{bearer_key, read_body};
+use crate::doors::services::{ServiceCall, is_service_path, run_call};
+use crate::doors::suspects::Identity;
+use crate::process::clock::millis;
+use crate::process::host::{Host, InProgressGuard};
 
 /// Names the template of a request.
 const TEMPLATE_HEADER: &str = "x-clayplank-template";
--- a/clayplankd/src/claims.rs
+++ b/clayplankd/src/doors/claims.rs
@@ -4,11 +4,11 @@
 use clayplank_state::{Answer, Body, Claim, ClaimHolder, ClaimKey, Reply};
 use clayplank_types::{AccountId, AttemptId, Refusal, RefusalReason};
 
-use crate::clock::millis;
-use crate::host::Host;
-use crate::keeper_client::KeeperClient;
-use crate::logging::part;
-use crate::replies::Problem;
+use crate::doors::replies::Problem;
+use crate::keepers::keeper_client::KeeperClient;
+use crate::process::clock::millis;
+use crate::process::host::Host;
+use crate::process::logging::part;
 
 /// When no claim could be had, one may be had after this time.
 const NO_CLAIM_RETRY_MS: u64 = 1_000;
--- a/clayplankd/src/completions.rs
+++ b/clayplankd/src/doors/completions.rs
@@ -14,13 +14,13 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
-use crate::accounts::AccountPass;
-use crate::claims::{Claimed, HeldClaim, claim, release, settle};
-use crate::cut_off::FlushBeforeCutOff;
-use crate::dispatch::{Sink, Work, run_work};
-use crate::host::{Host, InProgressGuard};
-use crate::replies::{CutOff, Problem, full, json, set_outcome};
-use crate::services::{fingerprint, repeat_response};
+use crate::doors::accounts::AccountPass;
+use crate::doors::claims::{Claimed, HeldClaim, claim, release, settle};
+use crate::doors::cut_off::FlushBeforeCutOff;
+use crate::doors::dispatch::{Sink, Work, run_work};
+use crate::doors::replies::{CutOff, Problem, full, json, set_outcome};
+use crate::doors::services::{fingerprint, repeat_response};
+use crate::process::host::{Host, InProgressGuard};
 
 /// Chunks that wait for a slow caller before the engine's stream is held up.
 const STREAM_CHUNKS: usize = 64;
@@ -111,7 +111,7 @@
     pub(crate) body: Bytes,
 }
 
-type Answered = Response<crate::replies::Body>;
+type Answered = Response<crate::doors::replies::Body>;
 
 /// Runs a call; the answer starts with the first token, so that its status is true.
 pub(crate) async fn run_completion(
@@ -221,7 +221,7 @@
     task.await.unwrap_or_else(|_| Err(Problem::Failed("the request failed inside".to_owned())))
 }
 
-fn event_response(body: crate::replies::Body) -> Answered {
+fn event_response(body: crate::doors::replies::Body) -> Answered {
     let mut response = Response::new(body);
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
     set_outcome(&mut response, Outcome::Answered);
--- a/clayplankd/src/control_door.rs
+++ b/clayplankd/src/doors/control_door.rs
@@ -19,13 +19,13 @@
 use serde_json::Value;
 use xtra::Address;
 
-use crate::contract::{ControlCall, ControlFault, SharedContract};
-use crate::fleet_keeper::FleetKeeper;
-use crate::keeper::Keeper;
-use crate::keeper_client::KeeperClient;
-use crate::keeper_messages::WhoLeads;
-use crate::logging::part;
-use crate::spread::Spread;
+use crate::doors::contract::{ControlCall, ControlFault, SharedContract};
+use crate::fleet::fleet_keeper::FleetKeeper;
+use crate::fleet::spread::Spread;
+use crate::keepers::keeper::Keeper;
+use crate::keepers::keeper_client::KeeperClient;
+use crate::keepers::keeper_messages::WhoLeads;
+use crate::process::logging::part;
 
 /// The largest plan, in bytes; the platform's callers keep below four megabytes.
 const MAX_BODY_BYTES: usize = 8 << 20;
--- a/clayplankd/src/cut_off.rs
+++ b/clayplankd/src/doors/cut_off.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body::{Body as HttpBody, Frame};
 
-use crate::replies::{Body, CutOff};
+use crate::doors::replies::{Body, CutOff};
 
 /// Passes a body through. hyper flushes what it has when a body has nothing
 /// ready, and drops it when a body fails; so a failure is held for one poll.
--- a/clayplankd/src/dispatch.rs
+++ b/clayplankd/src/doors/dispatch.rs
@@ -12,14 +12,14 @@
 };
 use tokio::sync::mpsc;
 
-use crate::accounts::AccountPass;
-use crate::clock::millis;
-use crate::host::Host;
-use crate::logging::part;
-use crate::metrics::Span;
-use crate::replies::Problem;
-use crate::reserve::{Held, finish, new_ask, reserve, tell_first_token};
-use crate::suspects::Identity;
+use crate::doors::accounts::AccountPass;
+use crate::doors::replies::Problem;
+use crate::doors::suspects::Identity;
+use crate::owners::reserve::{Held, finish, new_ask, reserve, tell_first_token};
+use crate::process::clock::millis;
+use crate::process::host::Host;
+use crate::process::logging::part;
+use crate::process::metrics::Span;
 
 /// Tries of one request, the first among them.
 const MAX_TRIES: usize = 3;
--- a/clayplankd/src/native.rs
+++ b/clayplankd/src/doors/native.rs
@@ -9,7 +9,7 @@
 use http_body_util::Full;
 use serde_json::{Value, json};
 
-use crate::contract::{Contract, ControlCall, ControlFault, EngineReport};
+use crate::doors::contract::{Contract, ControlCall, ControlFault, EngineReport};
 
 const PLAN_PATH: &str = "/v1/plan";
 const UPSTREAMS_PATH: &str = "/v1/upstreams/";
--- a/clayplankd/src/operators.rs
+++ b/clayplankd/src/doors/operators.rs
@@ -13,14 +13,14 @@
 use serde_json::{Value, json};
 use xtra::Address;
 
-use crate::callers::health;
-use crate::host::Host;
-use crate::keeper_client::KeeperClient;
-use crate::logging::part;
-use crate::owner::{Owner, PoolTotals};
-use crate::replies::{Body, Problem, json as json_response, text};
-use crate::serve::{bearer_key, read_body};
-use crate::suspension::suspension_figures;
+use crate::doors::callers::health;
+use crate::doors::replies::{Body, Problem, json as json_response, text};
+use crate::doors::serve::{bearer_key, read_body};
+use crate::keepers::keeper_client::KeeperClient;
+use crate::owners::owner::{Owner, PoolTotals};
+use crate::process::host::Host;
+use crate::process::logging::part;
+use crate::process::suspension::suspension_figures;
 
 const MAX_BODY_BYTES: u64 = 1 << 20;
 
--- a/clayplankd/src/serve.rs
+++ b/clayplankd/src/doors/serve.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
 
-use crate::replies::{Body, Problem};
+use crate::doors::replies::{Body, Problem};
 
 /// Limits of one door.
 #[derive(Clone, Copy, Debug)]
--- a/clayplankd/src/services.rs
+++ b/clayplankd/src/doors/services.rs
@@ -4,7 +4,7 @@
 use std::hash::Hasher;
 use std::sync::{Arc, Mutex, PoisonError};
 
-use crate::suspects::Identity;
+use crate::doors::suspects::Identity;
 use bytes::Bytes;
 use clayplank_clock::Instant;
 use clayplank_settings::ServiceSettings;
@@ -15,10 +15,10 @@
 use http::{Response, StatusCode};
 use siphasher::sip128::{Hasher128, SipHasher13};
 
-use crate::accounts::AccountPass;
-use crate::claims::{Claimed, claim, release, settle};
-use crate::host::Host;
-use crate::replies::{Body, Problem, full, set_outcome};
+use crate::doors::accounts::AccountPass;
+use crate::doors::claims::{Claimed, claim, release, settle};
+use crate::doors::replies::{Body, Problem, full, set_outcome};
+use crate::process::host::Host;
 
 /// A busy service may have room after this time.
 const BUSY_RETRY_MS: u64 = 200;
--- a/clayplankd/src/suspects.rs
+++ b/clayplankd/src/doors/suspects.rs
@@ -9,8 +9,8 @@
 use clayplank_forward::{Break, EndCause, has_stopped_listening};
 use clayplank_types::{Refusal, RefusalReason, RequestFingerprint, UpstreamId};
 
-use crate::host::Host;
-use crate::logging::part;
+use crate::process::host::Host;
+use crate::process::logging::part;
 
 /// A request, as it is known again.
 #[derive(Clone, Debug)]
--- a/clayplankd/src/engine_watch.rs
+++ b/clayplankd/src/fleet/engine_watch.rs
@@ -8,9 +8,9 @@
 use clayplank_forward::{CallError, ExchangeError, call_whole};
 use clayplank_types::UpstreamId;
 
-use crate::contract::EngineReport;
-use crate::fleet_keeper::FleetKeeper;
-use crate::logging::part;
+use crate::doors::contract::EngineReport;
+use crate::fleet::fleet_keeper::FleetKeeper;
+use crate::process::logging::part;
 
 /// Between two looks at what is late.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
--- a/clayplankd/src/fleet_keeper.rs
+++ b/clayplankd/src/fleet/fleet_keeper.rs
@@ -13,15 +13,15 @@
 use clayplank_types::{HostId, UpstreamId};
 use tokio::sync::watch;
 
-use crate::clock::{fleet_now_ms, millis, now_ms};
-use crate::contract::{EngineReport, SharedContract};
-use crate::fleet_engines::{change_engines, set_engines};
-use crate::keeper_client::KeeperClient;
-use crate::lock::lock;
-use crate::logging::part;
-use crate::mirror::{Mirror, News as MirrorNews};
-use crate::news_pages::NewsPages;
-use crate::plan_edits::PlanEdits;
+use crate::doors::contract::{EngineReport, SharedContract};
+use crate::fleet::fleet_engines::{change_engines, set_engines};
+use crate::fleet::mirror::{Mirror, News as MirrorNews};
+use crate::follow::news_pages::NewsPages;
+use crate::follow::plan_edits::PlanEdits;
+use crate::keepers::keeper_client::KeeperClient;
+use crate::process::clock::{fleet_now_ms, millis, now_ms};
+use crate::process::lock::lock;
+use crate::process::logging::part;
 
 /// An entry host that did not follow for this long, in ms, does not share the retry budget any more.
 const HOST_GONE_MS: u64 = 5_000;
--- a/clayplankd/src/fleet_link.rs
+++ b/clayplankd/src/fleet/fleet_link.rs
@@ -15,13 +15,13 @@
 use clayplank_wire::{PlaceRequest, ReportRequest};
 use tokio::sync::mpsc;
 
-use crate::clock::{fleet_now_ms, now_ms};
-use crate::fleet_engines::{change_engines, set_engines};
-use crate::keeper_client::KeeperClient;
-use crate::lock::lock;
-use crate::logging::part;
-use crate::peers::Peers;
-use crate::unreached::Unreached;
+use crate::fleet::fleet_engines::{change_engines, set_engines};
+use crate::fleet::unreached::Unreached;
+use crate::keepers::keeper_client::KeeperClient;
+use crate::process::clock::{fleet_now_ms, now_ms};
+use crate::process::lock::lock;
+use crate::process::logging::part;
+use crate::process::peers::Peers;
 
 /// Time for the leader to choose engines; a host that hears nothing chooses by itself.
 const PLACE_PATIENCE: Duration = Duration::from_millis(50);
--- a/clayplankd/src/mirror.rs
+++ b/clayplankd/src/fleet/mirror.rs
@@ -15,13 +15,13 @@
 use clayplank_wire::ReportRequest;
 use xtra::Address;
 
-use crate::clock::now_ms;
-use crate::fleet_keeper::FleetKeeper;
-use crate::keeper::Keeper;
-use crate::keeper_messages::{Placing, WhoPlaces};
-use crate::lock::lock;
-use crate::logging::part;
-use crate::peers::Peers;
+use crate::fleet::fleet_keeper::FleetKeeper;
+use crate::keepers::keeper::Keeper;
+use crate::keepers::keeper_messages::{Placing, WhoPlaces};
+use crate::process::clock::now_ms;
+use crate::process::lock::lock;
+use crate::process::logging::part;
+use crate::process::peers::Peers;
 
 /// News are collected for this long: one call for all that came. With a summary of the load that is
 /// 150 ms old, 0.304 of the prompts of a second were late (the same test).
--- a/clayplankd/src/sightings.rs
+++ b/clayplankd/src/fleet/sightings.rs
@@ -8,8 +8,8 @@
 use clayplank_types::{HeldBack, RequestFingerprint, Sighting};
 use tokio::sync::mpsc;
 
-use crate::keeper_client::KeeperClient;
-use crate::logging::part;
+use crate::keepers::keeper_client::KeeperClient;
+use crate::process::logging::part;
 
 /// Observations are collected for this long: an upstream that ends has up to a few tens of requests.
 const COLLECT: Duration = Duration::from_millis(5);
--- a/clayplankd/src/spread.rs
+++ b/clayplankd/src/fleet/spread.rs
@@ -9,10 +9,10 @@
 use clayplank_wire::SpreadRequest;
 use rand::seq::SliceRandom;
 
-use crate::keeper_client::KeeperClient;
-use crate::lock::lock;
-use crate::logging::part;
-use crate::peers::Peers;
+use crate::keepers::keeper_client::KeeperClient;
+use crate::process::lock::lock;
+use crate::process::logging::part;
+use crate::process::peers::Peers;
 
 /// Heartbeats are collected for this long: one call for all that came.
 const COLLECT: Duration = Duration::from_millis(150);
--- a/clayplankd/src/upstream_memory.rs
+++ b/clayplankd/src/fleet/upstream_memory.rs
@@ -12,8 +12,8 @@
 use clayplank_agreement::{Notes, StoreError};
 use clayplank_registry::{Cursor, Heartbeat};
 
-use crate::fleet_keeper::FleetKeeper;
-use crate::logging::part;
+use crate::fleet::fleet_keeper::FleetKeeper;
+use crate::process::logging::part;
 
 /// The note that holds them.
 const FILE: &str = "upstreams";
--- a/clayplankd/src/fleet_followers.rs
+++ b/clayplankd/src/follow/fleet_followers.rs
@@ -9,10 +9,10 @@
 use tonic::Status;
 use xtra::Address;
 
-use crate::fleet_keeper::{FleetKeeper, News};
-use crate::inner::malformed;
-use crate::keeper::Keeper;
-use crate::keeper_messages::{Watch, Watched};
+use crate::fleet::fleet_keeper::{FleetKeeper, News};
+use crate::keepers::keeper::Keeper;
+use crate::keepers::keeper_messages::{Watch, Watched};
+use crate::process::inner::malformed;
 
 /// A follower without news is confirmed after this time, in ms. A host whose
 /// keeper has died finds the next one after about as long.
--- a/clayplankd/src/following.rs
+++ b/clayplankd/src/follow/following.rs
@@ -13,11 +13,11 @@
 use clayplank_wire::{FollowRequest, Followed, follow_reply};
 use tokio::sync::watch;
 
-use crate::clock::{millis, now_ms};
-use crate::contract::SharedContract;
-use crate::fleet_link::FleetLink;
-use crate::keeper_client::KeeperClient;
-use crate::logging::part;
+use crate::doors::contract::SharedContract;
+use crate::fleet::fleet_link::FleetLink;
+use crate::keepers::keeper_client::KeeperClient;
+use crate::process::clock::{millis, now_ms};
+use crate::process::logging::part;
 
 /// Time for one exchange with the leader, which answers within half a second, news or not: a
 /// host that asks for nothing else learns by this that the leader is gone.
--- a/clayplankd/src/settings_watch.rs
+++ b/clayplankd/src/follow/settings_watch.rs
@@ -7,10 +7,10 @@
 use clayplank_state::SettingsView;
 use clayplank_types::HostId;
 
-use crate::clock::{millis, now_ms};
-use crate::host::Host;
-use crate::keeper_messages::WATCH_WAIT_MS;
-use crate::logging::part;
+use crate::keepers::keeper_messages::WATCH_WAIT_MS;
+use crate::process::clock::{millis, now_ms};
+use crate::process::host::Host;
+use crate::process::logging::part;
 
 /// The newest settings, and when they were confirmed.
 #[derive(Debug)]
--- /dev/null
+++ b/clayplankd/src/keepers.rs
@@ -0,0 +1,10 @@
+//! Keepers: the replicated log on this host, and how its leader is found and asked.
+
+pub(crate) mod first_start;
+pub(crate) mod full_disk;
+pub(crate) mod keeper;
+pub(crate) mod keeper_client;
+pub(crate) mod keeper_join;
+pub(crate) mod keeper_log;
+pub(crate) mod keeper_messages;
+pub(crate) mod keeper_stop;
--- a/clayplankd/src/full_disk.rs
+++ b/clayplankd/src/keepers/full_disk.rs
@@ -4,8 +4,8 @@
 
 use clayplank_agreement::StoreError;
 
-use crate::clock::now_ms;
-use crate::logging::part;
+use crate::process::clock::now_ms;
+use crate::process::logging::part;
 
 /// Between two tries: short beside the seconds that a full disk takes to be cleared.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
--- a/clayplankd/src/keeper.rs
+++ b/clayplankd/src/keepers/keeper.rs
@@ -13,11 +13,11 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use xtra::Context;
 
-use crate::clock::now_ms;
-use crate::full_disk::FullDisk;
-use crate::keeper_log::KeeperLog;
-use crate::keeper_messages::{Executed, Watched};
-use crate::logging::part;
+use crate::keepers::full_disk::FullDisk;
+use crate::keepers::keeper_log::KeeperLog;
+use crate::keepers::keeper_messages::{Executed, Watched};
+use crate::process::clock::now_ms;
+use crate::process::logging::part;
 
 /// Messages that are handled before a write, though more are waiting.
 const MAX_BATCH: usize = 512;
--- a/clayplankd/src/keeper_client.rs
+++ b/clayplankd/src/keepers/keeper_client.rs
@@ -15,11 +15,11 @@
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 
-use crate::clock::{millis, now_ms};
-use crate::keeper_messages::WATCH_WAIT_MS;
-use crate::lock::lock;
-use crate::logging::part;
-use crate::peers::{PeerError, Peers};
+use crate::keepers::keeper_messages::WATCH_WAIT_MS;
+use crate::process::clock::{millis, now_ms};
+use crate::process::lock::lock;
+use crate::process::logging::part;
+use crate::process::peers::{PeerError, Peers};
 
 /// Between two tries.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
--- a/clayplankd/src/keeper_join.rs
+++ b/clayplankd/src/keepers/keeper_join.rs
@@ -11,13 +11,13 @@
 use tokio::sync::mpsc;
 use xtra::Address;
 
-use crate::clock::millis;
-use crate::keeper::Keeper;
-use crate::keeper_client::KeeperClient;
-use crate::keeper_log::WaitLog;
-use crate::keeper_messages::{Begin, Stand, Standing, Tick};
-use crate::logging::part;
-use crate::peers::Peers;
+use crate::keepers::keeper::Keeper;
+use crate::keepers::keeper_client::KeeperClient;
+use crate::keepers::keeper_log::WaitLog;
+use crate::keepers::keeper_messages::{Begin, Stand, Standing, Tick};
+use crate::process::clock::millis;
+use crate::process::logging::part;
+use crate::process::peers::Peers;
 
 /// Between two ticks of the replica, in ms, drawn anew each time: keepers that started
 /// at the same moment would else ask for elections at the same moment, and split the votes.
--- a/clayplankd/src/keeper_log.rs
+++ b/clayplankd/src/keepers/keeper_log.rs
@@ -7,8 +7,8 @@
 use clayplank_clock::Instant;
 use clayplank_types::HostId;
 
-use crate::keeper_messages::Stand;
-use crate::logging::part;
+use crate::keepers::keeper_messages::Stand;
+use crate::process::logging::part;
 
 /// Between two lines on an election that nobody wins, in ms: a keeper asks for several a second.
 const ELECTION_LINE_EVERY_MS: u64 = 2_000;
--- a/clayplankd/src/keeper_messages.rs
+++ b/clayplankd/src/keepers/keeper_messages.rs
@@ -11,9 +11,9 @@
 use tokio::sync::oneshot;
 use xtra::{Context, Handler};
 
-use crate::clock::{now_ms, wall_ms};
-use crate::keeper::{Keeper, PendingCommand, PendingLeader, PendingWatch};
-use crate::logging::part;
+use crate::keepers::keeper::{Keeper, PendingCommand, PendingLeader, PendingWatch};
+use crate::process::clock::{now_ms, wall_ms};
+use crate::process::logging::part;
 
 /// A watch without news is confirmed after this time, in ms.
 pub(crate) const WATCH_WAIT_MS: u64 = 1_000;
--- a/clayplankd/src/keeper_stop.rs
+++ b/clayplankd/src/keepers/keeper_stop.rs
@@ -5,8 +5,8 @@
 use clayplank_clock::Instant;
 use clayplank_types::HostId;
 
-use crate::keeper_client::KeeperClient;
-use crate::logging::part;
+use crate::keepers::keeper_client::KeeperClient;
+use crate::process::logging::part;
 
 /// How long a keeper that stops waits to be taken out: an election, and the change of two
 /// members, a few times over. It stops without it then; the leader notices its silence.
--- a/clayplankd/src/orders.rs
+++ b/clayplankd/src/owners/orders.rs
@@ -9,9 +9,9 @@
 use clayplank_types::{HostId, Refusal, RefusalReason, UpstreamId};
 use clayplank_upstream::{EngineEdge, Order};
 
-use crate::clock::millis;
-use crate::keeper_client::KeeperClient;
-use crate::logging::part;
+use crate::keepers::keeper_client::KeeperClient;
+use crate::process::clock::millis;
+use crate::process::logging::part;
 
 /// How long a host may give orders under a token: longer than an order takes.
 const ORDER_LEASE_MS: u64 = 5_000;
--- a/clayplankd/src/owner.rs
+++ b/clayplankd/src/owners/owner.rs
@@ -15,13 +15,13 @@
 use tokio::sync::oneshot;
 use xtra::{Address, Context, Handler};
 
-use crate::clock::{millis, now_ms};
-use crate::keeper_client::KeeperClient;
-use crate::logging::part;
-use crate::membership::MembersView;
-use crate::orders::{OrderPlan, load_adapter};
-use crate::pools::PoolDirectory;
-use crate::upstreams::UpstreamStates;
+use crate::keepers::keeper_client::KeeperClient;
+use crate::owners::orders::{OrderPlan, load_adapter};
+use crate::owners::pools::PoolDirectory;
+use crate::owners::upstreams::UpstreamStates;
+use crate::process::clock::{millis, now_ms};
+use crate::process::logging::part;
+use crate::process::membership::MembersView;
 
 const TICK: Duration = Duration::from_millis(100);
 
--- a/clayplankd/src/reserve.rs
+++ b/clayplankd/src/owners/reserve.rs
@@ -15,10 +15,10 @@
     ReserveReply, ReserveRequest, reserve_reply,
 };
 
-use crate::clock::millis;
-use crate::host::Host;
-use crate::logging::part;
-use crate::peers::PeerError;
+use crate::process::clock::millis;
+use crate::process::host::Host;
+use crate::process::logging::part;
+use crate::process::peers::PeerError;
 
 /// Between two asks while an owner cannot be reached or has just changed.
 const OWNER_RETRY: Duration = Duration::from_millis(100);
--- /dev/null
+++ b/clayplankd/src/process.rs
@@ -0,0 +1,16 @@
+//! The process: its start and end, its connections to other hosts, clock, logs and figures.
+
+pub(crate) mod clock;
+pub(crate) mod daemon;
+pub(crate) mod host;
+pub(crate) mod inner;
+pub(crate) mod lock;
+pub(crate) mod logging;
+pub(crate) mod membership;
+pub(crate) mod metrics;
+pub(crate) mod peers;
+pub(crate) mod run_seeded;
+pub(crate) mod seeded;
+pub(crate) mod seeded_entry;
+pub(crate) mod seeded_keeper;
+pub(crate) mod suspension;
--- a/clayplankd/src/host.rs
+++ b/clayplankd/src/process/host.rs
@@ -10,16 +10,16 @@
 use clayplank_types::{Incarnation, UpstreamId};
 use clayplank_upstream::{EngineEdge, HttpClient};
 
-use crate::accounts::AccountDoors;
-use crate::keeper_client::KeeperClient;
-use crate::membership::MembersView;
-use crate::metrics::Metrics;
-use crate::peers::Peers;
-use crate::pools::PoolDirectory;
-use crate::reserve::{HeldGrants, PoolWaits};
-use crate::services::ServiceLoads;
-use crate::settings_watch::CurrentSettings;
-use crate::upstreams::UpstreamStates;
+use crate::doors::accounts::AccountDoors;
+use crate::doors::services::ServiceLoads;
+use crate::follow::settings_watch::CurrentSettings;
+use crate::keepers::keeper_client::KeeperClient;
+use crate::owners::pools::PoolDirectory;
+use crate::owners::reserve::{HeldGrants, PoolWaits};
+use crate::owners::upstreams::UpstreamStates;
+use crate::process::membership::MembersView;
+use crate::process::metrics::Metrics;
+use crate::process::peers::Peers;
 
 /// Everything that a request meets on its way.
 #[derive(Debug)]
--- a/clayplankd/src/inner.rs
+++ b/clayplankd/src/process/inner.rs
@@ -24,20 +24,20 @@
 use tonic::{Request, Response, Status};
 use xtra::Address;
 
-use crate::clock::now_ms;
-use crate::fleet_followers::answer_follower;
-use crate::fleet_keeper::FleetKeeper;
-use crate::keeper::{Keeper, KeeperAddress};
-use crate::keeper_client::KeeperClient;
-use crate::keeper_messages::{
+use crate::fleet::fleet_keeper::FleetKeeper;
+use crate::fleet::spread::Spread;
+use crate::follow::fleet_followers::answer_follower;
+use crate::keepers::keeper::{Keeper, KeeperAddress};
+use crate::keepers::keeper_client::KeeperClient;
+use crate::keepers::keeper_messages::{
     Execute, Executed, FindLeader, Inspect, Introduce, MayStop, Step, Stopping, WATCH_WAIT_MS,
     Watch, Watched,
 };
-use crate::membership::{Gossip, Membership};
-use crate::owner::{Finish, FirstToken, Owner, Renew, Reserve, ReserveAnswer, Reserved};
-use crate::peers::Peers;
-use crate::reserve::{part_from_wire, part_to_wire};
-use crate::spread::Spread;
+use crate::owners::owner::{Finish, FirstToken, Owner, Renew, Reserve, ReserveAnswer, Reserved};
+use crate::owners::reserve::{part_from_wire, part_to_wire};
+use crate::process::clock::now_ms;
+use crate::process::membership::{Gossip, Membership};
+use crate::process::peers::Peers;
 
 /// Time for a probe on behalf of another host.
 const INDIRECT_PATIENCE: Duration = Duration::from_millis(500);
--- a/clayplankd/src/membership.rs
+++ b/clayplankd/src/process/membership.rs
@@ -13,11 +13,11 @@
 use clayplank_wire::ProbeRequest;
 use xtra::{Address, Context, Handler};
 
-use crate::clock::{millis, now_ms};
-use crate::logging::part;
-use crate::peers::Peers;
-use crate::pools::PoolDirectory;
-use crate::upstreams::UpstreamStates;
+use crate::owners::pools::PoolDirectory;
+use crate::owners::upstreams::UpstreamStates;
+use crate::process::clock::{millis, now_ms};
+use crate::process::logging::part;
+use crate::process::peers::Peers;
 
 const TICK: Duration = Duration::from_millis(100);
 
--- a/clayplankd/src/run_seeded.rs
+++ b/clayplankd/src/process/run_seeded.rs
@@ -7,10 +7,10 @@
 use error_stack::{Report, ResultExt};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-use crate::contract::SharedContract;
-use crate::daemon::StartError;
-use crate::logging::{LogFormat, part, start_logging};
-use crate::seeded::SeededDaemon;
+use crate::doors::contract::SharedContract;
+use crate::process::daemon::StartError;
+use crate::process::logging::{LogFormat, part, start_logging};
+use crate::process::seeded::SeededDaemon;
 
 /// Between two looks at the settings file, which may change without a signal.
 const SETTINGS_POLL: Duration = Duration::from_secs(2);
--- a/clayplankd/src/seeded.rs
+++ b/clayplankd/src/process/seeded.rs
@@ -17,17 +17,17 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
-use crate::contract::SharedContract;
-use crate::control_door::Registered;
-use crate::daemon::{StartError, bind};
-use crate::fleet_keeper::FleetKeeper;
-use crate::keeper_client::{KeeperClient, run_leader_search};
-use crate::keeper_stop::give_up_vote;
-use crate::logging::{part, set_log_level};
-use crate::peers::Peers;
-use crate::seeded_entry::EntryHost;
-use crate::seeded_keeper::run_keeper_start;
-use crate::suspension::{run_suspension_watch, suspension_figures};
+use crate::doors::contract::SharedContract;
+use crate::doors::control_door::Registered;
+use crate::fleet::fleet_keeper::FleetKeeper;
+use crate::keepers::keeper_client::{KeeperClient, run_leader_search};
+use crate::keepers::keeper_stop::give_up_vote;
+use crate::process::daemon::{StartError, bind};
+use crate::process::logging::{part, set_log_level};
+use crate::process::peers::Peers;
+use crate::process::seeded_entry::EntryHost;
+use crate::process::seeded_keeper::run_keeper_start;
+use crate::process::suspension::{run_suspension_watch, suspension_figures};
 
 /// The balancer asks every second, and turns away after two misses: until then new
 /// connections come. Requests that come later could be cut off at the end of the grace.
--- a/clayplankd/src/seeded_entry.rs
+++ b/clayplankd/src/process/seeded_entry.rs
@@ -12,13 +12,13 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use crate::contract::SharedContract;
-use crate::daemon::{StartError, bind, serve_inner};
-use crate::fleet_link::{FleetLink, run_reports, run_return_to_leader};
-use crate::following::{Following, run_following};
-use crate::inner::InnerService;
-use crate::seeded::{Parts, plain_text};
-use crate::sightings::{SightingLink, run_sightings};
+use crate::doors::contract::SharedContract;
+use crate::fleet::fleet_link::{FleetLink, run_reports, run_return_to_leader};
+use crate::fleet::sightings::{SightingLink, run_sightings};
+use crate::follow::following::{Following, run_following};
+use crate::process::daemon::{StartError, bind, serve_inner};
+use crate::process::inner::InnerService;
+use crate::process::seeded::{Parts, plain_text};
 
 /// Share of the time until a revoked key must be without effect for which a
 /// confirmation holds; the rest is for requests that are on their way.
--- a/clayplankd/src/seeded_keeper.rs
+++ b/clayplankd/src/process/seeded_keeper.rs
@@ -8,19 +8,19 @@
 use tokio::sync::mpsc;
 use xtra::Mailbox;
 
-use crate::control_door::{ControlDoor, Registered};
-use crate::daemon::{MAILBOX, StartError, bind, serve_inner};
-use crate::engine_watch::run_engine_watch;
-use crate::first_start::recall_first_start;
-use crate::fleet_keeper::{FleetKeeper, run_fleet};
-use crate::full_disk::FullDisk;
-use crate::inner::InnerService;
-use crate::keeper::{Keeper, Sizing};
-use crate::keeper_join::{Joining, run_join, run_outbox, run_ticks};
-use crate::mirror::run_mirror;
-use crate::seeded::{Parts, seed_hosts};
-use crate::spread::{Spread, run_spread, run_spread_to_one};
-use crate::upstream_memory::{recall_upstreams, run_upstream_memory};
+use crate::doors::control_door::{ControlDoor, Registered};
+use crate::fleet::engine_watch::run_engine_watch;
+use crate::fleet::fleet_keeper::{FleetKeeper, run_fleet};
+use crate::fleet::mirror::run_mirror;
+use crate::fleet::spread::{Spread, run_spread, run_spread_to_one};
+use crate::fleet::upstream_memory::{recall_upstreams, run_upstream_memory};
+use crate::keepers::first_start::recall_first_start;
+use crate::keepers::full_disk::FullDisk;
+use crate::keepers::keeper::{Keeper, Sizing};
+use crate::keepers::keeper_join::{Joining, run_join, run_outbox, run_ticks};
+use crate::process::daemon::{MAILBOX, StartError, bind, serve_inner};
+use crate::process::inner::InnerService;
+use crate::process::seeded::{Parts, seed_hosts};
 
 /// An election follows after a leader was silent for this long, in ms, up to twice: a
 /// change that waits for one is still acknowledged within about a second.
--- a/clayplankd/src/suspension.rs
+++ b/clayplankd/src/process/suspension.rs
@@ -4,7 +4,7 @@
 
 use clayplank_clock::{Suspensions, sleep, subscribe};
 
-use crate::logging::part;
+use crate::process::logging::part;
 
 /// Between two looks: whoever asks for the time finds a suspension too, and most do so more often.
 /// Waits that nothing else ends go on for this long after the machine woke, in the worst case.
