--- a/clayplankd/src/owners/owner.rs
+++ b/clayplankd/src/owners/owner.rs
@@ -1,5 +1,7 @@
 //! The owner of pools: the schedulers of the pools that this host owns.
 
+mod engine_poll;
+
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,6 +17,7 @@
 use tokio::sync::oneshot;
 use xtra::{Address, Context, Handler};
 
+use self::engine_poll::EnginePoll;
 use crate::keepers::keeper_client::KeeperClient;
 use crate::owners::orders::{OrderPlan, load_adapter};
 use crate::owners::pools::PoolDirectory;
@@ -29,12 +32,6 @@
 /// also on a host that is busy with its start.
 const FIRST_REPORTS_MS: u64 = 2_000;
 
-/// Load reports that may fail in a row before an engine counts as silent.
-const MAX_MISSED_REPORTS: u32 = 3;
-
-/// Between two questions for cache events, in load reports.
-const REPORTS_PER_CACHE_POLL: u32 = 4;
-
 /// What became of an ask.
 #[derive(Clone, Debug)]
 pub(crate) enum Reserved {
@@ -486,52 +483,3 @@
         }
     }
 }
-
-/// Asks one engine for its load and its cache events.
-struct EnginePoll {
-    owner: Address<Owner>,
-    edge: Arc<dyn EngineEdge>,
-    pool: PoolId,
-    engine: UpstreamId,
-    address: SocketAddr,
-    interval: Duration,
-}
-
-impl EnginePoll {
-    async fn run(self) {
-        let mut missed = 0;
-        let mut polls = 0_u32;
-        let mut last_event = 0;
-        loop {
-            let report = self.edge.load(self.address).await.ok();
-            missed = if report.is_some() { 0 } else { missed + 1 };
-            if report.is_some() || missed >= MAX_MISSED_REPORTS {
-                let reported =
-                    Reported { pool: self.pool.clone(), engine: self.engine.clone(), report };
-                if self.owner.send(reported).await.is_err() {
-                    return;
-                }
-            }
-            polls = polls.wrapping_add(1);
-            if polls.is_multiple_of(REPORTS_PER_CACHE_POLL) {
-                last_event = self.poll_cache(last_event).await;
-            }
-            clayplank_clock::sleep(self.interval).await;
-        }
-    }
-
-    async fn poll_cache(&self, after: u64) -> u64 {
-        let Ok(events) = self.edge.cache_events(self.address, after).await else {
-            return after;
-        };
-        let (Some(first), Some(last)) = (events.first(), events.last()) else {
-            return after;
-        };
-        let newest = last.sequence;
-        let has_gap = first.sequence != after + 1;
-        let changed =
-            CacheChanged { pool: self.pool.clone(), engine: self.engine.clone(), events, has_gap };
-        self.owner.send(changed).await.ok();
-        newest
-    }
-}
--- /dev/null
+++ b/clayplankd/src/owners/owner/engine_poll.rs
@@ -0,0 +1,66 @@
+//! Asks an engine of an owned pool for its load and its cache events.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use clayplank_types::{PoolId, UpstreamId};
+use clayplank_upstream::EngineEdge;
+use xtra::Address;
+
+use super::{CacheChanged, Owner, Reported};
+
+/// Load reports that may fail in a row before an engine counts as silent.
+const MAX_MISSED_REPORTS: u32 = 3;
+
+/// Between two questions for cache events, in load reports.
+const REPORTS_PER_CACHE_POLL: u32 = 4;
+
+/// Asks one engine for its load and its cache events.
+pub(super) struct EnginePoll {
+    pub(super) owner: Address<Owner>,
+    pub(super) edge: Arc<dyn EngineEdge>,
+    pub(super) pool: PoolId,
+    pub(super) engine: UpstreamId,
+    pub(super) address: SocketAddr,
+    pub(super) interval: Duration,
+}
+
+impl EnginePoll {
+    pub(super) async fn run(self) {
+        let mut missed = 0;
+        let mut polls = 0_u32;
+        let mut last_event = 0;
+        loop {
+            let report = self.edge.load(self.address).await.ok();
+            missed = if report.is_some() { 0 } else { missed + 1 };
+            if report.is_some() || missed >= MAX_MISSED_REPORTS {
+                let reported =
+                    Reported { pool: self.pool.clone(), engine: self.engine.clone(), report };
+                if self.owner.send(reported).await.is_err() {
+                    return;
+                }
+            }
+            polls = polls.wrapping_add(1);
+            if polls.is_multiple_of(REPORTS_PER_CACHE_POLL) {
+                last_event = self.poll_cache(last_event).await;
+            }
+            clayplank_clock::sleep(self.interval).await;
+        }
+    }
+
+    async fn poll_cache(&self, after: u64) -> u64 {
+        let Ok(events) = self.edge.cache_events(self.address, after).await else {
+            return after;
+        };
+        let (Some(first), Some(last)) = (events.first(), events.last()) else {
+            return after;
+        };
+        let newest = last.sequence;
+        let has_gap = first.sequence != after + 1;
+        let changed =
+            CacheChanged { pool: self.pool.clone(), engine: self.engine.clone(), events, has_gap };
+        self.owner.send(changed).await.ok();
+        newest
+    }
+}
