--- a/clayplank-ctl/src/commands.rs
+++ b/clayplank-ctl/src/commands.rs
@@ -19,7 +19,7 @@
 use crate::losses::account;
 use crate::options::{Command, FileKind, Guard, Options, SettingCommand};
 use crate::output::{print, print_account, print_latency, print_story};
-use crate::seeded::{run_held_back, run_plan};
+use crate::seeded::{run_cordon, run_held_back, run_plan};
 
 /// The variable that may hold the operator's key.
 const KEY_VARIABLE: &str = "CLAYPLANK_KEY";
@@ -103,6 +103,7 @@
         Command::Account(command) => run_setting(options, "accounts", command).await,
         Command::Plan(command) => run_plan(options, command).await,
         Command::HeldBack(command) => run_held_back(options, command).await,
+        Command::Cordon(command) => run_cordon(options, command).await,
         Command::Explain { request, files } => {
             tell(&explain(request, &read_logs(files)?), request, options.json)
         }
--- a/clayplank-ctl/src/options.rs
+++ b/clayplank-ctl/src/options.rs
@@ -53,6 +53,9 @@
     /// of keepers
     #[bpaf(command("held-back"))]
     HeldBack(#[bpaf(external(held_back_command))] HeldBackCommand),
+    /// Data centres whose upstreams get nothing; --host names control addresses of keepers
+    #[bpaf(command)]
+    Cordon(#[bpaf(external(cordon_command))] CordonCommand),
     /// Tell a request's story from the logs of several hosts
     #[bpaf(command)]
     Explain {
@@ -195,6 +198,28 @@
     },
 }
 
+/// What to do with cordons.
+#[derive(Bpaf, Clone, Debug)]
+pub(crate) enum CordonCommand {
+    /// Print the data centres under a cordon, as a quorum of keepers confirms them
+    #[bpaf(command)]
+    List,
+    /// Send nothing more to the upstreams of a data centre; what runs there may end
+    #[bpaf(command)]
+    Set {
+        /// The data centre
+        #[bpaf(positional("DATA-CENTRE"))]
+        data_centre: String,
+    },
+    /// Send requests to the upstreams of a data centre again
+    #[bpaf(command)]
+    Lift {
+        /// The data centre
+        #[bpaf(positional("DATA-CENTRE"))]
+        data_centre: String,
+    },
+}
+
 /// What makes a change safe to send twice, and safe beside others.
 #[derive(Bpaf, Clone, Debug)]
 pub(crate) struct Guard {
--- a/clayplank-ctl/src/seeded.rs
+++ b/clayplank-ctl/src/seeded.rs
@@ -1,5 +1,5 @@
-//! What keepers of seeded hosts hold for operators: the serving plan, and requests that are held
-//! back.
+//! What keepers of seeded hosts hold for operators: the serving plan, requests that are held back,
+//! and cordons.
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -11,11 +11,12 @@
 
 use crate::client::{Answer, ClientError, send};
 use crate::commands::{CommandError, Done, check, read};
-use crate::options::{HeldBackCommand, Options, PlanCommand};
+use crate::options::{CordonCommand, HeldBackCommand, Options, PlanCommand};
 use crate::output::print;
 
 const PLAN_PATH: &str = "/v1/plan";
 const HELD_BACK_PATH: &str = "/v1/held-back";
+const CORDONS_PATH: &str = "/v1/cordons";
 
 /// Carries out a task on the plan.
 pub(crate) async fn run_plan(options: &Options, command: &PlanCommand) -> Done<()> {
@@ -40,6 +41,22 @@
     Ok(())
 }
 
+/// Carries out a task on data centres whose upstreams get nothing.
+pub(crate) async fn run_cordon(options: &Options, command: &CordonCommand) -> Done<()> {
+    let (method, path) = match command {
+        CordonCommand::List => (Method::GET, CORDONS_PATH.to_owned()),
+        CordonCommand::Set { data_centre } => (Method::PUT, cordon_path(data_centre)),
+        CordonCommand::Lift { data_centre } => (Method::DELETE, cordon_path(data_centre)),
+    };
+    let value = ask(&options.hosts, method, &path, None).await?;
+    print(&value, options.json);
+    Ok(())
+}
+
+fn cordon_path(data_centre: &str) -> String {
+    format!("{CORDONS_PATH}/{data_centre}")
+}
+
 async fn put(options: &Options, file: &Path) -> Done<Value> {
     let text = read(file)?;
     let plan = parse::<ServingPlan>(&text)
--- a/clayplank-forward/src/choice.rs
+++ b/clayplank-forward/src/choice.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
-use clayplank_placement::{Ask, Assignment, Event, PASSED_GOAL_MS, Placed};
-use clayplank_registry::{Record, Standing};
+use clayplank_placement::{Ask, Assignment, Event, PASSED_GOAL_MS, Part, Placed};
+use clayplank_registry::Record;
 
 use crate::call::Call;
 use crate::clock::millis;
@@ -124,8 +124,7 @@
     /// Makes an assignment ready to be used: its engine, its load, and memory at helpers.
     async fn take_assignment(&self, ask: &Ask, assignment: &Assignment) -> Result<Chosen, Refusal> {
         let gone = Refusal::NotRun { retry_after_ms: NO_UPSTREAM_RETRY_MS };
-        let found = self.entry.directory.record(&assignment.engine);
-        let Some(record) = found.filter(|one| one.heartbeat.standing == Standing::Ready) else {
+        let Some(record) = self.usable_record(assignment) else {
             self.entry.placer.note(ask.id, Event::Ended);
             return Err(gone);
         };
@@ -137,6 +136,15 @@
         Ok(Chosen { record, helpers, expected_ms: assignment.first_token_ms, load })
     }
 
+    /// The engine of an assignment, if it and all that would help it take new work: the keeper may
+    /// know of a cordon later than this host.
+    fn usable_record(&self, assignment: &Assignment) -> Option<Record> {
+        let directory = &self.entry.directory;
+        let is_cordoned = |part: &Part| directory.is_cordoned(&part.engine);
+        let is_usable = !assignment.helpers.iter().any(is_cordoned);
+        directory.usable_record(&assignment.engine).filter(|_| is_usable)
+    }
+
     /// Has memory set aside at helpers for as long as the attempt; `None` if one has no room.
     async fn reserve(&self, load: &mut LoadGuard, helpers: &[Helper]) -> Option<()> {
         let tickets: Vec<_> = helpers.iter().filter_map(|helper| helper.ticket.clone()).collect();
--- a/clayplank-forward/src/directory.rs
+++ b/clayplank-forward/src/directory.rs
@@ -1,9 +1,11 @@
 //! Upstreams as this host knows them, and the choice among those of a plain service.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use clayplank_placement::{Cold, ColdShare, ColdStart};
 use clayplank_registry::{Buckets, Digest, Heartbeat, Record, Standing, life_ids};
+use clayplank_routes::ServingPlan;
 use clayplank_types::{DataCentre, UpstreamId};
 
 use crate::clock::now_ms;
@@ -17,12 +19,31 @@
 const TOMBSTONE_MS: u64 = 120_000;
 
 /// What stands behind the lock of a [`Directory`].
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Inner {
     records: BTreeMap<UpstreamId, Record>,
     /// When it was learned of those that left.
     gone_at_ms: HashMap<UpstreamId, u64>,
     seen: HashMap<UpstreamId, Seen>,
+    /// Data centres whose upstreams get nothing.
+    cordoned: BTreeSet<DataCentre>,
+    /// How upstreams bear their start, by service.
+    cold_starts: HashMap<String, ColdStart>,
+    /// This host's share of the requests that cold upstreams bear.
+    share: ColdShare,
+}
+
+impl Default for Inner {
+    fn default() -> Self {
+        Self {
+            records: BTreeMap::new(),
+            gone_at_ms: HashMap::new(),
+            seen: HashMap::new(),
+            cordoned: BTreeSet::new(),
+            cold_starts: HashMap::new(),
+            share: ColdShare { seed: rand::random(), hosts: 1 },
+        }
+    }
 }
 
 impl Inner {
@@ -45,10 +66,19 @@
         } else {
             changed.extend(self.end_former_lives(&record.heartbeat));
         }
+        let cold_left_ms = record.heartbeat.cold_left_ms as f64;
+        if cold_left_ms > 0.0 {
+            self.seen.entry(id.clone()).or_default().cold.note(now_ms() as f64, cold_left_ms);
+        }
         self.records.insert(id, record.clone());
         changed.push(record);
     }
 
+    /// Whether new work may go to an upstream.
+    fn takes_work(&self, heartbeat: &Heartbeat) -> bool {
+        heartbeat.standing == Standing::Ready && !self.cordoned.contains(&heartbeat.data_centre)
+    }
+
     /// The lives of an upstream that have not left.
     fn running_lives(&self, name: &str) -> impl Iterator<Item = &Heartbeat> {
         let without_start = self.records.get(&UpstreamId::new(name));
@@ -78,9 +108,22 @@
         ended
     }
 
+    /// How long an upstream is cold, and how many requests it bears then.
+    fn cold(&self, heartbeat: &Heartbeat) -> Cold {
+        let mut cold = self.seen.get(&heartbeat.id).map(|seen| seen.cold).unwrap_or_default();
+        let start = self.cold_starts.get(&heartbeat.service);
+        cold.set_limit(start.map_or(0.0, |start| start.requests_per_s));
+        cold
+    }
+
+    /// Whether an upstream is not too cold for one more request of this host.
+    fn bears_one(&self, now_ms: u64, heartbeat: &Heartbeat) -> bool {
+        self.cold(heartbeat).may_send_alone(now_ms as f64, &heartbeat.id, &self.share)
+    }
+
     /// Forgets upstreams that left long ago, and what was seen of them.
     fn forget_gone(&mut self, now_ms: u64) {
-        let Self { records, gone_at_ms, seen } = self;
+        let Self { records, gone_at_ms, seen, .. } = self;
         gone_at_ms.retain(|id, gone_at_ms| {
             let is_kept = now_ms < *gone_at_ms + TOMBSTONE_MS;
             if !is_kept {
@@ -157,6 +200,49 @@
         self.lock().records.get(id).cloned()
     }
 
+    /// One record, if new work may go to its upstream.
+    pub fn usable_record(&self, id: &UpstreamId) -> Option<Record> {
+        let inner = self.lock();
+        inner.records.get(id).filter(|record| inner.takes_work(&record.heartbeat)).cloned()
+    }
+
+    /// Whether an upstream stands in a data centre that is to get nothing.
+    pub fn is_cordoned(&self, id: &UpstreamId) -> bool {
+        let inner = self.lock();
+        let record = inner.records.get(id);
+        record.is_some_and(|record| inner.cordoned.contains(&record.heartbeat.data_centre))
+    }
+
+    /// Sends nothing more to upstreams of these data centres. Those of others that were under a cordon
+    /// pass for cold as long as after a start: they may have turned cold meanwhile.
+    pub fn set_cordoned(&self, cordoned: BTreeSet<DataCentre>) {
+        let now_ms = now_ms() as f64;
+        let mut inner = self.lock();
+        let Inner { records, seen, cordoned: held, cold_starts, .. } = &mut *inner;
+        for (id, Record { heartbeat, .. }) in records {
+            let is_back =
+                held.contains(&heartbeat.data_centre) && !cordoned.contains(&heartbeat.data_centre);
+            if let Some(start) = cold_starts.get(&heartbeat.service).filter(|_| is_back) {
+                let lasts_ms = start.lasts_ms as f64;
+                seen.entry(id.clone()).or_default().cold.note(now_ms, lasts_ms);
+            }
+        }
+        *held = cordoned;
+    }
+
+    /// Takes in how upstreams bear their start.
+    pub fn set_cold_starts(&self, plan: &ServingPlan) {
+        let services = plan.services.iter();
+        let starts =
+            services.filter_map(|service| Some((service.name.clone(), service.cold_start?)));
+        self.lock().cold_starts = starts.collect();
+    }
+
+    /// Takes in how many hosts may send to cold upstreams.
+    pub fn set_hosts(&self, hosts: u64) {
+        self.lock().share.hosts = hosts;
+    }
+
     /// The upstream that a text names, by its name or its address, in its newest life.
     pub fn find(&self, name: &str) -> Option<UpstreamId> {
         let inner = self.lock();
@@ -182,24 +268,31 @@
         let seen = &inner.seen;
         let cost = |record: &Record| {
             let seen = seen.get(&record.heartbeat.id).cloned().unwrap_or_default();
+            let is_cold = inner.cold(&record.heartbeat).is_cold(now_ms as f64);
             let remote_ms = if record.heartbeat.data_centre == *own { 0.0 } else { REMOTE_MS };
             // One whose heartbeats are missing may be dead: it is asked if no other is there.
             let is_avoided = seen.is_avoided(now_ms) || record.is_silent;
-            (is_avoided, seen.expected_ms(record.heartbeat.slots, now_ms) + remote_ms)
+            (is_avoided, is_cold, seen.expected_ms(record.heartbeat.slots, now_ms) + remote_ms)
         };
         let fit = inner.records.values().filter(|record| {
             let heartbeat = &record.heartbeat;
             heartbeat.service == service
-                && heartbeat.standing == Standing::Ready
+                && inner.takes_work(heartbeat)
                 && !avoid.contains(&heartbeat.id)
+                && inner.bears_one(now_ms, heartbeat)
         });
         let best = fit
             .map(|record| (cost(record), record))
-            .min_by(|((left_avoided, left), _), ((right_avoided, right), _)| {
-                left_avoided.cmp(right_avoided).then(left.total_cmp(right))
-            })
+            .min_by(
+                |((left_avoided, left_cold, left), _), ((right_avoided, right_cold, right), _)| {
+                    let rank = left_avoided.cmp(right_avoided).then(left_cold.cmp(right_cold));
+                    rank.then(left.total_cmp(right))
+                },
+            )
             .map(|(_, record)| record.clone())?;
-        inner.seen.entry(best.heartbeat.id.clone()).or_default().in_flight += 1;
+        let seen = inner.seen.entry(best.heartbeat.id.clone()).or_default();
+        seen.in_flight += 1;
+        seen.cold.note_sent_alone(now_ms as f64);
         Some(best)
     }
 
--- a/clayplank-forward/src/seen.rs
+++ b/clayplank-forward/src/seen.rs
@@ -1,6 +1,6 @@
 //! What a host saw of one upstream: its answers, its failures, and the load that it told.
 
-use clayplank_placement::avoid_ms;
+use clayplank_placement::{Cold, avoid_ms};
 
 /// Load that an upstream told counts for this long, in ms.
 const LOAD_AGE_MS: u64 = 1_000;
@@ -17,6 +17,7 @@
     told_load: u64,
     told_at_ms: u64,
     mean_ms: f64,
+    pub(crate) cold: Cold,
 }
 
 impl Seen {
--- /dev/null
+++ b/clayplank-forward/tests/cordons.rs
@@ -0,0 +1,92 @@
+//! Plain services in data centres under a cordon, and cold ones.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use clayplank_forward::Directory;
+use clayplank_placement::ColdStart;
+use clayplank_registry::{Heartbeat, Record};
+use clayplank_routes::{ServiceGroup, ServingPlan};
+use clayplank_types::{DataCentre, UpstreamId};
+
+const BEARS_PER_S: f64 = 17.0;
+const START_MS: u64 = 3_000;
+
+fn record(name: &str, data_centre: &str, cold_left_ms: u64) -> Record {
+    let heartbeat = Heartbeat {
+        sequence: 1,
+        service: "app".to_owned(),
+        data_centre: DataCentre::new(data_centre),
+        slots: 6,
+        cold_left_ms,
+        ..Heartbeat::default()
+    };
+    Record { heartbeat: heartbeat.named(name), is_silent: false }
+}
+
+fn directory(records: Vec<Record>, hosts: u64) -> Directory {
+    let directory = Directory::default();
+    let cold_start = Some(ColdStart { requests_per_s: BEARS_PER_S, lasts_ms: START_MS });
+    let service = ServiceGroup { name: "app".to_owned(), engine: None, cold_start };
+    directory.set_cold_starts(&ServingPlan { services: vec![service], ..ServingPlan::default() });
+    directory.set_hosts(hosts);
+    directory.apply(records);
+    directory
+}
+
+fn choose(directory: &Directory) -> Option<UpstreamId> {
+    directory.choose("app", &DataCentre::new("a"), &[]).map(|record| record.heartbeat.id)
+}
+
+#[tokio::test(start_paused = true)]
+async fn nothing_goes_to_a_service_under_a_cordon() {
+    let directory = directory(vec![record("near", "a", 0), record("far", "b", 0)], 1);
+    directory.set_cordoned([DataCentre::new("a")].into());
+    let chosen: Vec<_> = (0..40).map(|_| choose(&directory).unwrap()).collect();
+    assert!(chosen.iter().all(|id| id.as_str() == "far"), "{chosen:?}");
+    assert!(directory.usable_record(&UpstreamId::new("near")).is_none());
+    assert!(directory.is_cordoned(&UpstreamId::new("near")));
+    directory.set_cordoned([DataCentre::new("a"), DataCentre::new("b")].into());
+    assert!(choose(&directory).is_none());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_warm_service_goes_before_a_cold_one() {
+    let directory = directory(vec![record("near", "a", 2_000), record("far", "b", 0)], 1);
+    let chosen: Vec<_> = (0..40).map(|_| choose(&directory).unwrap()).collect();
+    assert!(chosen.iter().all(|id| id.as_str() == "far"), "{chosen:?}");
+}
+
+/// 300 hosts that each would send all the time, to three services that are all cold.
+#[tokio::test(start_paused = true)]
+async fn all_hosts_together_send_a_cold_service_no_more_than_it_bears() {
+    const HOSTS: u64 = 300;
+    let records = || ["u0", "u1", "u2"].map(|name| record(name, "a", 60_000)).to_vec();
+    let hosts: Vec<_> = (0..HOSTS).map(|_| directory(records(), HOSTS)).collect();
+    let mut sent = vec![[0; 3]; 100];
+    for tick in &mut sent {
+        for host in &hosts {
+            if let Some(id) = choose(host) {
+                tick[id.as_str()[1..].parse::<usize>().unwrap()] += 1;
+            }
+        }
+        tokio::time::advance(std::time::Duration::from_millis(100)).await;
+    }
+    for (first, window) in sent.windows(10).enumerate() {
+        for upstream in 0..3 {
+            let count: u32 = window.iter().map(|tick| tick[upstream]).sum();
+            assert!(count <= (BEARS_PER_S * 1.5 + 5.0) as u32, "{count} from tick {first} on");
+        }
+    }
+    let total: u32 = sent.iter().flatten().sum();
+    assert!(total > 60, "{total} sent in 10 s");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_service_whose_cordon_is_taken_off_passes_for_cold() {
+    let directory = directory(vec![record("near", "a", 0), record("far", "b", 0)], 1);
+    directory.set_cordoned([DataCentre::new("a")].into());
+    directory.set_cordoned([].into());
+    assert_eq!(choose(&directory).unwrap().as_str(), "far", "the near one may be cold");
+    tokio::time::advance(std::time::Duration::from_millis(START_MS + 1)).await;
+    assert_eq!(choose(&directory).unwrap().as_str(), "near");
+}
--- a/clayplank-forward/tests/entry/harness.rs
+++ b/clayplank-forward/tests/entry/harness.rs
@@ -120,7 +120,7 @@
 
 /// A service without engines.
 pub fn plain_service() -> ServiceGroup {
-    ServiceGroup { name: SERVICE.to_owned(), engine: None }
+    ServiceGroup { name: SERVICE.to_owned(), engine: None, cold_start: None }
 }
 
 /// What came at once, as text; nothing once the peer has closed.
--- a/clayplank-placement/src/candidate.rs
+++ b/clayplank-placement/src/candidate.rs
@@ -44,16 +44,31 @@
 /// reached is none of them, so that it stands in no count of places either: six dead engines of 13
 /// drew 160 attempts in three seconds while they only cost more than others, and 50 prompts were
 /// refused beside 46 free places (a day on 22 hosts).
-pub(crate) fn open_engines<'a>(fleet: &'a Fleet, ask: &Ask) -> Vec<Open<'a>> {
-    let engines = fleet.engines.iter().filter(|(id, engine)| {
-        let is_usable = engine.is_open && !engine.reach.is_lost();
-        is_usable && engine.spec.pool == ask.pool && !ask.avoid.contains(id)
-    });
-    engines
+pub(crate) fn open_engines<'a>(fleet: &'a Fleet, now_ms: f64, ask: &Ask) -> Vec<Open<'a>> {
+    usable_engines(fleet, ask)
+        .filter(|(id, engine)| engine.cold.wait_ms(now_ms, id, &fleet.sender) == 0.0)
         .map(|(id, engine)| Open { id, engine, noise: fleet.draw_noise() * ask.weight() })
         .collect()
 }
 
+/// Engines that may take the prompt, now or once they are not too cold for it.
+fn usable_engines<'a>(
+    fleet: &'a Fleet,
+    ask: &Ask,
+) -> impl Iterator<Item = (&'a UpstreamId, &'a Engine)> {
+    fleet.engines.iter().filter(|(id, engine)| {
+        let is_usable = engine.takes_work() && !engine.reach.is_lost();
+        is_usable && engine.spec.pool == ask.pool && !ask.avoid.contains(id)
+    })
+}
+
+/// When the first cold engine bears another request, in ms from now; `None` if there is none.
+pub(crate) fn cold_wait_ms(fleet: &Fleet, now_ms: f64, ask: &Ask) -> Option<f64> {
+    let waits = usable_engines(fleet, ask)
+        .map(|(id, engine)| engine.cold.wait_ms(now_ms, id, &fleet.sender));
+    waits.filter(|wait_ms| *wait_ms > 0.0).min_by(f64::total_cmp)
+}
+
 /// One engine as a candidate for a part of a prompt.
 pub(crate) struct Candidate<'a> {
     pub(crate) id: &'a UpstreamId,
--- a/clayplank-placement/src/choose.rs
+++ b/clayplank-placement/src/choose.rs
@@ -2,7 +2,7 @@
 
 use crate::admit::is_worth_it;
 use crate::ask::{Ask, Placed};
-use crate::candidate::{Open, open_engines};
+use crate::candidate::{Open, cold_wait_ms, open_engines};
 use crate::fleet::Fleet;
 use crate::hold::hold_ms;
 use crate::parts::{Way, choose_parts};
@@ -32,7 +32,12 @@
 
 /// Chooses engines for a prompt; changes nothing.
 pub(crate) fn choose(fleet: &Fleet, now_ms: f64, ask: &Ask) -> Placed {
-    let open = open_engines(fleet, ask);
+    let open = open_engines(fleet, now_ms, ask);
+    if open.is_empty()
+        && let Some(wait_ms) = cold_wait_ms(fleet, now_ms, ask)
+    {
+        return wait_for_cold(fleet, ask, wait_ms);
+    }
     let Some(way) = choose_way(fleet, &open, now_ms, ask) else {
         return wait_for_slot(fleet, &open, ask);
     };
@@ -65,6 +70,16 @@
     best
 }
 
+/// What a prompt is told when all engines are cold and bear nothing more now: it waits while it can
+/// still be in time, and is refused at once if it cannot.
+fn wait_for_cold(fleet: &Fleet, ask: &Ask, wait_ms: f64) -> Placed {
+    if wait_ms < ask.goal_ms || ask.is_late() && wait_ms < ask.limit_ms {
+        Placed::Soon { again_in_ms: wait_ms.ceil() as u64 }
+    } else {
+        Placed::Full { retry_after_ms: next_turn(fleet, ask, wait_ms) }
+    }
+}
+
 /// What a prompt is told that no engine takes: a wait for a slot is worth it only if the prompt
 /// is still read in time after it; any other is refused at once.
 fn wait_for_slot(fleet: &Fleet, open: &[Open<'_>], ask: &Ask) -> Placed {
--- a/clayplank-placement/src/engine.rs
+++ b/clayplank-placement/src/engine.rs
@@ -3,6 +3,7 @@
 use clayplank_types::DataCentre;
 
 use crate::ask::PlacementId;
+use crate::cold::Cold;
 use crate::health::Health;
 use crate::job::{Job, JobKind, Queued};
 use crate::model::EngineModel;
@@ -27,6 +28,9 @@
 pub(crate) struct Engine {
     pub(crate) spec: EngineSpec,
     pub(crate) is_open: bool,
+    /// Whether its data centre is to get nothing.
+    pub(crate) is_cordoned: bool,
+    pub(crate) cold: Cold,
     /// Whether its heartbeats are missing.
     pub(crate) is_silent: bool,
     pub(crate) health: Health,
@@ -43,6 +47,8 @@
         Self {
             spec,
             is_open,
+            is_cordoned: false,
+            cold: Cold::default(),
             is_silent: false,
             health: Health::default(),
             reach: Reach::default(),
@@ -52,6 +58,11 @@
         }
     }
 
+    /// Whether new work may go to it at all.
+    pub(crate) fn takes_work(&self) -> bool {
+        self.is_open && !self.is_cordoned
+    }
+
     /// Whether neither heartbeats nor answers tell that it lives.
     pub(crate) fn is_doubtful(&self, now_ms: f64) -> bool {
         self.is_silent && !self.health.is_seen(now_ms)
--- a/clayplank-placement/src/fleet.rs
+++ b/clayplank-placement/src/fleet.rs
@@ -3,12 +3,13 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use clayplank_types::UpstreamId;
+use clayplank_types::{DataCentre, UpstreamId};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
 use crate::ask::{Ask, Assignment, Placed, PlacementId};
 use crate::choose::choose;
+use crate::cold::{ColdShare, Sender};
 use crate::engine::{Engine, EngineSpec};
 use crate::event::{Event, Renewed};
 use crate::holds::Holds;
@@ -54,6 +55,9 @@
     split_work_at_ms: f64,
     usual_limits: UsualLimits,
     holds: Holds,
+    /// Data centres whose engines get nothing.
+    cordoned: BTreeSet<DataCentre>,
+    pub(crate) sender: Sender,
     /// The most that chance adds to an engine's cost, as a share of a prompt's weight.
     noise: f64,
     rng: RefCell<Option<SmallRng>>,
@@ -64,7 +68,8 @@
     /// decide alike from sending all to the same engines.
     pub fn alone(seed: u64) -> Self {
         let rng = RefCell::new(Some(SmallRng::seed_from_u64(seed)));
-        Self { noise: ALONE_NOISE, rng, ..Self::default() }
+        let sender = Sender::Host(ColdShare { seed, hosts: 1 });
+        Self { noise: ALONE_NOISE, rng, sender, ..Self::default() }
     }
 
     /// The fleet as it will be at a later time if nothing comes meanwhile; who was placed is left out.
@@ -76,6 +81,7 @@
             split_work_ms: self.split_work_ms,
             split_work_at_ms: self.split_work_at_ms,
             holds: self.holds.clone(),
+            sender: self.sender,
             ..Self::default()
         }
     }
@@ -105,11 +111,49 @@
                 engine.is_open = is_open;
             }
             None => {
-                self.engines.insert(id, Engine::new(spec, is_open));
+                let is_cordoned = self.cordoned.contains(&spec.data_centre);
+                let mut engine = Engine::new(spec, is_open);
+                engine.is_cordoned = is_cordoned;
+                self.engines.insert(id, engine);
             }
         }
     }
 
+    /// Sends nothing new to the engines of these data centres, and of no others. Returns the engines
+    /// that may get something again.
+    pub fn set_cordoned(&mut self, cordoned: BTreeSet<DataCentre>) -> Vec<UpstreamId> {
+        let mut back = Vec::new();
+        for (id, engine) in &mut self.engines {
+            let is_cordoned = cordoned.contains(&engine.spec.data_centre);
+            if engine.is_cordoned && !is_cordoned {
+                back.push(id.clone());
+            }
+            engine.is_cordoned = is_cordoned;
+        }
+        self.cordoned = cordoned;
+        back
+    }
+
+    /// The pool of an engine.
+    pub fn pool_of(&self, id: &UpstreamId) -> Option<&str> {
+        self.engines.get(id).map(|engine| engine.spec.pool.as_str())
+    }
+
+    /// Notes for how much longer an engine is cold, and how many requests a second it bears then.
+    pub fn set_cold(&mut self, now_ms: f64, id: &UpstreamId, left_ms: f64, requests_per_s: f64) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.cold.set_limit(requests_per_s);
+            engine.cold.note(now_ms, left_ms);
+        }
+    }
+
+    /// Takes in how many hosts may decide alone at the same time as this one.
+    pub fn set_hosts(&mut self, hosts: u64) {
+        if let Sender::Host(share) = &mut self.sender {
+            share.hosts = hosts;
+        }
+    }
+
     /// Notes whether the heartbeats of an engine are missing.
     pub fn set_silent(&mut self, id: &UpstreamId, is_silent: bool) {
         if let Some(engine) = self.engines.get_mut(id) {
@@ -132,10 +176,22 @@
         let placed = choose(self, now_ms, &ask);
         if let Placed::At(assignment) = &placed {
             self.note_placed(now_ms, &ask, assignment, false);
+            self.note_sent(now_ms, assignment);
         }
         placed
     }
 
+    /// Counts what is sent to engines that bear only so much: a part that is read for another engine
+    /// is work as well.
+    fn note_sent(&mut self, now_ms: f64, assignment: &Assignment) {
+        let helpers = assignment.helpers.iter().map(|part| &part.engine);
+        for id in std::iter::once(&assignment.engine).chain(helpers) {
+            if let Some(engine) = self.engines.get_mut(id) {
+                engine.cold.note_sent(now_ms, &self.sender);
+            }
+        }
+    }
+
     /// Notes the limit of a request that is tried for the first time. One whose stream has begun asks
     /// every 40 ms until it goes on: a few that had come back would pass for what is usual.
     fn note_limit(&mut self, ask: &Ask) {
@@ -152,7 +208,7 @@
 
     /// What the engines of a pool look like from here, for those who ask why a prompt was refused.
     pub fn outlook(&self, now_ms: f64, pool: &str) -> Outlook {
-        let open = self.engines.values().filter(|one| one.is_open && one.spec.pool == pool);
+        let open = self.engines.values().filter(|one| one.takes_work() && one.spec.pool == pool);
         let mut outlook = Outlook::default();
         for engine in open {
             if engine.reach.is_lost() {
@@ -370,7 +426,7 @@
             let is_suspect = suspects.contains(id) && !engine.reach.is_lost();
             is_doubted || (is_suspect && engine.health.take_question(now_ms))
         };
-        let engines = self.engines.iter_mut().filter(|(_, engine)| engine.is_open);
+        let engines = self.engines.iter_mut().filter(|(_, engine)| engine.takes_work());
         engines.filter_map(|(id, engine)| is_taken(id, engine).then(|| id.clone())).collect()
     }
 
--- a/clayplank-placement/src/hold.rs
+++ b/clayplank-placement/src/hold.rs
@@ -62,7 +62,7 @@
     };
     let now_ms = now_ms + LOOK_AHEAD_MS;
     let fleet = fleet.ahead(now_ms);
-    let open = open_engines(&fleet, &ask);
+    let open = open_engines(&fleet, now_ms, &ask);
     let way = choose_way(&fleet, &open, now_ms, &ask)?;
     let is_safe = way.assignment.first_token_ms <= SAFE_SHARE * ask.goal_ms;
     let loss = way.loss() + LEAST_GAIN_SHARE * ask.weight();
--- a/clayplank-placement/src/lib.rs
+++ b/clayplank-placement/src/lib.rs
@@ -24,6 +24,7 @@
 mod avoid;
 mod candidate;
 mod choose;
+mod cold;
 mod costs;
 mod engine;
 mod event;
@@ -41,6 +42,7 @@
 
 pub use ask::{Ask, Assignment, PASSED_GOAL_MS, Part, Placed, PlacementId};
 pub use avoid::avoid_ms;
+pub use cold::{Cold, ColdShare, ColdStart};
 pub use engine::EngineSpec;
 pub use event::{Event, Renewed};
 pub use fleet::{Fleet, Outlook};
--- a/clayplank-registry/src/heartbeat.rs
+++ b/clayplank-registry/src/heartbeat.rs
@@ -47,6 +47,9 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub standing: Standing,
+    /// For how much longer it is cold, in ms: it bears only so many requests a second meanwhile.
+    #[serde(default)]
+    pub cold_left_ms: u64,
 }
 
 impl Default for Heartbeat {
@@ -61,6 +64,7 @@
             data_centre: DataCentre::default(),
             slots: 0,
             standing: Standing::Ready,
+            cold_left_ms: 0,
         }
     }
 }
--- a/clayplank-registry/src/registry.rs
+++ b/clayplank-registry/src/registry.rs
@@ -17,6 +17,10 @@
 /// A word that an upstream sends may arrive this much later, in ms.
 const LATE_WORD_MS: u64 = 10_000;
 
+/// An upstream that says it is cold for longer than it said before, by this much, in ms, is news:
+/// heartbeats are on their way for different times.
+const COLD_SLACK_MS: u64 = 400;
+
 /// Records in one answer, some 56 kB before they are packed. Hosts that start all at once have to be
 /// answered within the time that they wait, also where the lists for all of them fill the leader's
 /// link for seconds: with 2,999 upstreams whole, 295 hosts asked for theirs again and again, and no
@@ -44,6 +48,21 @@
     is_remembered: bool,
     /// Whether it took the place of a former life that had not left.
     replaces_running: bool,
+    /// Up to when followers were told that it is cold.
+    cold_until_ms: u64,
+}
+
+impl Entry {
+    /// Takes in for how much longer the upstream is cold; returns whether followers have to know. One
+    /// whose cold time ends as it said is no news.
+    fn note_cold(&mut self, now_ms: u64, left_ms: u64) -> bool {
+        let until_ms = now_ms + left_ms;
+        let is_news = left_ms > 0 && until_ms > self.cold_until_ms + COLD_SLACK_MS;
+        if is_news {
+            self.cold_until_ms = until_ms;
+        }
+        is_news
+    }
 }
 
 /// Up to where somebody knows a registry.
@@ -117,7 +136,8 @@
         }
         entry.heard_ms = now_ms;
         entry.is_remembered = false;
-        let is_change = entry.record.is_silent || !is_same_state(held, heartbeat);
+        let is_same = is_same_state(held, heartbeat) && !entry.record.is_silent;
+        let is_change = entry.note_cold(now_ms, heartbeat.cold_left_ms) || !is_same;
         entry.record = Record { heartbeat: heartbeat.clone(), is_silent: false };
         if is_change {
             self.change += 1;
@@ -221,6 +241,7 @@
         self.change += 1;
         let record = Record { heartbeat, is_silent: false };
         let id = record.heartbeat.id.clone();
+        let cold_left_ms = record.heartbeat.cold_left_ms;
         let entry = Entry {
             record,
             first_heard_ms: now_ms,
@@ -229,6 +250,7 @@
             is_confirmed: false,
             is_remembered: false,
             replaces_running: false,
+            cold_until_ms: now_ms + cold_left_ms,
         };
         self.entries.insert(id, entry);
     }
--- a/clayplank-routes/src/index.rs
+++ b/clayplank-routes/src/index.rs
@@ -2,9 +2,9 @@
 
 use std::collections::HashMap;
 
-use clayplank_placement::EngineModel;
+use clayplank_placement::{ColdStart, EngineModel};
 
-use crate::plan::{KeyedAccount, Route, ServingPlan};
+use crate::plan::{KeyedAccount, Route, ServiceGroup, ServingPlan};
 
 /// A plan with its routes by host and its accounts by key.
 #[derive(Clone, Debug, Default)]
@@ -63,8 +63,17 @@
 
     /// The cost model of a service's engines; `None` for a plain service.
     pub fn engine_model(&self, service: &str) -> Option<&EngineModel> {
-        let position = *self.by_service.get(service)?;
-        self.plan.services[position].engine.as_ref()
+        self.service(service)?.engine.as_ref()
+    }
+
+    /// How the upstreams of a service bear their start, if the plan says so.
+    pub fn cold_start(&self, service: &str) -> Option<ColdStart> {
+        self.service(service)?.cold_start
+    }
+
+    fn service(&self, name: &str) -> Option<&ServiceGroup> {
+        let position = *self.by_service.get(name)?;
+        self.plan.services.get(position)
     }
 
     /// The target of a route for a draw between 0 and 1.
--- a/clayplank-routes/src/plan.rs
+++ b/clayplank-routes/src/plan.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use clayplank_placement::EngineModel;
+use clayplank_placement::{ColdStart, EngineModel};
 use clayplank_settings::{Check, Faults};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -116,6 +116,9 @@
     /// What its engines' work costs; `None` for a plain service.
     #[serde(default)]
     pub engine: Option<EngineModel>,
+    /// How its upstreams bear their start; `None` if they bear it as well as any other time.
+    #[serde(default)]
+    pub cold_start: Option<ColdStart>,
 }
 
 /// A client account with its keys.
@@ -170,6 +173,9 @@
         for (position, service) in self.services.iter().enumerate() {
             let place = format!("{at}/services/{position}/name");
             faults.require(seen.insert(&service.name), &place, "another service has this name");
+            let place = format!("{at}/services/{position}/cold_start/requests_per_s");
+            let bears_some = service.cold_start.is_none_or(|start| start.requests_per_s > 0.0);
+            faults.require(bears_some, &place, "must be more than 0");
         }
     }
 
--- a/clayplank-settings/src/bounds.rs
+++ b/clayplank-settings/src/bounds.rs
@@ -24,6 +24,8 @@
     pub heartbeat_ms: u64,
     /// A key that was taken away must be without effect everywhere after this time.
     pub revoke_ms: u64,
+    /// Upstreams of a data centre under a cordon must get nothing after this time.
+    pub cordon_ms: u64,
     /// From a planned stop until the process is killed.
     pub grace_s: f64,
     /// Retries for each first try, over all hosts.
@@ -39,6 +41,7 @@
         Self {
             heartbeat_ms: 1_000,
             revoke_ms: 5_000,
+            cordon_ms: 5_000,
             grace_s: 8.0,
             retry_ratio: 0.2,
             retry_extra: 100.0,
@@ -59,6 +62,10 @@
     /// is rounded down: no host serves the key for longer.
     #[schemars(range(min = 100, max = DAY_MS))]
     revoke_ms: Option<f64>,
+    /// Upstreams of a data centre under a cordon must get nothing after this time. A fraction is rounded
+    /// down.
+    #[schemars(range(min = 100, max = DAY_MS))]
+    cordon_ms: Option<f64>,
     /// From a planned stop until the process is killed.
     #[schemars(range(min = 0, max = DAY_S))]
     grace_s: Option<f64>,
@@ -79,6 +86,7 @@
         Self {
             heartbeat_ms: written.heartbeat_ms.map_or(usual.heartbeat_ms, |ms| ms.ceil() as u64),
             revoke_ms: written.revoke_ms.map_or(usual.revoke_ms, |ms| ms.floor() as u64),
+            cordon_ms: written.cordon_ms.map_or(usual.cordon_ms, |ms| ms.floor() as u64),
             grace_s: written.grace_s.unwrap_or(usual.grace_s),
             retry_ratio: written.retry_ratio.unwrap_or(usual.retry_ratio),
             retry_extra: written.retry_extra.unwrap_or(usual.retry_extra),
--- a/clayplank-settings/src/seeded.rs
+++ b/clayplank-settings/src/seeded.rs
@@ -24,6 +24,10 @@
     pub ip: IpAddr,
     /// Where it stands.
     pub data_centre: DataCentre,
+    /// All data centres of the deployment, so that an order for another one is refused; none if that
+    /// is not known.
+    #[serde(default)]
+    pub data_centres: Vec<DataCentre>,
     /// Where it listens.
     pub listen: SeededListen,
     /// Control addresses of some keepers.
--- a/clayplank-state/src/command.rs
+++ b/clayplank-state/src/command.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use clayplank_types::{
-    AttemptId, HostId, Incarnation, Partner, RequestFingerprint, Sighting, UpstreamId,
+    AttemptId, DataCentre, HostId, Incarnation, Partner, RequestFingerprint, Sighting, UpstreamId,
 };
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -82,6 +82,10 @@
     ClaimTrial(RequestFingerprint),
     /// An operator holds a request back no more.
     Lift(RequestFingerprint),
+    /// An operator wants nothing more to go to the upstreams of a data centre.
+    Cordon(DataCentre),
+    /// An operator takes that back.
+    Uncordon(DataCentre),
 }
 
 /// A serving plan as the operator sent it.
@@ -199,4 +203,9 @@
         /// Whether it was before.
         was_held_back: bool,
     },
+    /// The data centre is under a cordon, or is not, as was asked.
+    Cordoned {
+        /// Whether that was otherwise before.
+        has_changed: bool,
+    },
 }
--- a/clayplank-state/src/lib.rs
+++ b/clayplank-state/src/lib.rs
@@ -1,5 +1,5 @@
-//! The replicated state: settings of partners, claims, fencing tokens, and requests that are held
-//! back.
+//! The replicated state: settings of partners, claims, fencing tokens, requests that are held
+//! back, and data centres under a cordon.
 //!
 //! [`Machine`] is what the keepers' log drives: the same commands in the same
 //! order give the same state and the same replies everywhere. It reads no
@@ -28,6 +28,7 @@
 
 mod claims;
 mod command;
+mod cordons;
 mod machine;
 mod packing;
 mod plan;
--- a/clayplank-state/src/machine.rs
+++ b/clayplank-state/src/machine.rs
@@ -1,12 +1,13 @@
 //! The state machine that the keepers' log drives.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use clayplank_types::{HeldBack, HostId, RequestFingerprint, Sighting, UpstreamId};
+use clayplank_types::{DataCentre, HeldBack, HostId, RequestFingerprint, Sighting, UpstreamId};
 use serde::{Deserialize, Serialize};
 
 use crate::claims::Claims;
 use crate::command::{Body, CodecError, Command, PlanDocument, Reply, decode, encode};
+use crate::cordons::Cordons;
 use crate::plan::Plan;
 use crate::settings::{Delta, Settings};
 use crate::suspects::{Suspects, Trial};
@@ -30,7 +31,7 @@
     until_ms: u64,
 }
 
-/// Settings, claims, fencing tokens, and requests that are held back.
+/// Settings, claims, fencing tokens, requests that are held back, and cordons.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Machine {
     settings: Settings,
@@ -39,6 +40,7 @@
     fences: BTreeMap<UpstreamId, Fence>,
     last_fence: u64,
     suspects: Suspects,
+    cordons: Cordons,
     /// The latest time that a command carried: time never goes back, whoever leads.
     now_ms: u64,
 }
@@ -59,6 +61,8 @@
             Body::NoteSightings(sightings) => self.note_sightings(sightings),
             Body::ClaimTrial(fingerprint) => self.claim_trial(*fingerprint),
             Body::Lift(fingerprint) => self.lift(*fingerprint),
+            Body::Cordon(data_centre) => self.set_cordon(data_centre, true),
+            Body::Uncordon(data_centre) => self.set_cordon(data_centre, false),
         }
     }
 
@@ -93,6 +97,15 @@
         self.suspects.revision = self.settings.revision;
     }
 
+    fn set_cordon(&mut self, data_centre: &DataCentre, is_cordoned: bool) -> Reply {
+        let revision = self.settings.revision + 1;
+        let reply = self.cordons.set(revision, data_centre, is_cordoned);
+        if self.cordons.revision == revision {
+            self.settings.revision = revision;
+        }
+        reply
+    }
+
     fn publish(&mut self, document: &PlanDocument) -> Reply {
         let revision = self.settings.revision + 1;
         let reply = self.plan.publish(revision, document);
@@ -125,6 +138,7 @@
         delta.plan = self.plan.changed_after(revision);
         let is_news = self.suspects.revision > revision;
         delta.held_back = is_news.then(|| self.held_back());
+        delta.cordoned = self.cordons.changed_after(revision);
         delta
     }
 
@@ -133,6 +147,11 @@
         self.suspects.held_back(self.now_ms)
     }
 
+    /// Data centres whose upstreams get nothing.
+    pub fn cordoned(&self) -> &BTreeSet<DataCentre> {
+        self.cordons.data_centres()
+    }
+
     /// The serving plan in force.
     pub fn plan(&self) -> Option<&PlanDocument> {
         self.plan.document.as_ref()
--- a/clayplank-state/src/settings.rs
+++ b/clayplank-state/src/settings.rs
@@ -1,9 +1,9 @@
 //! Templates and client accounts with their versions.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use clayplank_settings::{ClientAccount, Template};
-use clayplank_types::{HeldBack, Partner};
+use clayplank_types::{DataCentre, HeldBack, Partner};
 use serde::{Deserialize, Serialize};
 
 use crate::command::{PlanDocument, Reply, SettingChange};
@@ -78,6 +78,8 @@
     pub plan: Option<PlanDocument>,
     /// All requests that are held back, if that has changed.
     pub held_back: Option<Vec<HeldBack>>,
+    /// All data centres whose upstreams get nothing, if that has changed.
+    pub cordoned: Option<BTreeSet<DataCentre>>,
 }
 
 /// All settings of all partners.
--- a/clayplankd/src/doors/contract.rs
+++ b/clayplankd/src/doors/contract.rs
@@ -7,7 +7,7 @@
 use clayplank_registry::Heartbeat;
 use clayplank_routes::ServingPlan;
 use clayplank_settings::Faults;
-use clayplank_types::RequestFingerprint;
+use clayplank_types::{DataCentre, RequestFingerprint};
 use http::{Method, Request};
 use http_body_util::Full;
 use serde::Deserialize;
@@ -27,6 +27,12 @@
     ReadHeldBack,
     /// An operator holds a request back no more.
     Lift(RequestFingerprint),
+    /// An operator asks which data centres are under a cordon.
+    ReadCordoned,
+    /// An operator wants nothing more to go to the upstreams of a data centre.
+    Cordon(DataCentre),
+    /// An operator takes that back.
+    Uncordon(DataCentre),
 }
 
 impl ControlCall {
--- a/clayplankd/src/doors/control_door.rs
+++ b/clayplankd/src/doors/control_door.rs
@@ -12,7 +12,7 @@
 use clayplank_routes::ServingPlan;
 use clayplank_settings::Faults;
 use clayplank_state::{Body, PlanDocument, Reply};
-use clayplank_types::{HeldBack, HostId, RequestFingerprint};
+use clayplank_types::{DataCentre, HeldBack, HostId, RequestFingerprint};
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -67,6 +67,8 @@
     pub(crate) keepers: KeeperClient,
     pub(crate) registered: Registered,
     pub(crate) spread: Spread,
+    /// The data centres of the deployment; none if the settings do not name them.
+    pub(crate) data_centres: Arc<[DataCentre]>,
 }
 
 type Answer = Response<Full<Bytes>>;
@@ -86,6 +88,9 @@
             Ok(ControlCall::Leave(gone)) => self.take_leave(gone).await,
             Ok(ControlCall::ReadHeldBack) => self.read_held_back().await,
             Ok(ControlCall::Lift(fingerprint)) => self.lift(fingerprint).await,
+            Ok(ControlCall::ReadCordoned) => self.read_cordoned().await,
+            Ok(ControlCall::Cordon(data_centre)) => self.cordon(data_centre).await,
+            Ok(ControlCall::Uncordon(data_centre)) => self.uncordon(data_centre).await,
             Err(ControlFault::NotFound) => fault(StatusCode::NOT_FOUND, "no such call"),
             Err(ControlFault::Malformed(faults)) => malformed(&faults),
         }
@@ -159,6 +164,59 @@
         answer
     }
 
+    /// The data centres that a quorum confirms to be under a cordon.
+    async fn read_cordoned(&self) -> Answer {
+        match self.keepers.watch(&self.own, 0, PATIENCE).await {
+            Ok((delta, _)) => {
+                let cordoned = delta.cordoned.unwrap_or_default();
+                json(StatusCode::OK, Bytes::from(serde_json::json!(cordoned).to_string()))
+            }
+            Err(error) => {
+                log::info!(target: part::KEEPER, "What is under a cordon is not known: {error}.");
+                fault(StatusCode::SERVICE_UNAVAILABLE, "no quorum in time")
+            }
+        }
+    }
+
+    /// Acknowledges a cordon once it lasts: hosts in touch learn it with the next answer of the leader,
+    /// and one that is not refuses requests when its lease ends.
+    async fn cordon(&self, data_centre: DataCentre) -> Answer {
+        if !self.is_known(&data_centre) {
+            return fault(StatusCode::NOT_FOUND, "there is no such data centre");
+        }
+        self.order_cordon(&data_centre, &Body::Cordon(data_centre.clone()), "cordoned").await
+    }
+
+    /// Takes a cordon off. A name that is not known has none, unless the settings have changed since.
+    async fn uncordon(&self, data_centre: DataCentre) -> Answer {
+        self.order_cordon(&data_centre, &Body::Uncordon(data_centre.clone()), "uncordoned").await
+    }
+
+    async fn order_cordon(
+        &self,
+        data_centre: &DataCentre,
+        order: &Body,
+        done: &'static str,
+    ) -> Answer {
+        let began_ms = now_ms();
+        let reply = self.keepers.execute(order, PATIENCE).await;
+        let (answer, outcome) = match &reply {
+            Ok(Reply::Cordoned { has_changed: true }) => (empty(StatusCode::OK), done),
+            Ok(Reply::Cordoned { has_changed: false }) => (empty(StatusCode::OK), "unchanged"),
+            Ok(_) => (fault(StatusCode::INTERNAL_SERVER_ERROR, "an unfit reply"), "unfit"),
+            Err(_) => (fault(StatusCode::SERVICE_UNAVAILABLE, "no quorum in time"), "no_quorum"),
+        };
+        log::info!(target: part::KEEPER,
+            data_centre = data_centre.as_str(), order = done, outcome = outcome,
+            took_ms = now_ms() - began_ms;
+            "An operator ordered a cordon");
+        answer
+    }
+
+    fn is_known(&self, data_centre: &DataCentre) -> bool {
+        self.data_centres.is_empty() || self.data_centres.contains(data_centre)
+    }
+
     async fn take_heartbeat(&self, heartbeat: Heartbeat) -> Answer {
         let takes_work = heartbeat.standing == Standing::Ready;
         if let Registered::Kept { fleet, .. } = &self.registered {
--- a/clayplankd/src/doors/native.rs
+++ b/clayplankd/src/doors/native.rs
@@ -5,6 +5,7 @@
 use clayplank_registry::Heartbeat;
 use clayplank_routes::ServingPlan;
 use clayplank_settings::Faults;
+use clayplank_types::DataCentre;
 use http::{HeaderValue, Method, Request, Uri, header};
 use http_body_util::Full;
 use serde_json::{Value, json};
@@ -14,6 +15,7 @@
 const PLAN_PATH: &str = "/v1/plan";
 const UPSTREAMS_PATH: &str = "/v1/upstreams/";
 const HELD_BACK_PATH: &str = "/v1/held-back";
+const CORDONS_PATH: &str = "/v1/cordons";
 const HEALTH_PATH: &str = "/health";
 const REPORT_PATH: &str = "/v1/report";
 const RESERVATIONS_PATH: &str = "/v1/reservations";
@@ -57,6 +59,10 @@
         if let Some(id) = path.strip_prefix(UPSTREAMS_PATH).filter(|id| !id.is_empty()) {
             return scan_upstream_call(method, id, body);
         }
+        if let Some(name) = path.strip_prefix(CORDONS_PATH).and_then(|rest| rest.strip_prefix('/'))
+        {
+            return scan_cordon_call(method, name);
+        }
         match (method, path) {
             (&Method::PUT, PLAN_PATH) => {
                 let text = std::str::from_utf8(body).map_err(|error| malformed(&error))?;
@@ -65,6 +71,7 @@
             }
             (&Method::GET, PLAN_PATH) => Ok(ControlCall::ReadPlan),
             (&Method::GET, HELD_BACK_PATH) => Ok(ControlCall::ReadHeldBack),
+            (&Method::GET, CORDONS_PATH) => Ok(ControlCall::ReadCordoned),
             (&Method::DELETE, _) => scan_lift(path),
             _ => Err(ControlFault::NotFound),
         }
@@ -97,6 +104,15 @@
     named.parse().map(ControlCall::Lift).map_err(|error| malformed(&error))
 }
 
+fn scan_cordon_call(method: &Method, name: &str) -> Result<ControlCall, ControlFault> {
+    let data_centre = DataCentre::new(name);
+    match *method {
+        Method::PUT => Ok(ControlCall::Cordon(data_centre)),
+        Method::DELETE => Ok(ControlCall::Uncordon(data_centre)),
+        _ => Err(ControlFault::NotFound),
+    }
+}
+
 fn scan_upstream_call(method: &Method, id: &str, body: &[u8]) -> Result<ControlCall, ControlFault> {
     match *method {
         Method::PUT => {
--- a/clayplankd/src/fleet/fleet_keeper.rs
+++ b/clayplankd/src/fleet/fleet_keeper.rs
@@ -1,6 +1,6 @@
 //! A keeper's soft state: registered upstreams, and the load of the engines.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -10,14 +10,15 @@
 use clayplank_registry::{Buckets, Changes, Cursor, Digest, Heartbeat, Registry, Standing};
 use clayplank_routes::PlanIndex;
 use clayplank_state::{Delta, PackError, PlanDocument, pack};
-use clayplank_types::{HostId, UpstreamId};
+use clayplank_types::{DataCentre, HostId, UpstreamId};
 use tokio::sync::watch;
 
 use crate::doors::contract::{EngineReport, SharedContract};
-use crate::fleet::fleet_engines::{change_engines, set_engines};
+use crate::fleet::fleet_engines::{change_engines, set_cordoned, set_engines};
 use crate::fleet::mirror::{Mirror, News as MirrorNews};
 use crate::follow::news_pages::NewsPages;
 use crate::follow::plan_edits::PlanEdits;
+use crate::keepers::keeper::InForce;
 use crate::keepers::keeper_client::KeeperClient;
 use crate::process::clock::{fleet_now_ms, millis, now_ms};
 use crate::process::lock::lock;
@@ -223,6 +224,13 @@
         }
     }
 
+    /// Takes in which data centres are to get nothing.
+    fn set_cordoned(&self, cordoned: &BTreeSet<DataCentre>) {
+        if let Some(plan) = self.plan.load_full() {
+            set_cordoned(&mut lock(&self.fleet), &plan, cordoned);
+        }
+    }
+
     /// Marks upstreams that are silent for this long, drops what was lost, and tells what is
     /// new: one answer for each follower and look, not one for each upstream that registers.
     fn age(&self, silent_ms: u64) {
@@ -440,20 +448,18 @@
         "An upstream's standing changed");
 }
 
-/// Ages records, and follows the plan.
-pub(crate) async fn run_fleet(
-    fleet: Arc<FleetKeeper>,
-    mut plans: watch::Receiver<Option<PlanDocument>>,
-) {
+/// Ages records, and follows what is in force.
+pub(crate) async fn run_fleet(fleet: Arc<FleetKeeper>, mut applied: watch::Receiver<InForce>) {
     let silent_ms = MISSED_HEARTBEATS * fleet.heartbeat_ms + LATE_HEARTBEAT_MS;
     loop {
-        let plan = plans.borrow_and_update().clone();
-        if let Some(document) = plan {
-            fleet.set_plan(&document);
+        let in_force = applied.borrow_and_update().clone();
+        if let Some(document) = &in_force.plan {
+            fleet.set_plan(document);
         }
+        fleet.set_cordoned(&in_force.cordoned);
         fleet.age(silent_ms);
         tokio::select! {
-            changed = plans.changed() => {
+            changed = applied.changed() => {
                 if changed.is_err() {
                     return;
                 }
--- a/clayplankd/src/fleet/fleet_link.rs
+++ b/clayplankd/src/fleet/fleet_link.rs
@@ -1,7 +1,7 @@
 //! An entry host's placements: chosen by the leading keeper, by another one while it is silent, or
 //! here if none answers.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -11,11 +11,11 @@
 use clayplank_registry::Record;
 use clayplank_routes::PlanIndex;
 use clayplank_state::{decode, encode};
-use clayplank_types::HostId;
+use clayplank_types::{DataCentre, HostId};
 use clayplank_wire::{PlaceRequest, ReportRequest};
 use tokio::sync::mpsc;
 
-use crate::fleet::fleet_engines::{change_engines, set_engines};
+use crate::fleet::fleet_engines::{change_engines, set_cordoned, set_engines};
 use crate::fleet::unreached::Unreached;
 use crate::keepers::keeper_client::KeeperClient;
 use crate::process::clock::{fleet_now_ms, now_ms};
@@ -165,6 +165,16 @@
         change_engines(&mut lock(&self.local), plan, records);
     }
 
+    /// Chooses no engines by itself in some data centres.
+    pub(crate) fn set_cordoned(&self, plan: &PlanIndex, cordoned: &BTreeSet<DataCentre>) {
+        set_cordoned(&mut lock(&self.local), plan, cordoned);
+    }
+
+    /// Takes in how many hosts there are that may choose by themselves.
+    pub(crate) fn set_hosts(&self, hosts: u64) {
+        lock(&self.local).set_hosts(hosts);
+    }
+
     /// Sets the engines that this host may choose by itself.
     pub(crate) fn set_engines(&self, plan: &PlanIndex, records: &[Record]) {
         set_engines(&mut lock(&self.local), plan, records);
--- a/clayplankd/src/follow/following.rs
+++ b/clayplankd/src/follow/following.rs
@@ -1,5 +1,6 @@
 //! Follows the leading keeper: the plan, the upstreams, and when both were confirmed.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,7 +10,7 @@
 use clayplank_state::{
     Delta, EditError, PackError, PlanDocument, PlanEdit, decode, encode, unpack,
 };
-use clayplank_types::HostId;
+use clayplank_types::{DataCentre, HostId};
 use clayplank_wire::{FollowRequest, Followed, follow_reply};
 use tokio::sync::watch;
 
@@ -180,6 +181,9 @@
         if let Some(held_back) = delta.held_back {
             self.entry.set_held_back(held_back);
         }
+        if let Some(cordoned) = delta.cordoned {
+            self.set_cordoned(cordoned);
+        }
         let changed = self.directory.apply(changes.records);
         if is_new_plan {
             self.set_engines();
@@ -188,6 +192,8 @@
         }
         self.gate.confirm(asked_ms);
         self.entry.set_hosts(followed.entry_hosts);
+        self.link.set_hosts(followed.entry_hosts);
+        self.directory.set_hosts(followed.entry_hosts);
         self.keepers.learn(followed.keepers.iter().map(HostId::new));
         let deputy = Some(&followed.deputy).filter(|host| !host.is_empty());
         self.keepers.set_deputy(deputy.map(HostId::new));
@@ -203,6 +209,7 @@
         match self.contract.parse_plan(&document.text) {
             Ok(plan) => {
                 log::info!(target: part::SETTINGS, version = version; "A plan is in force");
+                self.directory.set_cold_starts(&plan);
                 self.gate.set_plan(PlanIndex::new(plan));
                 true
             }
@@ -213,6 +220,15 @@
         }
     }
 
+    /// Sends nothing more to upstreams of some data centres.
+    fn set_cordoned(&self, cordoned: BTreeSet<DataCentre>) {
+        let names: Vec<_> = cordoned.iter().map(DataCentre::as_str).collect();
+        log::info!(target: part::SETTINGS, cordoned = names.join(","); "Cordons are in force");
+        let plan = self.gate.plan().unwrap_or_default();
+        self.link.set_cordoned(&plan, &cordoned);
+        self.directory.set_cordoned(cordoned);
+    }
+
     fn set_engines(&self) {
         if let Some(plan) = self.gate.plan() {
             self.link.set_engines(&plan, &self.directory.records());
--- a/clayplankd/src/keepers/keeper.rs
+++ b/clayplankd/src/keepers/keeper.rs
@@ -3,13 +3,13 @@
 //! Messages change the replica; once the mailbox is empty, one write and one
 //! sync cover them all. Only then are messages sent and replies given.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use clayplank_agreement::{
     Entry, Envelope, Options, Payload, ReadId, Ready, Replica, Store, StoreError, StoredState,
 };
 use clayplank_state::{Command, Machine, PlanDocument, Reply, decode};
-use clayplank_types::HostId;
+use clayplank_types::{DataCentre, HostId};
 use tokio::sync::{mpsc, oneshot, watch};
 use xtra::Context;
 
@@ -56,6 +56,14 @@
     to: oneshot::Sender<Executed>,
 }
 
+/// What operators have put in force, as far as it is applied on a keeper.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct InForce {
+    pub(crate) plan: Option<PlanDocument>,
+    /// Data centres whose upstreams get nothing.
+    pub(crate) cordoned: BTreeSet<DataCentre>,
+}
+
 /// Somebody who waits for a leader to speak.
 pub(crate) struct PendingLeader {
     pub(crate) asked_ms: u64,
@@ -85,7 +93,7 @@
     failed: mpsc::Sender<StoreError>,
     batched: usize,
     sizing: Sizing,
-    plans: watch::Sender<Option<PlanDocument>>,
+    applied: watch::Sender<InForce>,
     led_since_ms: Option<u64>,
     log: KeeperLog,
 }
@@ -146,7 +154,7 @@
             failed,
             batched: 0,
             sizing,
-            plans: watch::Sender::new(None),
+            applied: watch::Sender::new(InForce::default()),
             led_since_ms: None,
             log: KeeperLog::default(),
         };
@@ -167,20 +175,22 @@
     pub(crate) fn load(&mut self, state: &StoredState) {
         self.machine = load_machine(&state.snapshot.data);
         self.applied_index = state.snapshot.last.index;
-        self.publish_plan();
+        self.publish_in_force();
     }
 
-    /// The plan as far as it is applied here, as it changes.
-    pub(crate) fn plans(&self) -> watch::Receiver<Option<PlanDocument>> {
-        self.plans.subscribe()
+    /// What is in force as far as it is applied here, as it changes.
+    pub(crate) fn applied(&self) -> watch::Receiver<InForce> {
+        self.applied.subscribe()
     }
 
-    fn publish_plan(&mut self) {
-        let plan = self.machine.plan();
-        self.plans.send_if_modified(|held| {
-            let is_new = held.as_ref().map(|held| held.version) != plan.map(|plan| plan.version);
+    fn publish_in_force(&mut self) {
+        let (plan, cordoned) = (self.machine.plan(), self.machine.cordoned());
+        self.applied.send_if_modified(|held| {
+            let held_version = held.plan.as_ref().map(|held| held.version);
+            let is_new =
+                held_version != plan.map(|plan| plan.version) || held.cordoned != *cordoned;
             if is_new {
-                *held = plan.cloned();
+                *held = InForce { plan: plan.cloned(), cordoned: cordoned.clone() };
             }
             is_new
         });
@@ -245,7 +255,7 @@
         for entry in &ready.committed {
             self.apply(entry);
         }
-        self.publish_plan();
+        self.publish_in_force();
         self.log.tell(self.replica.as_ref(), now_ms());
         self.note_leadership();
         self.finish_reads(&ready.reads);
--- a/clayplankd/src/process/seeded_entry.rs
+++ b/clayplankd/src/process/seeded_entry.rs
@@ -20,7 +20,7 @@
 use crate::process::inner::InnerService;
 use crate::process::seeded::{Parts, plain_text};
 
-/// Share of the time until a revoked key must be without effect for which a
+/// Share of the time until a revoked key, or a cordon, must be in effect for which a
 /// confirmation holds; the rest is for requests that are on their way.
 const LEASE_SHARE: f64 = 0.8;
 
@@ -101,7 +101,7 @@
 }
 
 fn lease_ms(bounds: &Bounds) -> u64 {
-    (bounds.revoke_ms as f64 * LEASE_SHARE) as u64
+    (bounds.revoke_ms.min(bounds.cordon_ms) as f64 * LEASE_SHARE) as u64
 }
 
 fn budget_limits(bounds: &Bounds) -> BudgetLimits {
--- a/clayplankd/src/process/seeded_keeper.rs
+++ b/clayplankd/src/process/seeded_keeper.rs
@@ -94,6 +94,7 @@
             keepers: self.keepers,
             registered,
             spread,
+            data_centres: self.settings.data_centres.clone().into(),
         };
         tokio::spawn(serve_simple(control, move |request| door.clone().answer(request)));
     }
@@ -144,12 +145,12 @@
         let options = agreement_options(self.settings.tolerated_losses);
         let keeper = Keeper::new(store, state, options, sizing, outbox, disk_failed)
             .with_may_begin(may_begin);
-        let plans = keeper.plans();
+        let applied = keeper.applied();
         let keeper = xtra::spawn_tokio(keeper, Mailbox::bounded(MAILBOX));
         tokio::spawn(run_outbox(outbox_receiver, self.peers.clone()));
         tokio::spawn(run_ticks(keeper.clone()));
         tokio::spawn(run_join(keeper.clone(), self.joining(), self.peers.clone()));
-        tokio::spawn(run_fleet(Arc::clone(&fleet), plans));
+        tokio::spawn(run_fleet(Arc::clone(&fleet), applied));
         tokio::spawn(run_engine_watch(Arc::clone(&fleet)));
         tokio::spawn(run_mirror(
             self.own.clone(),
--- /dev/null
+++ b/clayplankd/tests/seeded/cordons.rs
@@ -0,0 +1,114 @@
+//! An operator empties a data centre and takes that back.
+
+use serde_json::Value;
+
+use crate::client::call;
+use crate::failover::leader;
+use crate::host::Host;
+use crate::system::{Shape, System, wait_for};
+
+/// The data centre in which all upstreams of a test stand.
+const HALL: &str = "hall";
+
+fn cordon_path(data_centre: &str) -> String {
+    format!("/v1/cordons/{data_centre}")
+}
+
+/// Gives an order at a host until it is taken.
+fn order(host: &Host, method: &str, data_centre: &str) {
+    let path = cordon_path(data_centre);
+    wait_for("the acknowledgement of an order", || {
+        call(host.control(), method, &path, &[], "").status == 200
+    });
+}
+
+/// The data centres under a cordon, as a quorum confirms them.
+fn cordoned(host: &Host) -> Vec<String> {
+    let mut cordoned = None;
+    wait_for("a confirmed answer", || {
+        let answer = call(host.control(), "GET", "/v1/cordons", &[], "");
+        cordoned = (answer.status == 200).then(|| serde_json::from_str(&answer.text()).unwrap());
+        cordoned.is_some()
+    });
+    cordoned.unwrap()
+}
+
+/// Waits until every entry host has taken in a number of changes.
+fn wait_until_known(system: &System, changes: usize) {
+    wait_for("news of a cordon at all hosts", || {
+        let is_told = |host: &Host| host.lines("Cordons are in force").len() >= changes;
+        system.entries.iter().all(is_told)
+    });
+}
+
+fn is_refused(system: &System, entry: usize, attempt: &str) {
+    let answer = system.send(entry, attempt, "/once/x", &[]);
+    assert_eq!(answer.status, 503, "{}", answer.text());
+    assert!(answer.header("retry-after").is_some(), "it says when to come back");
+    assert_eq!(system.runs.count(attempt), 0, "not run is true");
+}
+
+#[test]
+fn nothing_goes_to_a_data_centre_under_a_cordon_until_it_is_taken_off() {
+    let system = System::start();
+    order(&system.keepers[0], "PUT", HALL);
+    order(&system.keepers[1], "PUT", HALL);
+    wait_until_known(&system, 1);
+    for entry in 0..system.entries.len() {
+        is_refused(&system, entry, &format!("emptied-{entry}"));
+    }
+    assert_eq!(cordoned(&system.keepers[2]), [HALL]);
+    order(&system.keepers[2], "DELETE", HALL);
+    wait_until_known(&system, 2);
+    for entry in 0..system.entries.len() {
+        let answer = system.send(entry, &format!("back-{entry}"), "/once/x", &[]);
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    }
+    assert!(cordoned(&system.keepers[0]).is_empty());
+    order(&system.keepers[0], "DELETE", HALL);
+}
+
+#[test]
+fn a_name_that_no_data_centre_has_is_refused_with_the_reason() {
+    let system = System::start();
+    let answer = call(system.keepers[0].control(), "PUT", &cordon_path("nowhere"), &[], "");
+    assert_eq!(answer.status, 404);
+    let told: Value = serde_json::from_str(&answer.text()).unwrap();
+    assert_eq!(told["error"], "there is no such data centre");
+    let unnamed = call(system.keepers[0].control(), "POST", &cordon_path(HALL), &[], "");
+    assert_eq!(unnamed.status, 404, "there is no such call");
+    order(&system.keepers[0], "PUT", "annex");
+    order(&system.keepers[0], "DELETE", "nowhere");
+    assert_eq!(cordoned(&system.keepers[0]), ["annex"]);
+    assert_eq!(system.send(0, "other", "/once/x", &[]).status, 200, "no upstream stands there");
+}
+
+#[test]
+fn an_acknowledged_cordon_outlives_its_leader_and_a_loss_of_all_hosts() {
+    let mut system = System::start_as(Shape { keepers: 3, entries: 2, ..Shape::default() });
+    order(&system.keepers[0], "PUT", HALL);
+    let first = leader(&system);
+    system.keepers[first].kill();
+    let other = &system.keepers[(first + 1) % 3];
+    assert_eq!(cordoned(other), [HALL]);
+    for (number, entry) in [0, 1, 0].into_iter().enumerate() {
+        is_refused(&system, entry, &format!("led-by-another-{number}"));
+    }
+    system.write_settings(false);
+    let System { keepers, entries, .. } = &mut system;
+    for host in keepers.iter_mut().chain(entries.iter_mut()) {
+        host.kill();
+        host.start();
+    }
+    for number in 0..200 {
+        let keeper = number % 3;
+        system.beat(keeper, "u1", "ready");
+        system.beat(keeper, "u2", "ready");
+        if number % 50 == 49 {
+            is_refused(&system, number % 2, &format!("after-all-{number}"));
+        }
+    }
+    assert_eq!(cordoned(&system.keepers[first]), [HALL]);
+    order(&system.keepers[first], "DELETE", HALL);
+    system.beat_until_served();
+}
--- a/clayplankd/tests/seeded/host.rs
+++ b/clayplankd/tests/seeded/host.rs
@@ -130,6 +130,7 @@
             "role": if self.part == Part::Keeper { "keeper" } else { "entry" },
             "ip": self.ip,
             "data_centre": "hall",
+            "data_centres": ["hall", "annex"],
             "listen": listen,
             "seeds": seeds,
             "is_first_start": is_first_start,
--- a/clayplankd/tests/seeded/main.rs
+++ b/clayplankd/tests/seeded/main.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod both;
 mod client;
+mod cordons;
 mod crashing;
 mod crashing_upstreams;
 mod failover;
