Idle engines are used where they abound; a prompt that is read writes

Change: the risk counts as far as the engines that write nothing are scarce beside the parts that are read; what should be read by now counts as written; a newcomer behind a read pays for a pass.

--- a/bench/src/placement.rs
+++ b/bench/src/placement.rs
@@ -8,7 +8,7 @@
 use std::ops::Range;
 
 use crate::placement_bound::{Prompt, most_earned};
-use crate::placement_requests::{LARGE, Mix, SIX_PLACES, SLOW_READERS, SMALL, draw_requests};
+use crate::placement_requests::{LARGE, Mix, SIX_PLACES, SLOW_READERS, SMALL, WIDE, draw_requests};
 use crate::placement_world::{Trouble, World};
 use crate::placement_worth::{Account, CAUSES, LONGEST_TOKENS, late_cause, settle, size_factor};
 
@@ -23,7 +23,7 @@
 pub(crate) fn run(first_seed: u64, seeds: u64, only: Option<&str>) {
     let seeds = first_seed..first_seed + seeds;
     let is_asked = |mix: &&Mix| only.is_none_or(|part| mix.name.contains(part));
-    for mix in [&SMALL, &LARGE, &SIX_PLACES, &SLOW_READERS].into_iter().filter(is_asked) {
+    for mix in [&SMALL, &LARGE, &SIX_PLACES, &SLOW_READERS, &WIDE].into_iter().filter(is_asked) {
         let names: Vec<_> = mix.kinds.iter().map(|kind| kind.name).collect();
         println!("{}:", mix.name);
         let names = names.join("  ");
--- a/bench/src/placement_requests.rs
+++ b/bench/src/placement_requests.rs
@@ -164,6 +164,9 @@
     ],
 };
 
+/// The same work on far more engines, most of which are idle.
+pub(crate) const WIDE: Mix = Mix { name: "960 engines of 10 places", engines: 960, ..LARGE };
+
 /// The same with so few places that they bind before the reading does.
 pub(crate) const SIX_PLACES: Mix = Mix {
     name: "150 engines of 6 places",
--- a/clayplank-placement/src/candidate.rs
+++ b/clayplank-placement/src/candidate.rs
@@ -3,7 +3,7 @@
 use clayplank_types::UpstreamId;
 
 use crate::ask::Ask;
-use crate::costs::{delay_harm, exposure_loss, pause_harm};
+use crate::costs::{Exposure, delay_harm, pause_harm};
 use crate::engine::Engine;
 use crate::fleet::Fleet;
 use crate::job::Queued;
@@ -106,7 +106,7 @@
 
 /// What a part of a prompt costs at an engine, if it has so many parts.
 pub(crate) fn weigh<'a>(
-    fleet: &Fleet,
+    exposure: Exposure,
     open: &Open<'a>,
     now_ms: f64,
     ask: &Ask,
@@ -121,9 +121,13 @@
         id,
         engine,
         harm: read_harm(open, now_ms, ask, part, parts > 1),
-        exposure: exposure_loss(fleet, engine, now_ms, ask),
+        exposure: exposure.loss(engine, ask),
         risk: FAILURE_LOSS * engine.health.failed_share(now_ms) * ask.weight(),
-        read_ms: engine.time_to_read_ms(until_read),
+        read_ms: if parts > 1 {
+            engine.time_to_read_ms(until_read)
+        } else {
+            engine.time_to_read_one_more_ms(until_read)
+        },
         has_slot: open.has_slot(),
         memory_free: engine.memory_free(),
     }
--- a/clayplank-placement/src/choose.rs
+++ b/clayplank-placement/src/choose.rs
@@ -3,6 +3,7 @@
 use crate::admit::is_worth_it;
 use crate::ask::{Ask, Placed};
 use crate::candidate::{Open, cold_wait_ms, open_engines};
+use crate::costs::Exposure;
 use crate::fleet::Fleet;
 use crate::hold::hold_ms;
 use crate::parts::{Way, choose_parts};
@@ -54,13 +55,14 @@
 
 /// The way to serve a prompt that loses least.
 pub(crate) fn choose_way(fleet: &Fleet, open: &[Open<'_>], now_ms: f64, ask: &Ask) -> Option<Way> {
+    let exposure = Exposure::of(fleet, open, now_ms);
     let mut best: Option<Way> = None;
     for parts in part_counts(most_parts(open, ask)) {
         let is_worth = parts == 1 || ask.prompt_tokens / parts as u64 >= MIN_PART_TOKENS;
         if !is_worth {
             break;
         }
-        let found = choose_parts(fleet, open, now_ms, ask, parts);
+        let found = choose_parts(exposure, open, now_ms, ask, parts);
         if let Some(way) = found
             && best.as_ref().is_none_or(|best| way.loss() < best.loss())
         {
--- a/clayplank-placement/src/costs.rs
+++ b/clayplank-placement/src/costs.rs
@@ -1,6 +1,7 @@
 //! What requests lose: a prompt by its own wait, and others by what it does to them.
 
 use crate::ask::Ask;
+use crate::candidate::Open;
 use crate::engine::Engine;
 use crate::fleet::Fleet;
 use crate::job::{JobKind, Queued};
@@ -25,6 +26,10 @@
 /// pause would harm too, it is spared with them.
 const EXPOSURE_LOSS: f64 = 0.5;
 
+/// Parts of split prompts that an engine may be given while one stream is written, for each that is read
+/// at a time: streams last for about two of them.
+const PARTS_PER_STREAM: f64 = 2.0;
+
 /// What a delay of others counts, as a multiple of what they lose by it: prompts that come
 /// later will delay them as well. From the policy bench: of 1, 1.5 and 2.5 the best at the
 /// worst windows.
@@ -70,12 +75,29 @@
     late + WAIT_LOSS * goals.clamp(0.0, MAX_WAIT_GOALS)
 }
 
-/// What a stream risks on an engine where few others keep split prompts away.
-pub(crate) fn exposure_loss(fleet: &Fleet, engine: &Engine, now_ms: f64, ask: &Ask) -> f64 {
-    let written = engine.jobs.iter().filter(|job| job.kind == JobKind::Primary);
-    let as_tight = written.filter(|job| job.pause_goal_ms <= ask.pause_goal_ms);
-    let kept_by: f64 = as_tight.map(|job| job.weight).sum();
-    EXPOSURE_LOSS * fleet.split_load(now_ms) * ask.weight() / (1.0 + kept_by)
+/// What a stream of weight 1 risks where it is written alone; worked out once for a prompt.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Exposure(f64);
+
+impl Exposure {
+    /// Split prompts go to engines on which nothing is written, as long as there are enough: streams are
+    /// at risk as far as these are scarce. Where they abound, a short prompt that is sent to an engine
+    /// with streams, to spare one without, only waits for their pass.
+    pub(crate) fn of(fleet: &Fleet, open: &[Open<'_>], now_ms: f64) -> Self {
+        let split_load = fleet.split_load(now_ms);
+        let read = PARTS_PER_STREAM * split_load * open.len() as f64;
+        let idle = open.iter().filter(|one| one.engine.primaries() == 0).count();
+        let scarcity = (read / idle.max(1) as f64).min(1.0);
+        Self(EXPOSURE_LOSS * split_load * scarcity)
+    }
+
+    /// What a stream risks on an engine where few others keep split prompts away.
+    pub(crate) fn loss(self, engine: &Engine, ask: &Ask) -> f64 {
+        let written = engine.jobs.iter().filter(|job| job.kind == JobKind::Primary);
+        let as_tight = written.filter(|job| job.pause_goal_ms <= ask.pause_goal_ms);
+        let kept_by: f64 = as_tight.map(|job| job.weight).sum();
+        self.0 * ask.weight() / (1.0 + kept_by)
+    }
 }
 
 /// What the prompt itself loses by a first token after this time.
--- a/clayplank-placement/src/engine.rs
+++ b/clayplank-placement/src/engine.rs
@@ -105,9 +105,10 @@
         tokens as f64 / f64::from(self.spec.model.steps_per_event) * self.pass_ms()
     }
 
-    /// Whether streams are written here.
+    /// Whether streams are written here: as soon as a prompt should be read, and not only once its first
+    /// token was told. What is sent meanwhile waits for the passes of that stream.
     fn is_writing(&self) -> bool {
-        self.jobs.iter().any(|job| job.kind == JobKind::Primary && !job.is_reading)
+        self.jobs.iter().any(|job| job.kind == JobKind::Primary && !job.is_queued())
     }
 
     /// Reads that come before a new one: a part of a split prompt goes before all others.
@@ -130,8 +131,18 @@
 
     /// Time to read what is queued: each pass also plays the steps of what is written.
     pub(crate) fn time_to_read_ms(&self, queued: Queued) -> f64 {
-        if !self.is_writing() || queued.read_ms <= 0.0 {
-            return queued.read_ms;
+        if self.is_writing() { self.read_beside_streams_ms(queued) } else { queued.read_ms }
+    }
+
+    /// Time until one more prompt is read after all that waits: whatever is read before it is written by
+    /// then, and plays its steps in the passes that read the new one.
+    pub(crate) fn time_to_read_one_more_ms(&self, queued: Queued) -> f64 {
+        if self.primaries() > 0 { self.read_beside_streams_ms(queued) } else { queued.read_ms }
+    }
+
+    fn read_beside_streams_ms(&self, queued: Queued) -> f64 {
+        if queued.read_ms <= 0.0 {
+            return 0.0;
         }
         let passes = (queued.tokens / self.spec.model.pass_read_tokens() as f64).ceil();
         queued.read_ms + passes.max(1.0) * self.pass_ms()
--- a/clayplank-placement/src/parts.rs
+++ b/clayplank-placement/src/parts.rs
@@ -2,8 +2,7 @@
 
 use crate::ask::{Ask, Assignment, Part};
 use crate::candidate::{Candidate, Open, weigh};
-use crate::costs::own_loss;
-use crate::fleet::Fleet;
+use crate::costs::{Exposure, own_loss};
 
 /// Loss for each further engine that reads, so that small gains take no more engines.
 const PART_LOSS: f64 = 0.01;
@@ -27,14 +26,14 @@
 
 /// The way with a number of parts that loses least.
 pub(crate) fn choose_parts(
-    fleet: &Fleet,
+    exposure: Exposure,
     open: &[Open<'_>],
     now_ms: f64,
     ask: &Ask,
     parts: usize,
 ) -> Option<Way> {
     let mut candidates: Vec<_> =
-        open.iter().map(|one| weigh(fleet, one, now_ms, ask, parts)).collect();
+        open.iter().map(|one| weigh(exposure, one, now_ms, ask, parts)).collect();
     candidates.retain(|one| one.has_slot || one.engine.helped() < one.max_helped());
     let is_whole = parts == 1;
     let score = |one: &Candidate<'_>| {
