--- a/clayplank-forward/src/admit.rs
+++ b/clayplank-forward/src/admit.rs
@@ -3,20 +3,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use clayplank_clock::Instant;
 use clayplank_routes::{PlanIndex, Route};
 use clayplank_types::{RequestFingerprint, RequestIdentity};
 use http::request::Parts;
 use http::uri::PathAndQuery;
 use http::{Request, Response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 use crate::call::Call;
 use crate::clock::{millis, now_ms};
 use crate::entry::Entry;
 use crate::facts::RequestFacts;
+use crate::held_bytes::Held;
 use crate::refusal::{AnswerBody, Refusal};
 use crate::suspicion::Passage;
 
@@ -30,6 +31,10 @@
 /// leader within about this time.
 const FIRST_PLAN_WAIT: Duration = Duration::from_millis(800);
 
+/// When to come back if this host holds as much as it may, in ms: others are done with by then, and
+/// the balancer may choose another host.
+const HELD_RETRY_MS: u64 = 500;
+
 /// When to come back if this host is stopping, in ms: the balancer sends the caller to another.
 const CLOSED_RETRY_MS: u64 = 50;
 
@@ -76,7 +81,11 @@
         self.gate.wait_for_first_plan(FIRST_PLAN_WAIT).await;
         let no_plan = Refusal::NoPlan { retry_after_ms: NO_PLAN_RETRY_MS };
         let limits = self.gate.plan().ok_or(no_plan)?.plan().limits.clone();
-        let body = read_body(body, limits.max_body_bytes, millis(limits.read_timeout_ms)).await?;
+        let patience = millis(limits.read_timeout_ms);
+        let mut held = Held::default();
+        let read = self.read_body(body, limits.max_body_bytes as usize, &mut held);
+        let read = clayplank_clock::timeout(patience, read).await;
+        let body = read.map_err(|_| Refusal::TooSlow)??;
         // The plan counts that is in force once the request is whole.
         let plan = self.gate.plan().ok_or(no_plan)?;
         if !self.gate.is_confirmed() {
@@ -100,6 +109,7 @@
             fingerprint,
             head,
             body,
+            _held: held,
             route,
             service,
             is_engine,
@@ -117,6 +127,30 @@
         })
     }
 
+    /// Reads a whole body, up to a limit, and counts it.
+    async fn read_body(
+        &self,
+        mut body: Incoming,
+        max_bytes: usize,
+        held: &mut Held,
+    ) -> Result<Bytes, Refusal> {
+        let mut read = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| Refusal::Malformed)?;
+            let Some(bytes) = frame.data_ref() else {
+                continue;
+            };
+            if read.len() + bytes.len() > max_bytes {
+                return Err(Refusal::TooLarge);
+            }
+            if !self.held_bytes.try_hold(held, bytes.len()) {
+                return Err(Refusal::NotRun { retry_after_ms: HELD_RETRY_MS });
+            }
+            read.extend_from_slice(bytes);
+        }
+        Ok(read.freeze())
+    }
+
     /// Refuses a request that is held back, unless this host may try it; returns whether it does.
     async fn let_in(
         &self,
@@ -171,14 +205,3 @@
     let account = plan.find_account(key).ok_or(Refusal::NoAccount)?;
     Ok((Some(account.name.clone()), account.rank.unwrap_or(route.rank)))
 }
-
-/// Reads a whole body, in time and up to a limit.
-async fn read_body(body: Incoming, max_bytes: u64, patience: Duration) -> Result<Bytes, Refusal> {
-    let limited = Limited::new(body, max_bytes as usize);
-    match clayplank_clock::timeout(patience, limited.collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::TooLarge),
-        Ok(Err(_)) => Err(Refusal::Malformed),
-        Err(_) => Err(Refusal::TooSlow),
-    }
-}
--- a/clayplank-forward/src/call.rs
+++ b/clayplank-forward/src/call.rs
@@ -13,6 +13,7 @@
 use crate::clock::{millis, now_ms};
 use crate::entry::Entry;
 use crate::facts::RequestFacts;
+use crate::held_bytes::Held;
 use crate::refusal::{AnswerBody, Refusal};
 
 /// Connections that may fail, beyond the first, before a request is given up.
@@ -40,6 +41,8 @@
     pub(crate) fingerprint: RequestFingerprint,
     pub(crate) head: Parts,
     pub(crate) body: Bytes,
+    /// The body counts in what this host holds.
+    pub(crate) _held: Held,
     pub(crate) route: Route,
     pub(crate) service: String,
     pub(crate) is_engine: bool,
--- a/clayplank-forward/src/entry.rs
+++ b/clayplank-forward/src/entry.rs
@@ -9,6 +9,7 @@
 use crate::ends::Ends;
 use crate::figures::Figures;
 use crate::gate::Gate;
+use crate::held_bytes::HeldBytes;
 use crate::names::HeaderNames;
 use crate::placer::Placer;
 use crate::reserve::OrderFormat;
@@ -18,10 +19,15 @@
 /// descriptor and some memory.
 const MAX_CONNECTIONS: usize = 2_000;
 
+/// Bytes of requests and answers that are held at once unless the builder says otherwise.
+const MAX_HELD_BYTES: usize = 48 << 20;
+
 /// What an entry host needs to forward requests.
 pub struct Entry {
     /// Connections of callers that are open at once.
     pub(crate) max_connections: usize,
+    /// Bytes of requests and answers.
+    pub(crate) held_bytes: HeldBytes,
     pub(crate) names: HeaderNames,
     pub(crate) gate: Arc<Gate>,
     pub(crate) directory: Arc<Directory>,
@@ -52,6 +58,7 @@
     data_centre: DataCentre,
     judge: Option<Arc<dyn Judge>>,
     max_connections: Option<usize>,
+    max_held_bytes: Option<usize>,
 }
 
 impl std::fmt::Debug for EntryBuilder {
@@ -97,6 +104,12 @@
         self
     }
 
+    /// Sets how many bytes of requests and answers are held at once, for all callers and upstreams.
+    pub fn max_held_bytes(mut self, max_held_bytes: usize) -> Self {
+        self.max_held_bytes = Some(max_held_bytes);
+        self
+    }
+
     /// Builds it.
     pub fn build(
         self,
@@ -107,6 +120,7 @@
         let budget = self.budget.unwrap_or_else(|| RetryBudget::new(Default::default()));
         Entry {
             max_connections: self.max_connections.unwrap_or(MAX_CONNECTIONS),
+            held_bytes: HeldBytes::new(self.max_held_bytes.unwrap_or(MAX_HELD_BYTES)),
             names: self.names,
             gate,
             directory,
@@ -144,6 +158,10 @@
     /// All figures in the Prometheus text format.
     pub fn to_text(&self) -> String {
         let held_back = self.suspicion.count();
-        format!("{}clayplank_entry_held_back {held_back}\n", self.figures.to_text())
+        let held_bytes = self.held_bytes.count();
+        format!(
+            "{}clayplank_entry_held_back {held_back}\nclayplank_entry_held_bytes {held_bytes}\n",
+            self.figures.to_text()
+        )
     }
 }
--- a/clayplank-forward/src/events.rs
+++ b/clayplank-forward/src/events.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// Bytes that are held of an event that is not whole.
+    pub fn held_bytes(&self) -> usize {
+        self.held.len()
+    }
+
     /// Whether bytes of an event are held that is not whole.
     pub fn is_mid_event(&self) -> bool {
         !self.held.is_empty()
--- a/clayplank-forward/src/plain.rs
+++ b/clayplank-forward/src/plain.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use clayplank_clock::Instant;
 use clayplank_types::UpstreamId;
 use http::Response;
 use http::response::Parts;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 use crate::attempt::{Attempt, BUSY_RETRY_MS};
@@ -16,8 +16,9 @@
 use crate::clock::millis;
 use crate::gate::ProgressGuard;
 use crate::headers::strip_hop_by_hop;
+use crate::held_bytes::{Held, HeldBody, HeldBytes};
 use crate::load::Outcome;
-use crate::refusal::{AnswerBody, Refusal, full};
+use crate::refusal::{AnswerBody, Refusal};
 
 /// The largest answer that is held, in bytes; callers' requests are no larger either.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -49,6 +50,7 @@
     upstream: UpstreamId,
     head: Parts,
     bytes: Bytes,
+    held: Held,
 }
 
 /// What one attempt brought.
@@ -100,7 +102,7 @@
             Attempt::Lost => return Tried::Lost,
         };
     let (head, body) = response.into_parts();
-    let read = clayplank_clock::timeout(patience, read_whole(body)).await;
+    let read = clayplank_clock::timeout(patience, read_whole(body, &call.entry.held_bytes)).await;
     drop(connection);
     let is_good = matches!(read, Ok(Some(_))) && !head.status.is_server_error();
     load.note_outcome(match &read {
@@ -114,8 +116,8 @@
         Ok(None) | Err(_) => call.note_break(&upstream),
     }
     match read {
-        Ok(Some(bytes)) if is_good => Tried::Good(Whole { upstream, head, bytes }),
-        Ok(Some(bytes)) => Tried::Bad(Whole { upstream, head, bytes }),
+        Ok(Some((bytes, held))) if is_good => Tried::Good(Whole { upstream, head, bytes, held }),
+        Ok(Some((bytes, held))) => Tried::Bad(Whole { upstream, head, bytes, held }),
         Ok(None) | Err(_) => Tried::Lost,
     }
 }
@@ -127,19 +129,34 @@
     if is_last { left } else { left.min(millis(call.route.goal_ms * PATIENCE_GOALS)) }
 }
 
-/// The whole body, or `None` if it broke off.
-async fn read_whole(body: Incoming) -> Option<Bytes> {
-    match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
-        Ok(collected) => Some(collected.to_bytes()),
-        Err(error) => {
-            log::info!(target: "forward", "An answer was not whole: {error}.");
-            None
+/// The whole body, or `None` if it broke off or is too large. While this host holds as much as it may, the
+/// upstream is held up.
+async fn read_whole(mut body: Incoming, held_bytes: &HeldBytes) -> Option<(Bytes, Held)> {
+    let mut read = BytesMut::new();
+    let mut held = Held::default();
+    while let Some(frame) = body.frame().await {
+        let frame = match frame {
+            Ok(frame) => frame,
+            Err(error) => {
+                log::info!(target: "forward", "An answer was not whole: {error}.");
+                return None;
+            }
+        };
+        let Some(bytes) = frame.data_ref() else {
+            continue;
+        };
+        if read.len() + bytes.len() > MAX_ANSWER_BYTES {
+            log::info!(target: "forward", "An answer is larger than {MAX_ANSWER_BYTES} bytes.");
+            return None;
         }
+        held_bytes.hold(&mut held, bytes.len()).await;
+        read.extend_from_slice(bytes);
     }
+    Some((read.freeze(), held))
 }
 
 fn finish(call: &Call, answer: Whole) -> Response<AnswerBody> {
-    let Whole { upstream, mut head, bytes } = answer;
+    let Whole { upstream, mut head, bytes, held } = answer;
     strip_hop_by_hop(&mut head.headers);
     log::info!(target: "forward",
         request = call.facts.attempt_id, route = call.route.name, upstream = upstream.as_str(),
@@ -148,5 +165,5 @@
         "Answered");
     call.entry.figures.count(&call.route.name, "answered");
     call.entry.figures.record_first_byte(&call.route.name, call.waited_ms());
-    Response::from_parts(head, full(bytes))
+    Response::from_parts(head, HeldBody::new(bytes, held).boxed_unsync())
 }
--- a/clayplank-forward/src/pump.rs
+++ b/clayplank-forward/src/pump.rs
@@ -2,15 +2,13 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use clayplank_clock::Instant;
-use tokio::sync::mpsc;
 
 use crate::call::Call;
 use crate::clock::millis;
 use crate::events::StreamEvent;
 use crate::opening::{Begun, NotResumed, Timing, log_broken, open_elsewhere};
-use crate::refusal::BrokenOff;
+use crate::outlet::Outlet;
 use crate::source::{Next, Source};
 
 /// Silence between events after which a stream is resumed elsewhere: this many pause goals,
@@ -25,7 +23,7 @@
 /// Moves events from upstreams to a caller.
 pub(crate) struct Pump {
     call: Call,
-    sender: mpsc::Sender<Result<Bytes, BrokenOff>>,
+    outlet: Outlet,
     source: Source,
     last_event_id: Option<u64>,
     timing: Timing,
@@ -55,16 +53,11 @@
 
 impl Pump {
     /// A stream to a caller that has begun at an upstream.
-    pub(crate) fn new(
-        call: Call,
-        sender: mpsc::Sender<Result<Bytes, BrokenOff>>,
-        source: Source,
-        timing: Timing,
-    ) -> Self {
+    pub(crate) fn new(call: Call, outlet: Outlet, source: Source, timing: Timing) -> Self {
         Self {
             last_event_id: call.facts.last_event_id,
             call,
-            sender,
+            outlet,
             source,
             timing,
             sent_at: Instant::now(),
@@ -75,16 +68,14 @@
     /// Passes events on to the end of the stream, however it ends.
     pub(crate) async fn run(mut self, first: Option<StreamEvent>) {
         let deadline = self.call.deadline;
-        let sender = self.sender.clone();
+        let outlet = self.outlet.clone();
         let end = tokio::select! {
             end = self.pass_on(first) => end,
-            () = sender.closed() => StreamEnd::CallerLeft,
+            () = outlet.closed() => StreamEnd::CallerLeft,
             () = clayplank_clock::sleep_until(deadline) => StreamEnd::TimedOut,
         };
         match end {
-            StreamEnd::Broken | StreamEnd::TimedOut => {
-                sender.send(Err(BrokenOff)).await.ok();
-            }
+            StreamEnd::Broken | StreamEnd::TimedOut => outlet.break_off().await,
             StreamEnd::Whole | StreamEnd::CallerLeft => {}
         }
         if matches!(end, StreamEnd::Whole) {
@@ -188,7 +179,7 @@
         self.longest_pause = self.longest_pause.max(self.sent_at.elapsed());
         self.sent_at = Instant::now();
         self.call.waits_since = Some(self.sent_at);
-        self.sender.send(Ok(event.bytes)).await.is_ok()
+        self.outlet.send(event.bytes).await
     }
 
     /// Goes on at another upstream after the last event.
--- a/clayplank-forward/src/source.rs
+++ b/clayplank-forward/src/source.rs
@@ -10,6 +10,9 @@
 use crate::exchange::Connection;
 use crate::load::{LoadGuard, Outcome};
 
+/// The largest event that is held until it is whole, in bytes.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
 /// What an upstream's stream brings next.
 pub(crate) enum Next {
     Event(StreamEvent),
@@ -54,6 +57,9 @@
                 Ok(Some(Ok(frame))) => {
                     if let Some(bytes) = frame.data_ref() {
                         self.splitter.push(bytes);
+                        if self.splitter.held_bytes() > MAX_EVENT_BYTES {
+                            return Next::Broken("an event is too large");
+                        }
                     }
                 }
                 Ok(None) if self.splitter.is_mid_event() => {
--- a/clayplank-forward/src/stream.rs
+++ b/clayplank-forward/src/stream.rs
@@ -12,13 +12,18 @@
 use crate::call::Call;
 use crate::gate::ProgressGuard;
 use crate::headers::strip_hop_by_hop;
+use crate::held_bytes::HeldBytes;
 use crate::opening::{Begun, Opened, open};
+use crate::outlet::{Outlet, QueuedEvent};
 use crate::pump::Pump;
 use crate::refusal::{AnswerBody, BrokenOff, Refusal};
 
 /// Events that wait for a caller that reads slowly; more hold the upstream up.
 const QUEUED_EVENTS: usize = 64;
 
+/// The same in bytes, which binds where events are large.
+const QUEUED_BYTES: usize = 256 << 10;
+
 /// Runs a request until its first event; the rest follows beside the answer.
 pub(crate) async fn run(mut call: Call, guard: ProgressGuard) -> Response<AnswerBody> {
     let opened = clayplank_clock::timeout_at(call.deadline, open(&mut call)).await;
@@ -40,7 +45,8 @@
     strip_hop_by_hop(&mut head.headers);
     call.entry.figures.record_first_byte(&call.route.name, call.waited_ms());
     let (sender, receiver) = mpsc::channel(QUEUED_EVENTS);
-    let pump = Pump::new(call, sender, source, timing);
+    let queue = HeldBytes::new(QUEUED_BYTES);
+    let pump = Pump::new(call, Outlet { sender, queue }, source, timing);
     tokio::spawn(async move {
         pump.run(first).await;
         drop(guard);
@@ -50,7 +56,7 @@
 
 /// A body of events; ends with an error if the stream was broken off.
 struct EventBody {
-    receiver: mpsc::Receiver<Result<Bytes, BrokenOff>>,
+    receiver: mpsc::Receiver<Result<QueuedEvent, BrokenOff>>,
 }
 
 impl Body for EventBody {
@@ -61,6 +67,7 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
-        self.receiver.poll_recv(context).map(|next| next.map(|event| event.map(Frame::data)))
+        let next = self.receiver.poll_recv(context);
+        next.map(|next| next.map(|event| event.map(|queued| Frame::data(queued.bytes))))
     }
 }
--- a/clayplank-forward/tests/entry/harness.rs
+++ b/clayplank-forward/tests/entry/harness.rs
@@ -95,14 +95,25 @@
         directory: Arc<Directory>,
         placer: Arc<dyn Placer>,
     ) -> Self {
-        let gate = Arc::new(Gate::new(60_000));
-        gate.set_plan(PlanIndex::new(ServingPlan {
+        let plan = ServingPlan {
             version: 1,
             routes: vec![route],
             services: vec![service],
             accounts: Vec::new(),
             limits: CallerLimits::default(),
-        }));
+        };
+        Self::start_with_plan(builder, plan, directory, placer).await
+    }
+
+    /// The same with a whole plan.
+    pub async fn start_with_plan(
+        builder: EntryBuilder,
+        plan: ServingPlan,
+        directory: Arc<Directory>,
+        placer: Arc<dyn Placer>,
+    ) -> Self {
+        let gate = Arc::new(Gate::new(60_000));
+        gate.set_plan(PlanIndex::new(plan));
         gate.confirm(now_ms());
         let entry = Arc::new(builder.build(Arc::clone(&gate), directory, placer));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/clayplank-forward/tests/entry/main.rs
+++ b/clayplank-forward/tests/entry/main.rs
@@ -7,4 +7,5 @@
 mod harness;
 mod held_back;
 mod late_orders;
+mod slow_readers;
 mod suspended;
