--- a/clayplank-forward/src/choice.rs
+++ b/clayplank-forward/src/choice.rs
@@ -59,9 +59,7 @@
         Ok(Chosen { record, helpers: String::new(), expected_ms: 0.0, load })
     }
 
-    /// A request that cannot be served in time is told so at once: of those that were held
-    /// for a fifth of their goal first, no more were served (mean worth 0.630 with the wait
-    /// and 0.632 without, 20 days). What is held asks again; it is told so only where it is expected in
+    /// A request that cannot be served in time is told so at once. What is held asks again; it is told so only where it is expected in
     /// time.
     async fn choose_engine(&self) -> Result<Chosen, Refusal> {
         let mut held_ms = 0;
--- a/clayplank-placement/src/admit.rs
+++ b/clayplank-placement/src/admit.rs
@@ -29,9 +29,7 @@
 /// What a place that is held for the usual time is worth when all are taken, as a share of the
 /// weight of a request without a prompt. One that is late earns a quarter of its weight and gives
 /// way where about half of this is asked; one in time is let in unless it holds its place for
-/// twice the usual time. On 150 simulated engines of six places, at loads of 1.0, 1.2 and 1.4,
-/// 0.818, 0.673 and 0.581 of all worth is earned with it, 0.805, 0.656 and 0.566 with 0.5, and
-/// 0.765, 0.605 and 0.507 without (8 seeds).
+/// twice the usual time.
 const HELD_PLACE_VALUE: f64 = 0.7;
 
 /// A prompt that comes back, and is still in time, counts this many times.
@@ -45,9 +43,7 @@
 const PRESSURE_FREE_SHARE: f64 = 0.25;
 
 /// Whether a prompt should run now. A stream that has begun goes on wherever its next event comes
-/// before its caller gives up; beyond that, reading it anew helps nobody. After a crash of seven
-/// of eight engines the last one was given 9.5 s to read for 25 streams that had all given up
-/// before (a day on 22 hosts).
+/// before its caller gives up; beyond that, reading it anew helps nobody.
 pub(crate) fn is_worth_it(fleet: &Fleet, open: &[Open<'_>], ask: &Ask, way: &Way) -> bool {
     if ask.has_begun {
         return way.assignment.first_token_ms < ask.limit_ms.max(RESUME_MIN_MS);
@@ -64,9 +60,7 @@
 /// How late a first token may be expected. One that comes back in time is worth more
 /// than one that is late now, and leaves the engines to those that are still in time.
 ///
-/// A prompt that is late already gains nothing by coming back. After a loss of power of all hosts,
-/// those that had waited for their host's first plan were refused, 160 short ones within half a
-/// second, beside 133 engines with 3 to 200 of 1,330 places taken (a day on 300 hosts).
+/// A prompt that is late already gains nothing by coming back.
 fn longest_wait_ms(ask: &Ask) -> f64 {
     if ask.is_returning || ask.is_late() {
         ask.limit_ms
@@ -81,9 +75,7 @@
 /// costs its caller more.
 ///
 /// Where time or places are scarce, what others lose by it counts against it too: on a busy
-/// fleet a long prompt that pauses a dozen streams earns little more than it takes. Over 20
-/// seeds of simulated prompts it gains 0.017 of their worth at a load of 1.4 and 0.003 at 1.2,
-/// and costs 0.001 at 1.0; with the harm in full at any load it would cost 0.009 there.
+/// fleet a long prompt that pauses a dozen streams earns little more than it takes.
 fn is_worth_its_time(open: &[Open<'_>], pressure: Pressure, ask: &Ask, way: &Way) -> bool {
     let Some(first) = open.first() else {
         return true;
@@ -98,10 +90,8 @@
 
 /// Whether an answer is worth the place that it holds. Here the goal counts from its caller's
 /// first try: where places bind, one that came back, and is late, holds the place of one that is
-/// still in time. Of 64,300 short prompts on 150 simulated engines of six places, 51,400 are in time;
-/// 40,600 were with a goal that began anew and no price of places (load 1.0, 8 seeds). Where reading
-/// binds it counts anew: with the first try there too, mean worth on a deployment of 12 hosts fell from
-/// 0.659 to 0.631 (20 days), since long prompts were refused twice.
+/// still in time. Where reading binds it counts anew: long prompts would be refused
+/// twice else.
 fn is_worth_its_place(
     fleet: &Fleet,
     open: &[Open<'_>],
--- a/clayplank-placement/src/candidate.rs
+++ b/clayplank-placement/src/candidate.rs
@@ -21,8 +21,7 @@
 /// What a prompt loses where its engine fails it, as a share of its weight: it is sent once more,
 /// and mostly late. Counted by the share of its requests that the engine fails: an engine that loses two
 /// answers of five serves one between two losses, so that failures in a row alone say little of
-/// it. Of 600 simulated short prompts beside 36 of 60 engines that lose two answers of five, 222 to 243
-/// met a loss without it, 51 to 62 do with it, and 36 have to (5 seeds, `tests/lossy.rs`).
+/// it.
 const FAILURE_LOSS: f64 = 0.75;
 
 /// An engine that takes new work.
@@ -41,9 +40,7 @@
 }
 
 /// Engines that take the prompt, each with what chance adds to its cost. One that cannot be
-/// reached is none of them, so that it stands in no count of places either: six dead engines of 13
-/// drew 160 attempts in three seconds while they only cost more than others, and 50 prompts were
-/// refused beside 46 free places (a day on 22 hosts).
+/// reached is none of them, so that it stands in no count of places either.
 pub(crate) fn open_engines<'a>(fleet: &'a Fleet, now_ms: f64, ask: &Ask) -> Vec<Open<'a>> {
     usable_engines(fleet, ask)
         .filter(|(id, engine)| engine.cold.wait_ms(now_ms, id, &fleet.sender) == 0.0)
@@ -78,9 +75,8 @@
     /// What it risks to write the answer here.
     pub(crate) exposure: f64,
     /// What the prompt loses, as far as can be told, because the engine fails requests that it is sent.
-    /// Engines that only help to read are not judged by it: with this for each part, long prompts
-    /// were kept off engines that had lost one answer, and mean worth of 20 days on 90 hosts fell from
-    /// 0.768 to 0.743.
+    /// Engines that only help to read are not judged by it: long prompts would
+    /// be kept off engines that lost one answer.
     pub(crate) risk: f64,
     /// When the part is read, from now.
     pub(crate) read_ms: f64,
--- a/clayplank-placement/src/choose.rs
+++ b/clayplank-placement/src/choose.rs
@@ -16,9 +16,7 @@
 const MAX_PARTS: usize = 17;
 
 /// One prompt is read by no more than this share of the engines: prompts that come meanwhile wait
-/// behind its parts, and eight idle engines would read one of a million tokens for 6.3 s each. On 18
-/// simulated engines, at loads of 1.0, 1.2 and 1.4, 0.915, 0.879 and 0.845 of all worth is earned
-/// with it, 0.911, 0.876 and 0.842 without, and 0.910, 0.878 and 0.843 with a half (16 seeds).
+/// behind its parts.
 const MAX_ENGINES_SHARE: f64 = 0.75;
 
 /// A part below this is not worth another engine, in tokens: each part costs a pass.
--- a/clayplank-placement/src/costs.rs
+++ b/clayplank-placement/src/costs.rs
@@ -31,8 +31,7 @@
 const PARTS_PER_STREAM: f64 = 2.0;
 
 /// What a delay of others counts, as a multiple of what they lose by it: prompts that come
-/// later will delay them as well. From the policy bench: of 1, 1.5 and 2.5 the best at the
-/// worst windows.
+/// later will delay them as well.
 const PREEMPTED_FACTOR: f64 = 1.5;
 
 /// What streams on the engine lose by the pause while it reads.
--- a/clayplank-placement/src/hold.rs
+++ b/clayplank-placement/src/hold.rs
@@ -13,32 +13,27 @@
 use crate::parts::Way;
 
 /// Prompts that are read sooner than this, in ms, by one engine are not held: they wait in its queue.
-/// With 6,000 or 100,000 tokens as the least in place of about 24,000, 0.934 and 0.932 of the worth of simulated
-/// prompts on 60 engines are earned in place of 0.934 (load 1.0, 16 seeds; as all figures here without a
-/// longest time, unless one is told).
 const LEAST_READ_MS: f64 = 150.0;
 
-/// A prompt that costs others less than this share of its weight goes at once. 0.938 is earned with 0.03,
-/// with more holds, and 0.932 with 0.3.
+/// A prompt that costs others less than this share of its weight goes at once.
 const LEAST_HARM_SHARE: f64 = 0.1;
 
 /// How far ahead the engines are looked at, in ms: about a pass of reading. At 400 ms held prompts wait for
-/// each other, and engines stand idle meanwhile: 0.926 is earned, for an eighth of the goal at most.
+/// each other, and engines stand idle meanwhile.
 const LOOK_AHEAD_MS: f64 = 200.0;
 
 /// Between two looks, in ms.
 const LOOK_EVERY_MS: u64 = 50;
 
 /// What is held is expected to be read within this share of what is left of its goal, so that what
-/// comes meanwhile makes it late only now and then. 0.931 is earned with 0.6, 0.932 with 1.
+/// comes meanwhile makes it late only now and then.
 const SAFE_SHARE: f64 = 0.8;
 
 /// What a look ahead has to gain at least, as a share of the weight: who waits for every small gain
-/// waits for ever, since others come. 0.849 is earned with none and no longest time, 0.933 with 0.05.
+/// waits for ever, since others come.
 const LEAST_GAIN_SHARE: f64 = 0.02;
 
 /// The longest that a prompt is held, as a share of its goal: callers who are refused then have lost that time.
-/// 0.931 to 0.934 is earned with an eighth, 0.933 with a quarter and 0.934 with a half; 0.929 without holds.
 const LONGEST_SHARE: f64 = 0.125;
 
 /// After how long, in ms, the host of a prompt should ask again, if that is better than what can be done
--- a/clayplank-placement/src/reach.rs
+++ b/clayplank-placement/src/reach.rs
@@ -5,8 +5,7 @@
 const FIRST_QUESTION_MS: f64 = 200.0;
 
 /// Between the first two questions, and between all others, in ms: an engine that is away for
-/// seconds is found within half a second of its return. With pauses of up to a second, seven engines
-/// of ten were found 0.1 to 1.0 s after it (a day on 22 hosts).
+/// seconds is found within half a second of its return.
 const QUESTION_PAUSE_MS: f64 = 300.0;
 const QUESTION_PAUSE_MAX_MS: f64 = 400.0;
 
--- a/clayplank-placement/src/retry.rs
+++ b/clayplank-placement/src/retry.rs
@@ -26,9 +26,7 @@
 }
 
 /// When a late prompt should come back that found no place: once places are held by others than
-/// now. One that comes back sooner mostly meets the same prompts again: with the least time in its
-/// stead, 24,348 in place of 21,070 were refused twice on 150 simulated engines of six places at a
-/// load of 1.4 (8 seeds), and the two worst windows earned 0.343 in place of 0.383.
+/// now. One that comes back sooner mostly meets the same prompts again.
 pub(crate) fn next_turn(fleet: &Fleet, ask: &Ask, least_ms: f64) -> u64 {
     let held_ms = fleet.usual_hold_ms(ask).unwrap_or(RETRY_MIN_MS);
     held_ms.max(least_ms).clamp(RETRY_MIN_MS, RETRY_MAX_MS) as u64
--- a/clayplank-registry/src/registry.rs
+++ b/clayplank-registry/src/registry.rs
@@ -24,8 +24,7 @@
 
 /// Records in one answer, some 56 kB before they are packed. Hosts that start all at once have to be
 /// answered within the time that they wait, also where the lists for all of them fill the leader's
-/// link for seconds: with 2,999 upstreams whole, 295 hosts asked for theirs again and again, and no
-/// plan was read back (a sweep at 300 hosts).
+/// link for seconds.
 const PAGE_RECORDS: usize = 1_024;
 
 /// What is known of one upstream.
--- a/clayplankd/src/fleet/fleet_keeper.rs
+++ b/clayplankd/src/fleet/fleet_keeper.rs
@@ -349,8 +349,7 @@
     }
 
     /// What a follower lacks that knows a registry up to a cursor. One that followed another
-    /// registry tells a digest of what it knows, and only what differs crosses, both ways: at 295
-    /// hosts and 3,000 upstreams, all records each way were some 130 MB after a change of leader.
+    /// registry tells a digest of what it knows, and only what differs crosses, both ways.
     ///
     /// # Errors
     /// The news cannot be packed.
--- a/clayplankd/src/fleet/mirror.rs
+++ b/clayplankd/src/fleet/mirror.rs
@@ -1,9 +1,7 @@
 //! Passes placements and what became of them on to the keeper that places next.
 //!
 //! The leader tells its deputy, which the hosts ask as soon as the leader is silent. Once another
-//! keeper leads, whoever holds placements hands them over. At 295 hosts before 150 engines, 0.055 of
-//! the prompts of a second are late if a deputy places them that knows all but the last 25 ms, 0.034
-//! with the leader, and 0.369 if each host chooses alone (test of failovers in clayplank-placement).
+//! keeper leads, whoever holds placements hands them over.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -23,8 +21,7 @@
 use crate::process::logging::part;
 use crate::process::peers::Peers;
 
-/// News are collected for this long: one call for all that came. With a summary of the load that is
-/// 150 ms old, 0.304 of the prompts of a second were late (the same test).
+/// News are collected for this long: one call for all that came.
 const COLLECT: Duration = Duration::from_millis(20);
 
 /// Time for a keeper to take news; a deputy that lost some places a little worse.
@@ -35,8 +32,6 @@
 
 /// What is held counts for this long, in ms, after the last news: a keeper that hears no more,
 /// since another one is the deputy now or since it was cut off, does not learn what has ended.
-/// With the placements of five seconds before, a keeper that led again refused 64 short prompts
-/// in two seconds beside idle engines (a day on 22 hosts).
 const FRESH_MS: u64 = 1_500;
 
 /// A placement is forgotten after this time, in ms, though nothing was told of its end: its host has
--- a/clayplankd/src/fleet/spread.rs
+++ b/clayplankd/src/fleet/spread.rs
@@ -132,8 +132,7 @@
     }
 }
 
-/// Passes on what a host without a disk collected, to one keeper, which passes it on: to all of
-/// them, 295 hosts made 2,000 calls a second at each of five keepers.
+/// Passes on what a host without a disk collected, to one keeper, which passes it on.
 pub(crate) async fn run_spread_to_one(spread: Spread) {
     loop {
         clayplank_clock::sleep(COLLECT_TO_ONE).await;
--- a/clayplankd/src/follow/news_pages.rs
+++ b/clayplankd/src/follow/news_pages.rs
@@ -6,7 +6,7 @@
 use clayplank_state::{PackError, pack};
 
 /// Packed news by the cursor after which they come, for one state of a registry. Hosts that start
-/// together ask for the same pages: of 3,000 upstreams, 165 kB each as they are and a fifth packed.
+/// together ask for the same pages.
 #[derive(Debug, Default)]
 pub(crate) struct NewsPages {
     newest: Cursor,
