Ends that one host saw count by its own clock; the red test is mended

Cause, in two parts. The test took an engine for busy by its report of load, which lags by 200 ms and still told of a prompt that warmed the system up, so that it killed engines that had begun nothing (seen with the host's error: the connection was refused, nothing was sent). And a real fault: the time of an end was the keepers' time less its age, and so held how long the word was on its way; three ends 70 ms apart were noted, two counted, and the prompt ran again (host's log: 27.862, 27.930, 27.995 s).

Change: a sighting carries the host's own clock, and ends of one host are told apart by it. The test tells busy engines by what they have begun, and waits for the host's word. `ends_that_one_host_saw_apart_count_however_long_the_word_is_on_its_way` fails without the change of the state (the three come 5 and 50 ms apart).

--- a/clayplank-state/src/suspects.rs
+++ b/clayplank-state/src/suspects.rs
@@ -14,7 +14,9 @@
 
 use std::collections::BTreeMap;
 
-use clayplank_types::{HeldBack, RequestFingerprint, SeenOutcome, Sighting, UpstreamId};
+use clayplank_types::{
+    HeldBack, HostMoment, RequestFingerprint, SeenOutcome, Sighting, UpstreamId,
+};
 use serde::{Deserialize, Serialize};
 
 /// Upstreams that end under a request before it is held back. Two may end by chance under one that
@@ -55,6 +57,21 @@
 struct End {
     upstream: UpstreamId,
     at_ms: u64,
+    /// By the clock of the host that saw it.
+    seen: Option<HostMoment>,
+}
+
+impl End {
+    /// Whether it came so long after another one that both count. The time of a command holds how long the
+    /// word was on its way, which differs by more where keepers are busy: ends that one host saw are told apart
+    /// by its own clock.
+    fn is_apart_from(&self, former: &Self) -> bool {
+        let apart_ms = match (self.seen, former.seen) {
+            (Some(own), Some(other)) if own.life == other.life => own.at_ms.abs_diff(other.at_ms),
+            _ => self.at_ms.abs_diff(former.at_ms),
+        };
+        apart_ms >= SAME_MOMENT_MS
+    }
 }
 
 /// Since when a request is held back, and when it may be tried.
@@ -103,11 +120,11 @@
     /// How often upstreams ended, those that ended at once counted as one.
     fn moments(&self) -> usize {
         let mut count = 0;
-        let mut last_ms = None;
+        let mut last: Option<&End> = None;
         for end in &self.ends {
-            if last_ms.is_none_or(|last_ms| end.at_ms >= last_ms + SAME_MOMENT_MS) {
+            if last.is_none_or(|last| end.is_apart_from(last)) {
                 count += 1;
-                last_ms = Some(end.at_ms);
+                last = Some(end);
             }
         }
         count
@@ -164,7 +181,7 @@
             let at_ms = now_ms.saturating_sub(sighting.ago_ms);
             match &sighting.outcome {
                 SeenOutcome::Ended(upstream) => {
-                    let end = End { upstream: upstream.clone(), at_ms };
+                    let end = End { upstream: upstream.clone(), at_ms, seen: sighting.seen };
                     self.note_end(now_ms, sighting, end, &mut verdicts);
                 }
                 SeenOutcome::Survived => {
--- a/clayplank-state/tests/suspects.rs
+++ b/clayplank-state/tests/suspects.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use clayplank_state::{Body, Command, Machine, Reply, Trial, Verdicts};
-use clayplank_types::{RequestFingerprint, SeenOutcome, Sighting, UpstreamId};
+use clayplank_types::{HostMoment, RequestFingerprint, SeenOutcome, Sighting, UpstreamId};
 use proptest::prelude::*;
 
 const SECOND_MS: u64 = 1_000;
@@ -15,9 +15,24 @@
         caller: caller.to_owned(),
         outcome: SeenOutcome::Ended(UpstreamId::new(upstream)),
         ago_ms: 0,
+        seen: None,
     }
 }
 
+/// One host sees three ends, 70 ms apart; the word of each is on its way for another time, so that the keepers
+/// learn of them at nearly the same moment.
+#[test]
+fn ends_that_one_host_saw_apart_count_however_long_the_word_is_on_its_way() {
+    let mut machine = Machine::default();
+    let mut held_back = 0;
+    for (number, told_ms) in [(0, 1_090), (1, 1_095), (2, 1_145)] {
+        let seen = Some(HostMoment { life: 7, at_ms: 500 + 70 * number });
+        let sighting = Sighting { seen, ..ended(CRASHING, "clubs", &format!("u{number}")) };
+        held_back += note(&mut machine, told_ms, &[sighting]).held_back.len();
+    }
+    assert_eq!(held_back, 1);
+}
+
 fn survived(request: u128) -> Sighting {
     Sighting { outcome: SeenOutcome::Survived, ..ended(request, "clubs", "") }
 }
--- a/clayplank-types/src/lib.rs
+++ b/clayplank-types/src/lib.rs
@@ -27,4 +27,4 @@
 pub use prefix::{MAX_PREFIX_BLOCKS, PREFIX_BLOCK_TOKENS, prefix_hashes};
 pub use priority::{EnginePriority, Priority};
 pub use ratio::TokenRatio;
-pub use sighting::{HeldBack, SeenOutcome, Sighting};
+pub use sighting::{HeldBack, HostMoment, SeenOutcome, Sighting};
--- a/clayplank-types/src/sighting.rs
+++ b/clayplank-types/src/sighting.rs
@@ -14,6 +14,16 @@
     Survived,
 }
 
+/// A time by the clock of one life of a host: two of them are as far apart as they say, however long what
+/// tells of them is on its way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostMoment {
+    /// Drawn when the host started.
+    pub life: u64,
+    /// Elapsed time of that life, in ms.
+    pub at_ms: u64,
+}
+
 /// What a host saw of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Sighting {
@@ -25,6 +35,8 @@
     pub outcome: SeenOutcome,
     /// How long ago that was, in ms, when it was told.
     pub ago_ms: u64,
+    /// When that was by the host's own clock.
+    pub seen: Option<HostMoment>,
 }
 
 /// A request that is held back, as a host has to know it.
--- a/clayplank-wire/tests/broken_bytes.rs
+++ b/clayplank-wire/tests/broken_bytes.rs
@@ -49,6 +49,7 @@
         caller: "clubs".to_owned(),
         outcome: SeenOutcome::Ended(UpstreamId::new(format!("u{number}"))),
         ago_ms: number * 40,
+        seen: None,
     }
 }
 
--- a/clayplankd/src/doors/dispatch.rs
+++ b/clayplankd/src/doors/dispatch.rs
@@ -140,7 +140,8 @@
         if !is_safe || tries >= MAX_TRIES || !pass.spend_retry() {
             return Err(explain(error, may_have_run));
         }
-        log::info!(target: part::CALLERS, "Attempt {} failed and is tried again.", held.grant.attempt_id);
+        log::info!(target: part::CALLERS,
+            "Attempt {} failed and is tried again: {error:?}.", held.grant.attempt_id);
     }
     Err(Problem::Failed("no try was left".to_owned()))
 }
--- a/clayplankd/src/fleet/sightings.rs
+++ b/clayplankd/src/fleet/sightings.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-use clayplank_clock::Instant;
-use clayplank_forward::{BoxFuture, Judge, Observation};
+use clayplank_forward::{BoxFuture, Judge, Observation, now_ms};
 use clayplank_state::{Body, Reply, Trial, Verdicts};
-use clayplank_types::{HeldBack, RequestFingerprint, Sighting};
+use clayplank_types::{HeldBack, HostMoment, RequestFingerprint, Sighting};
 use tokio::sync::mpsc;
 
 use crate::keepers::keeper_client::KeeperClient;
@@ -70,6 +69,7 @@
     keepers: KeeperClient,
     mut observations: mpsc::Receiver<Observation>,
 ) {
+    let life = rand::random();
     while let Some(first) = observations.recv().await {
         clayplank_clock::sleep(COLLECT).await;
         let mut batch = vec![first];
@@ -78,19 +78,19 @@
         {
             batch.push(next);
         }
-        tell(&keepers, batch).await;
+        tell(&keepers, life, batch).await;
     }
 }
 
 /// Tells one batch, again and again while no keeper takes it.
-async fn tell(keepers: &KeeperClient, mut batch: Vec<Observation>) {
+async fn tell(keepers: &KeeperClient, life: u64, mut batch: Vec<Observation>) {
     loop {
         batch.retain(|observation| observation.at.elapsed() < MAX_AGE);
         if batch.is_empty() {
             return;
         }
         // Keepers take each of them once, however often it is told.
-        let sightings = batch.iter().map(to_sighting).collect();
+        let sightings = batch.iter().map(|one| to_sighting(life, one)).collect();
         match keepers.execute(&Body::NoteSightings(sightings), PATIENCE).await {
             Ok(Reply::Noted(verdicts)) => {
                 log_verdicts(&verdicts);
@@ -109,12 +109,15 @@
     }
 }
 
-fn to_sighting(observation: &Observation) -> Sighting {
+fn to_sighting(life: u64, observation: &Observation) -> Sighting {
+    let ago_ms = observation.at.elapsed().as_millis() as u64;
+    let seen = HostMoment { life, at_ms: now_ms().saturating_sub(ago_ms) };
     Sighting {
         fingerprint: observation.fingerprint,
         caller: observation.caller.clone(),
         outcome: observation.outcome.clone(),
-        ago_ms: Instant::now().saturating_duration_since(observation.at).as_millis() as u64,
+        ago_ms,
+        seen: Some(seen),
     }
 }
 
--- a/clayplankd/tests/faults/crashing.rs
+++ b/clayplankd/tests/faults/crashing.rs
@@ -1,16 +1,20 @@
 //! A prompt under which engines end, at the project's own doors: the same cause as on the users'
 //! platform, where each call of it began with all of its tries.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use serde_json::json;
 
 use crate::common::slow_engines;
-use crate::harness::{ACCOUNT_KEY, HOSTS, System, bearer, call, wait_for};
+use crate::harness::{ACCOUNT_KEY, Engine, HOSTS, System, bearer, call, wait_for};
 
 /// Hosts learn of a verdict within milliseconds.
 const VERDICT: Duration = Duration::from_millis(1_500);
 
+/// What a host logs once it has asked whether a broken engine listens, and it does not.
+const NOTED: &str = "An upstream ended under requests";
+
 fn body(prompt: &str) -> String {
     json!({ "prompt": prompt, "max_tokens": 60 }).to_string()
 }
@@ -18,6 +22,7 @@
 /// Sends a prompt, and ends each engine that begins it, for as long as its caller waits; returns how
 /// many.
 fn end_its_engines(system: &mut System, host: usize) -> usize {
+    let known: BTreeSet<_> = system.engines.iter().flat_map(Engine::begun).collect();
     let address = system.hosts[host].callers;
     let caller = std::thread::spawn(move || {
         call(
@@ -30,11 +35,15 @@
     });
     let mut ended = 0;
     wait_for("the end of the call", || {
-        let busy = system.engines.iter().position(|engine| engine.reserved_tokens() > 0);
+        // What engines report lags: it may still tell of a prompt that came before.
+        let is_new = |engine: &Engine| !engine.begun().is_subset(&known);
+        let busy = system.engines.iter().position(is_new);
         if let Some(busy) = busy {
+            let noted = system.count_logged(NOTED);
             system.engines[busy].die();
-            // Until the host has asked whether it listens.
-            std::thread::sleep(Duration::from_millis(100));
+            wait_for("the word of the host that the engine ended", || {
+                system.count_logged(NOTED) > noted
+            });
             system.engines[busy].revive();
             ended += 1;
         }
--- a/clayplankd/tests/harness/mod.rs
+++ b/clayplankd/tests/harness/mod.rs
@@ -163,6 +163,12 @@
         self.dir.path().join(format!("h{host}.log"))
     }
 
+    /// How many lines of all hosts' logs hold a text.
+    pub fn count_logged(&self, text: &str) -> usize {
+        let logs = (0..HOSTS).map(|host| std::fs::read_to_string(self.log_path(host)));
+        logs.map(|log| log.unwrap_or_default().matches(text).count()).sum()
+    }
+
     pub fn wait_healthy(&self, host: usize) {
         wait_for("health", || self.is_healthy(host));
     }
