--- a/clayplank-ctl/src/explain.rs
+++ b/clayplank-ctl/src/explain.rs
@@ -19,6 +19,9 @@
     "Took in changed settings",
 ];
 
+/// What a host writes as it takes in which data centres are under a cordon.
+const CORDONS: &str = "Cordons are in force";
+
 /// Says what an upstream told, or what was concluded from its silence.
 const STANDING: &str = "An upstream's standing changed";
 
@@ -131,7 +134,16 @@
 
 /// All lines of an upstream that belong to no request, of a plan, or of a request in all its calls.
 pub(crate) fn timeline(subject: &Subject, lines: &[LogLine]) -> Vec<Event> {
+    let last_requests = match subject {
+        Subject::DataCentre { data_centre } => find_last_requests(lines, data_centre),
+        Subject::Upstream { .. } | Subject::Plan { .. } | Subject::Fingerprint { .. } => Vec::new(),
+    };
     let is_of = |line: &&LogLine| match subject {
+        Subject::DataCentre { data_centre } => {
+            let is_order = line.says("data_centre", data_centre) && line.message != STANDING;
+            let is_last = last_requests.iter().any(|one| std::ptr::eq(*one, *line));
+            is_order || line.message == CORDONS || is_last
+        }
         Subject::Upstream { upstream } => {
             line.says("upstream", upstream) && !line.fields.contains_key("request")
         }
@@ -142,6 +154,35 @@
     merge_alike(events)
 }
 
+/// The requests that ended last at the upstreams of a data centre, before each order for it and at the end of the
+/// logs: whether anything was sent there after an order shows at once.
+fn find_last_requests<'a>(lines: &'a [LogLine], data_centre: &str) -> Vec<&'a LogLine> {
+    let stands_there =
+        |line: &&LogLine| line.message == STANDING && line.says("data_centre", data_centre);
+    let upstreams: BTreeSet<_> = lines
+        .iter()
+        .filter(stands_there)
+        .filter_map(|line| line.fields.get("upstream")?.as_str())
+        .collect();
+    let is_request = |line: &LogLine| {
+        let upstream = line.fields.get("upstream").and_then(Value::as_str);
+        line.fields.contains_key("request") && upstream.is_some_and(|id| upstreams.contains(id))
+    };
+    let is_order =
+        |line: &LogLine| line.says("data_centre", data_centre) && line.message != STANDING;
+    let mut last = None;
+    let mut found = Vec::new();
+    for line in lines {
+        if is_request(line) {
+            last = Some(line);
+        } else if is_order(line) {
+            found.extend(last.take());
+        }
+    }
+    found.extend(last);
+    found
+}
+
 /// One event for what several hosts tell alike: of 295 hosts that put a plan in force, one line.
 fn merge_alike(events: impl Iterator<Item = Event>) -> Vec<Event> {
     let mut merged: Vec<Event> = Vec::new();
--- a/clayplank-ctl/src/options.rs
+++ b/clayplank-ctl/src/options.rs
@@ -151,6 +151,11 @@
         #[bpaf(argument("VERSION"))]
         plan: u64,
     },
+    DataCentre {
+        /// A data centre: orders to empty it, who follows them, and the last request at its upstreams
+        #[bpaf(argument("NAME"))]
+        data_centre: String,
+    },
     Fingerprint {
         /// A request in all its calls, by its fingerprint
         #[bpaf(argument("HEX"))]
@@ -163,6 +168,7 @@
         match self {
             Self::Upstream { upstream } => write!(f, "upstream {upstream}"),
             Self::Plan { plan } => write!(f, "plan {plan}"),
+            Self::DataCentre { data_centre } => write!(f, "data centre {data_centre}"),
             Self::Fingerprint { fingerprint } => write!(f, "fingerprint {fingerprint}"),
         }
     }
--- a/clayplank-ctl/tests/tool.rs
+++ b/clayplank-ctl/tests/tool.rs
@@ -114,6 +114,29 @@
     insta::assert_snapshot!("held_back", format!("{}\n{}", text(story), text(calls)));
 }
 
+/// A data centre that is emptied while requests run there, and taken back.
+const EMPTIED: &str = r#"
+{"time":"2026-07-07T13:18:00.000Z","host":"k1","message":"An upstream's standing changed","upstream":"i-1","standing":"Ready","data_centre":"hall"}
+{"time":"2026-07-07T13:18:00.010Z","host":"k1","message":"An upstream's standing changed","upstream":"i-2","standing":"Ready","data_centre":"annex"}
+{"time":"2026-07-07T13:18:01.000Z","host":"e1","message":"A stream ended","request":"a1","upstream":"i-1","outcome":"answered"}
+{"time":"2026-07-07T13:18:02.000Z","host":"e1","message":"A stream ended","request":"a2","upstream":"i-1","outcome":"answered"}
+{"time":"2026-07-07T13:18:03.000Z","host":"e1","message":"An operator ordered a cordon","data_centre":"hall","order":"cordoned","outcome":"cordoned","took_ms":6}
+{"time":"2026-07-07T13:18:03.010Z","host":"e1","message":"Cordons are in force","cordoned":"hall"}
+{"time":"2026-07-07T13:18:03.014Z","host":"e2","message":"Cordons are in force","cordoned":"hall"}
+{"time":"2026-07-07T13:18:04.000Z","host":"e2","message":"A stream ended","request":"a3","upstream":"i-1","outcome":"answered"}
+{"time":"2026-07-07T13:18:05.000Z","host":"e2","message":"A stream ended","request":"a4","upstream":"i-2","outcome":"answered"}
+{"time":"2026-07-07T13:18:09.000Z","host":"e2","message":"An operator ordered a cordon","data_centre":"hall","order":"uncordoned","outcome":"uncordoned","took_ms":5}
+{"time":"2026-07-07T13:18:09.010Z","host":"e1","message":"Cordons are in force","cordoned":""}
+"#;
+
+#[test]
+fn an_emptied_data_centre_is_told_from_the_order_to_the_last_request() {
+    let file = file(EMPTIED);
+    let path = file.path().to_str().unwrap();
+    let told = run(&["timeline", "--data-centre", "hall", path], "");
+    insta::assert_snapshot!("emptied", String::from_utf8(told.stdout).unwrap());
+}
+
 /// Lines of a host's log: one request served, and one lost by each cause.
 const ENDED: &str = r#"
 {"time":"2026-07-07T13:18:01.000Z","host":"e1","message":"A stream ended","request":"a1","route":"chat","outcome":"answered","sent":1,"prompt_tokens":5000,"goal_ms":300,"pause_goal_ms":250,"expected_ms":80,"first_event_ms":120,"longest_pause_ms":200}
--- a/clayplankd/src/fleet/fleet_keeper.rs
+++ b/clayplankd/src/fleet/fleet_keeper.rs
@@ -468,7 +468,8 @@
 fn log_standing(heartbeat: &Heartbeat) {
     log::info!(target: part::KEEPER,
         upstream = heartbeat.id.as_str(), standing:? = heartbeat.standing,
-        sequence = heartbeat.sequence, address:% = heartbeat.address;
+        sequence = heartbeat.sequence, address:% = heartbeat.address,
+        data_centre = heartbeat.data_centre.as_str(), cold_left_ms = heartbeat.cold_left_ms;
         "An upstream's standing changed");
 }
 
