--- a/clayplank-placement/tests/crowded.rs
+++ b/clayplank-placement/tests/crowded.rs
@@ -5,17 +5,19 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+mod common;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-use clayplank_placement::{
-    Ask, EngineModel, EngineSpec, Event, Fleet, PASSED_GOAL_MS, Placed, PlacementId,
-};
-use clayplank_types::{DataCentre, UpstreamId};
+use clayplank_placement::{Ask, EngineModel, Event, Fleet, PASSED_GOAL_MS, Placed, PlacementId};
+use clayplank_types::DataCentre;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
 
+use crate::common::with_engines;
+
 const ENGINES: usize = 40;
 const PLACES: u32 = 6;
 
@@ -68,14 +70,8 @@
 
 impl World {
     fn new(load: f64) -> Self {
-        let mut fleet = Fleet::default();
-        for number in 0..ENGINES {
-            let model =
-                EngineModel { slots: PLACES, steps_per_event: 73, ..EngineModel::default() };
-            let spec =
-                EngineSpec { pool: "main".to_owned(), data_centre: DataCentre::new("a"), model };
-            fleet.set_engine(UpstreamId::new(format!("engine-{number:02}")), spec, true);
-        }
+        let model = EngineModel { slots: PLACES, steps_per_event: 73, ..EngineModel::default() };
+        let fleet = with_engines(Fleet::default(), ENGINES, &model);
         let mut world = Self { fleet, callers: Vec::new(), planned: BinaryHeap::new() };
         let mut rng = SmallRng::seed_from_u64(1);
         let per_ms = load * ENGINES as f64 * f64::from(PLACES) / ANSWER_MS;
--- a/clayplank-placement/tests/failover.rs
+++ b/clayplank-placement/tests/failover.rs
@@ -3,15 +3,19 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+mod common;
+
 use std::collections::HashMap;
 
 use clayplank_placement::{
-    Ask, Assignment, EngineModel, EngineSpec, Event, Fleet, Placed, PlacementId, Renewed,
+    Ask, Assignment, EngineModel, Event, Fleet, Placed, PlacementId, Renewed,
 };
 use clayplank_types::{DataCentre, UpstreamId};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::common::with_engines;
+
 const HOSTS: u64 = 295;
 const ENGINES: usize = 150;
 
@@ -39,16 +43,8 @@
     Alone,
 }
 
-fn fleet(mut fleet: Fleet) -> Fleet {
-    for number in 0..ENGINES {
-        let spec = EngineSpec {
-            pool: "main".to_owned(),
-            data_centre: DataCentre::new("a"),
-            model: model(),
-        };
-        fleet.set_engine(UpstreamId::new(format!("engine-{number:03}")), spec, true);
-    }
-    fleet
+fn fleet(fleet: Fleet) -> Fleet {
+    with_engines(fleet, ENGINES, &model())
 }
 
 fn model() -> EngineModel {
--- a/clayplank-placement/tests/holding.rs
+++ b/clayplank-placement/tests/holding.rs
@@ -1,7 +1,11 @@
 //! Long prompts that wait at their host until others are read.
 
-use clayplank_placement::{Ask, EngineModel, EngineSpec, Event, Fleet, Placed, PlacementId};
-use clayplank_types::{DataCentre, UpstreamId};
+mod common;
+
+use clayplank_placement::{Ask, EngineModel, Event, Fleet, Placed, PlacementId};
+use clayplank_types::DataCentre;
+
+use crate::common::with_engines;
 
 const GOAL_MS: f64 = 4_000.0;
 
@@ -12,16 +16,7 @@
 const HARMLESS_SHARE: f64 = 0.125;
 
 fn fleet_of(engines: usize) -> Fleet {
-    let mut fleet = Fleet::default();
-    for engine in 0..engines {
-        let spec = EngineSpec {
-            pool: "main".to_owned(),
-            data_centre: DataCentre::new("a"),
-            model: EngineModel::default(),
-        };
-        fleet.set_engine(UpstreamId::new(format!("engine-{engine:02}")), spec, true);
-    }
-    fleet
+    with_engines(Fleet::default(), engines, &EngineModel::default())
 }
 
 fn ask(number: u64, tokens: u64, goal_ms: f64) -> Ask {
--- a/clayplank-placement/tests/lossy.rs
+++ b/clayplank-placement/tests/lossy.rs
@@ -1,11 +1,14 @@
 //! Engines that lose a part of their answers, among others that lose none: a load is played, and what
 //! its callers meet is counted.
 
-use clayplank_placement::{Ask, EngineModel, EngineSpec, Event, Fleet, Placed, PlacementId};
-use clayplank_types::{DataCentre, UpstreamId};
+mod common;
+
+use clayplank_placement::{Ask, EngineModel, Event, Fleet, Placed, PlacementId};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::common::{engine, with_engines};
+
 /// Engines, and how many of them lose answers.
 const ENGINES: usize = 60;
 const LOSING: usize = 36;
@@ -23,21 +26,8 @@
 const LOSES_UNTIL_MS: f64 = 14_000.0;
 const END_MS: f64 = 28_000.0;
 
-fn engine_name(engine: usize) -> UpstreamId {
-    UpstreamId::new(format!("engine-{engine:02}"))
-}
-
 fn fleet() -> Fleet {
-    let mut fleet = Fleet::default();
-    for engine in 0..ENGINES {
-        let spec = EngineSpec {
-            pool: "main".to_owned(),
-            data_centre: DataCentre::new("a"),
-            model: EngineModel::default(),
-        };
-        fleet.set_engine(engine_name(engine), spec, true);
-    }
-    fleet
+    with_engines(Fleet::default(), ENGINES, &EngineModel::default())
 }
 
 /// What happened in a run.
@@ -69,7 +59,7 @@
         let Placed::At(assignment) = fleet.place(now_ms, &ask) else {
             panic!("an engine is free");
         };
-        let is_losing = (0..LOSING).any(|engine| engine_name(engine) == assignment.engine);
+        let is_losing = (0..LOSING).any(|number| engine(number) == assignment.engine);
         let in_trouble = (LOSES_FROM_MS..LOSES_UNTIL_MS).contains(&now_ms);
         let is_lost = in_trouble && is_losing && rng.random::<f64>() < LOST_SHARE;
         if is_lost {
--- a/clayplank-placement/tests/spread.rs
+++ b/clayplank-placement/tests/spread.rs
@@ -3,14 +3,18 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+mod common;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 
-use clayplank_placement::{Ask, EngineModel, EngineSpec, Event, Fleet, Placed, PlacementId};
+use clayplank_placement::{Ask, EngineModel, Event, Fleet, Placed, PlacementId};
 use clayplank_types::{DataCentre, UpstreamId};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::common::with_engines;
+
 /// A stream of usual length, in ms, after its first token.
 const STREAM_MS: f64 = 1_600.0;
 
@@ -40,15 +44,8 @@
 
 /// Plays prompts of which so many come in a second: short ones, and some that several engines read.
 fn play(engines: usize, short_per_s: f64, long_per_s: f64) -> Sent {
-    let mut fleet = Fleet::default();
-    for number in 0..engines {
-        let spec = EngineSpec {
-            pool: "main".to_owned(),
-            data_centre: DataCentre::new("a"),
-            model: EngineModel { slots: 10, steps_per_event: 73, ..EngineModel::default() },
-        };
-        fleet.set_engine(UpstreamId::new(format!("engine-{number:03}")), spec, true);
-    }
+    let model = EngineModel { slots: 10, steps_per_event: 73, ..EngineModel::default() };
+    let mut fleet = with_engines(Fleet::default(), engines, &model);
     let mut rng = SmallRng::seed_from_u64(7);
     let mut planned = BinaryHeap::new();
     let mut written: BTreeMap<UpstreamId, usize> = BTreeMap::new();
