--- a/clayplank-placement/src/cold.rs
+++ b/clayplank-placement/src/cold.rs
@@ -1,8 +1,8 @@
 //! Upstreams that are cold, and bear only so many requests a second, over all hosts together.
 //!
 //! A keeper that places spaces its requests to each of them evenly. A host that decides alone sees
-//! only its own requests, and has a share: in each second, chance picks the hosts that may send to
-//! an upstream, so that those that saved no request up cannot all send at the same moment.
+//! only its own requests, and has a share: in each second, chance picks the hosts that may send to an
+//! upstream. Shares that hosts could save up would let all of them send in the same moment.
 
 use std::hash::{Hash, Hasher};
 
--- a/clayplankd/src/doors.rs
+++ b/clayplankd/src/doors.rs
@@ -6,6 +6,7 @@
 pub(crate) mod completions;
 pub(crate) mod contract;
 pub(crate) mod control_door;
+pub(crate) mod cordons;
 pub(crate) mod cut_off;
 pub(crate) mod dispatch;
 pub(crate) mod native;
--- a/clayplankd/src/doors/control_door.rs
+++ b/clayplankd/src/doors/control_door.rs
@@ -34,7 +34,7 @@
 const MAX_TOLD_CHARS: usize = 300;
 
 /// Time for the keepers to take a plan, or to confirm one: callers move on after about a second.
-const PATIENCE: Duration = Duration::from_millis(900);
+pub(super) const PATIENCE: Duration = Duration::from_millis(900);
 
 /// Time for this host's own keeper to say who leads; one that waits for its disk says nothing.
 const OWN_KEEPER_PATIENCE: Duration = Duration::from_millis(100);
@@ -71,7 +71,7 @@
     pub(crate) data_centres: Arc<[DataCentre]>,
 }
 
-type Answer = Response<Full<Bytes>>;
+pub(super) type Answer = Response<Full<Bytes>>;
 
 impl ControlDoor {
     /// Answers a call.
@@ -164,59 +164,6 @@
         answer
     }
 
-    /// The data centres that a quorum confirms to be under a cordon.
-    async fn read_cordoned(&self) -> Answer {
-        match self.keepers.watch(&self.own, 0, PATIENCE).await {
-            Ok((delta, _)) => {
-                let cordoned = delta.cordoned.unwrap_or_default();
-                json(StatusCode::OK, Bytes::from(serde_json::json!(cordoned).to_string()))
-            }
-            Err(error) => {
-                log::info!(target: part::KEEPER, "What is under a cordon is not known: {error}.");
-                fault(StatusCode::SERVICE_UNAVAILABLE, "no quorum in time")
-            }
-        }
-    }
-
-    /// Acknowledges a cordon once it lasts: hosts in touch learn it with the next answer of the leader,
-    /// and one that is not refuses requests when its lease ends.
-    async fn cordon(&self, data_centre: DataCentre) -> Answer {
-        if !self.is_known(&data_centre) {
-            return fault(StatusCode::NOT_FOUND, "there is no such data centre");
-        }
-        self.order_cordon(&data_centre, &Body::Cordon(data_centre.clone()), "cordoned").await
-    }
-
-    /// Takes a cordon off. A name that is not known has none, unless the settings have changed since.
-    async fn uncordon(&self, data_centre: DataCentre) -> Answer {
-        self.order_cordon(&data_centre, &Body::Uncordon(data_centre.clone()), "uncordoned").await
-    }
-
-    async fn order_cordon(
-        &self,
-        data_centre: &DataCentre,
-        order: &Body,
-        done: &'static str,
-    ) -> Answer {
-        let began_ms = now_ms();
-        let reply = self.keepers.execute(order, PATIENCE).await;
-        let (answer, outcome) = match &reply {
-            Ok(Reply::Cordoned { has_changed: true }) => (empty(StatusCode::OK), done),
-            Ok(Reply::Cordoned { has_changed: false }) => (empty(StatusCode::OK), "unchanged"),
-            Ok(_) => (fault(StatusCode::INTERNAL_SERVER_ERROR, "an unfit reply"), "unfit"),
-            Err(_) => (fault(StatusCode::SERVICE_UNAVAILABLE, "no quorum in time"), "no_quorum"),
-        };
-        log::info!(target: part::KEEPER,
-            data_centre = data_centre.as_str(), order = done, outcome = outcome,
-            took_ms = now_ms() - began_ms;
-            "An operator ordered a cordon");
-        answer
-    }
-
-    fn is_known(&self, data_centre: &DataCentre) -> bool {
-        self.data_centres.is_empty() || self.data_centres.contains(data_centre)
-    }
-
     async fn take_heartbeat(&self, heartbeat: Heartbeat) -> Answer {
         let takes_work = heartbeat.standing == Standing::Ready;
         if let Registered::Kept { fleet, .. } = &self.registered {
@@ -273,11 +220,11 @@
     })
 }
 
-fn empty(status: StatusCode) -> Answer {
+pub(super) fn empty(status: StatusCode) -> Answer {
     json(status, Bytes::from_static(b"{}"))
 }
 
-fn json(status: StatusCode, body: Bytes) -> Answer {
+pub(super) fn json(status: StatusCode, body: Bytes) -> Answer {
     let mut response = Response::new(Full::new(body));
     *response.status_mut() = status;
     let kind = HeaderValue::from_static("application/json");
@@ -285,7 +232,7 @@
     response
 }
 
-fn fault(status: StatusCode, message: &str) -> Answer {
+pub(super) fn fault(status: StatusCode, message: &str) -> Answer {
     let body = serde_json::json!({ "error": message });
     json(status, Bytes::from(body.to_string()))
 }
--- a/clayplankd/src/follow/relay.rs
+++ b/clayplankd/src/follow/relay.rs
@@ -2,8 +2,8 @@
 //!
 //! Entry hosts follow any keeper. One that does not lead asks the leader now and then, and is
 //! confirmed once its own state holds all that was acknowledged before it asked. So a change of
-//! leader costs the next one a call of each keeper: with a call of each host, one with hundreds of hosts used
-//! its processor up on them, was late with its own heartbeats, and was replaced before it had answered all.
+//! leader costs the next one a call of each keeper: with a call of each host, a leader of hundreds would use its
+//! processor up on them, be late with its own heartbeats, and be replaced before it has answered all.
 
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex};
