--- a/bench/src/placement_requests.rs
+++ b/bench/src/placement_requests.rs
@@ -42,25 +42,11 @@
     }
 }
 
-/// Engines as the first partners run them.
-const FIRST_MODEL: EngineModel = EngineModel {
-    slots: 16,
-    memory_tokens: 450_000,
-    steps_per_event: 46,
-    step_ms: 0.925,
-    per_sequence_ms: 0.004_83,
-    context_per_1000_tokens_ms: 0.002_54,
-    read_tokens_per_s: 256_000.0,
-    per_million_pairs_ms: 0.091_7,
-    chunk_tokens: 2_048,
-    hop_ms: 0.1,
-};
-
 /// Few engines with many places, as the first partners run them.
 pub(crate) const SMALL: Mix = Mix {
     name: "18 engines of 16 places",
     engines: 18,
-    model: FIRST_MODEL,
+    model: EngineModel::USUAL,
     kinds: [
         Kind {
             name: "short",
@@ -114,7 +100,7 @@
 pub(crate) const LARGE: Mix = Mix {
     name: "150 engines of 10 places",
     engines: 150,
-    model: EngineModel { slots: 10, steps_per_event: 73, ..FIRST_MODEL },
+    model: EngineModel { slots: 10, steps_per_event: 73, ..EngineModel::USUAL },
     kinds: [
         Kind {
             name: "short",
--- a/clayplank-placement/src/model.rs
+++ b/clayplank-placement/src/model.rs
@@ -35,24 +35,26 @@
 }
 
 impl Default for EngineModel {
-    /// An 70-billion-token-class engine as the users' partners run it today.
     fn default() -> Self {
-        Self {
-            slots: 16,
-            memory_tokens: 450_000,
-            steps_per_event: 46,
-            step_ms: 0.925,
-            per_sequence_ms: 0.004_83,
-            context_per_1000_tokens_ms: 0.002_54,
-            read_tokens_per_s: 256_000.0,
-            per_million_pairs_ms: 0.091_7,
-            chunk_tokens: 2_048,
-            hop_ms: 0.1,
-        }
+        Self::USUAL
     }
 }
 
 impl EngineModel {
+    /// A 70-billion-token-class engine as the users' partners run it today.
+    pub const USUAL: Self = Self {
+        slots: 16,
+        memory_tokens: 450_000,
+        steps_per_event: 46,
+        step_ms: 0.925,
+        per_sequence_ms: 0.004_83,
+        context_per_1000_tokens_ms: 0.002_54,
+        read_tokens_per_s: 256_000.0,
+        per_million_pairs_ms: 0.091_7,
+        chunk_tokens: 2_048,
+        hop_ms: 0.1,
+    };
+
     /// Time to read one of `parts` even parts of a prompt.
     pub fn part_read_ms(&self, prompt_tokens: u64, parts: usize) -> f64 {
         let tokens = prompt_tokens as f64;
