--- a/clayplankd/src/doors/control_door.rs
+++ b/clayplankd/src/doors/control_door.rs
@@ -11,7 +11,7 @@
 use clayplank_registry::{Heartbeat, Standing};
 use clayplank_routes::ServingPlan;
 use clayplank_settings::Faults;
-use clayplank_state::{Body, PlanDocument, Reply};
+use clayplank_state::{Body, Delta, PlanDocument, Reply};
 use clayplank_types::{DataCentre, HeldBack, HostId, RequestFingerprint};
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
@@ -119,32 +119,36 @@
         answer
     }
 
-    /// The plan that a quorum confirms to be the newest.
-    async fn read_plan(&self) -> Answer {
+    /// What a quorum confirms to last, or the answer where none does in time: `what` the caller asked
+    /// for goes to the log.
+    pub(super) async fn confirmed(&self, what: &str) -> Result<Delta, Box<Answer>> {
         match self.keepers.watch(&self.own, 0, PATIENCE).await {
-            Ok((delta, _)) => match delta.plan {
-                Some(document) => json(StatusCode::OK, Bytes::from(document.text.to_string())),
-                None => fault(StatusCode::NOT_FOUND, "no plan was published"),
-            },
+            Ok((delta, _)) => Ok(delta),
             Err(error) => {
-                log::info!(target: part::KEEPER, "The newest plan is not known: {error}.");
-                fault(StatusCode::SERVICE_UNAVAILABLE, "no quorum in time")
+                log::info!(target: part::KEEPER, "{what} is not known: {error}.");
+                Err(Box::new(fault(StatusCode::SERVICE_UNAVAILABLE, "no quorum in time")))
             }
         }
     }
 
+    /// The plan that a quorum confirms to be the newest.
+    async fn read_plan(&self) -> Answer {
+        match self.confirmed("The newest plan").await.map(|delta| delta.plan) {
+            Ok(Some(document)) => json(StatusCode::OK, Bytes::from(document.text.to_string())),
+            Ok(None) => fault(StatusCode::NOT_FOUND, "no plan was published"),
+            Err(answer) => *answer,
+        }
+    }
+
     /// The requests that a quorum confirms to be held back.
     async fn read_held_back(&self) -> Answer {
-        match self.keepers.watch(&self.own, 0, PATIENCE).await {
-            Ok((delta, _)) => {
+        match self.confirmed("What is held back").await {
+            Ok(delta) => {
                 let held_back = delta.held_back.unwrap_or_default();
                 let told: Vec<_> = held_back.iter().map(held_back_json).collect();
                 json(StatusCode::OK, Bytes::from(Value::from(told).to_string()))
             }
-            Err(error) => {
-                log::info!(target: part::KEEPER, "What is held back is not known: {error}.");
-                fault(StatusCode::SERVICE_UNAVAILABLE, "no quorum in time")
-            }
+            Err(answer) => *answer,
         }
     }
 
--- a/clayplankd/src/doors/cordons.rs
+++ b/clayplankd/src/doors/cordons.rs
@@ -12,15 +12,12 @@
 impl ControlDoor {
     /// The data centres that a quorum confirms to be under a cordon.
     pub(super) async fn read_cordoned(&self) -> Answer {
-        match self.keepers.watch(&self.own, 0, PATIENCE).await {
-            Ok((delta, _)) => {
+        match self.confirmed("What is under a cordon").await {
+            Ok(delta) => {
                 let cordoned = delta.cordoned.unwrap_or_default();
                 json(StatusCode::OK, Bytes::from(serde_json::json!(cordoned).to_string()))
             }
-            Err(error) => {
-                log::info!(target: part::KEEPER, "What is under a cordon is not known: {error}.");
-                fault(StatusCode::SERVICE_UNAVAILABLE, "no quorum in time")
-            }
+            Err(answer) => *answer,
         }
     }
 
