--- a/clayplank-forward/src/choice.rs
+++ b/clayplank-forward/src/choice.rs
@@ -59,8 +59,8 @@
         Ok(Chosen { record, helpers: String::new(), expected_ms: 0.0, load })
     }
 
-    /// A request that cannot be served in time is told so at once. What is held asks again; it is told so only where it is expected in
-    /// time.
+    /// A request that cannot be served in time is told so at once. What is held asks again; it is
+    /// told so only where it is expected in time.
     async fn choose_engine(&self) -> Result<Chosen, Refusal> {
         let mut held_ms = 0;
         loop {
--- a/clayplank-placement/src/candidate.rs
+++ b/clayplank-placement/src/candidate.rs
@@ -19,8 +19,8 @@
 const DOUBT_LOSS: f64 = 0.2;
 
 /// What a prompt loses where its engine fails it, as a share of its weight: it is sent once more,
-/// and mostly late. Counted by the share of its requests that the engine fails: an engine that loses two
-/// answers of five serves one between two losses, so that failures in a row alone say little of
+/// and mostly late. Counted by the share of its requests that the engine fails: an engine that loses
+/// two answers of five serves one between two losses, so that failures in a row alone say little of
 /// it.
 const FAILURE_LOSS: f64 = 0.75;
 
@@ -74,9 +74,9 @@
     pub(crate) harm: f64,
     /// What it risks to write the answer here.
     pub(crate) exposure: f64,
-    /// What the prompt loses, as far as can be told, because the engine fails requests that it is sent.
-    /// Engines that only help to read are not judged by it: long prompts would
-    /// be kept off engines that lost one answer.
+    /// What the prompt loses, as far as can be told, because the engine fails requests that it is
+    /// sent. Engines that only help to read are not judged by it: long prompts would be kept off
+    /// engines that lost one answer.
     pub(crate) risk: f64,
     /// When the part is read, from now.
     pub(crate) read_ms: f64,
--- a/clayplank-types/src/fingerprint.rs
+++ b/clayplank-types/src/fingerprint.rs
@@ -35,8 +35,7 @@
         Self(number)
     }
 
-    /// The digest of a request. A body of 4 MB, a prompt of a million tokens, takes 3.1 ms on one
-    /// core with SHA instructions, one of 1 kB 0.001 ms (`cargo bench`).
+    /// The digest of a request.
     pub fn of(identity: &RequestIdentity<'_>) -> Self {
         let mut hasher = Sha256::new();
         for text in [identity.caller, identity.host, identity.path] {
