Limits that upstreams name are read, and requests that go there are told

The logs of the incident could not tell which host was told which limit when, nor whether first tries or further ones went on. Hosts read the limit of an answer that is the upstream's own, log each change and each request to such an upstream, and count both. Nothing is decided by it yet.

--- a/clayplank-forward/src/answer.rs
+++ b/clayplank-forward/src/answer.rs
@@ -40,6 +40,29 @@
     Verdict::Own
 }
 
+/// What an answer tells of the requests that its upstream takes, over all hosts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum NamedLimit {
+    /// Any number.
+    None,
+    /// So many a second.
+    PerSecond(f64),
+    /// Something that is no rate.
+    Unreadable,
+}
+
+/// The limit that an answer names.
+pub(crate) fn scan_limit(headers: &HeaderMap, names: &HeaderNames) -> NamedLimit {
+    let Some(value) = headers.get(&names.limit) else {
+        return NamedLimit::None;
+    };
+    let rate = value.to_str().ok().and_then(|text| text.trim().parse::<f64>().ok());
+    match rate {
+        Some(rate) if rate.is_finite() && rate >= 0.0 => NamedLimit::PerSecond(rate),
+        Some(_) | None => NamedLimit::Unreadable,
+    }
+}
+
 /// Requests running and waiting, as an answer tells.
 pub(crate) fn scan_load(headers: &HeaderMap, names: &HeaderNames) -> Option<(u64, u64)> {
     let mut parts = text(headers, &names.load)?.split(',');
--- a/clayplank-forward/src/attempt.rs
+++ b/clayplank-forward/src/attempt.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 
-use crate::answer::{Verdict, judge, scan_load};
+use crate::answer::{NamedLimit, Verdict, judge, scan_limit, scan_load};
 use crate::call::Call;
 use crate::choice::Chosen;
 use crate::exchange::{Connection, ExchangeError, exchange};
@@ -50,6 +50,7 @@
         self.tried.push(upstream.clone());
         let could_have_run = self.may_have_run;
         self.count_sent();
+        self.log_limited(&upstream);
         let sent = exchange(record.heartbeat.address, request);
         match clayplank_clock::timeout(patience, sent).await {
             Ok(Ok((response, connection))) => {
@@ -83,7 +84,13 @@
         if let Some((running, waiting)) = scan_load(&head.headers, names) {
             self.entry.directory.note_load(upstream, running, waiting);
         }
-        match judge(&head, names, &self.facts.attempt_id) {
+        let limit = scan_limit(&head.headers, names);
+        let verdict = judge(&head, names, &self.facts.attempt_id);
+        // Any other answer may be another upstream's.
+        if matches!(verdict, Verdict::Own | Verdict::NotRun) {
+            self.note_limit(upstream, limit);
+        }
+        match verdict {
             Verdict::Own => {
                 let response = Box::new(Response::from_parts(head, body));
                 Attempt::Answered(response, connection, load)
@@ -105,6 +112,35 @@
         }
     }
 
+    /// Takes in how many requests the upstream says that it takes.
+    fn note_limit(&self, upstream: &UpstreamId, limit: NamedLimit) {
+        let limit_per_s = match limit {
+            NamedLimit::None => None,
+            NamedLimit::PerSecond(rate) => Some(rate),
+            NamedLimit::Unreadable => {
+                log::warn!(target: "forward", upstream = upstream.as_str(); "A limit cannot be read");
+                return;
+            }
+        };
+        if self.entry.directory.note_limit(upstream, limit_per_s) {
+            log::info!(target: "forward",
+                upstream = upstream.as_str(), limit_per_s = limit_per_s, request = self.facts.attempt_id;
+                "An upstream's limit changed");
+        }
+    }
+
+    /// Tells of a request that goes to an upstream which named a limit.
+    fn log_limited(&self, upstream: &UpstreamId) {
+        let Some(limit_per_s) = self.entry.directory.limit_per_s(upstream) else {
+            return;
+        };
+        self.entry.figures.count_limited();
+        log::info!(target: "forward",
+            request = self.facts.attempt_id, upstream = upstream.as_str(), limit_per_s = limit_per_s,
+            sent = self.sent_count, has_begun = self.waits_since.is_some();
+            "Sends to an upstream with a limit");
+    }
+
     /// Blames the helper that the answer names, or else the engine that answered.
     fn note_at_fault(&mut self, load: &mut LoadGuard, at_fault: &str) {
         let id = self.entry.directory.find(at_fault);
--- a/clayplank-forward/src/directory.rs
+++ b/clayplank-forward/src/directory.rs
@@ -308,4 +308,25 @@
         let mut inner = self.lock();
         inner.seen.entry(id.clone()).or_default().note_load(now_ms(), running + waiting);
     }
+
+    /// Notes how many requests a second an upstream takes from all hosts, `None` for any number;
+    /// whether it had not said so before.
+    pub fn note_limit(&self, id: &UpstreamId, limit_per_s: Option<f64>) -> bool {
+        let mut inner = self.lock();
+        let is_known = inner.seen.get(id).and_then(|seen| seen.limit_per_s) == limit_per_s;
+        if !is_known {
+            inner.seen.entry(id.clone()).or_default().limit_per_s = limit_per_s;
+        }
+        !is_known
+    }
+
+    /// How many requests a second an upstream takes from all hosts, if it named a limit.
+    pub fn limit_per_s(&self, id: &UpstreamId) -> Option<f64> {
+        self.lock().seen.get(id)?.limit_per_s
+    }
+
+    /// How many upstreams name a limit.
+    pub fn count_limited(&self) -> usize {
+        self.lock().seen.values().filter(|seen| seen.limit_per_s.is_some()).count()
+    }
 }
--- a/clayplank-forward/src/entry.rs
+++ b/clayplank-forward/src/entry.rs
@@ -159,8 +159,10 @@
     pub fn to_text(&self) -> String {
         let held_back = self.suspicion.count();
         let held_bytes = self.held_bytes.count();
+        let limited = self.directory.count_limited();
         format!(
-            "{}clayplank_entry_held_back {held_back}\nclayplank_entry_held_bytes {held_bytes}\n",
+            "{}clayplank_entry_held_back {held_back}\nclayplank_entry_held_bytes {held_bytes}\n\
+             clayplank_entry_limited_upstreams {limited}\n",
             self.figures.to_text()
         )
     }
--- a/clayplank-forward/src/figures.rs
+++ b/clayplank-forward/src/figures.rs
@@ -23,6 +23,8 @@
     outcomes: BTreeMap<(String, &'static str), u64>,
     first_byte: BTreeMap<String, Histogram<u32>>,
     attempts: BTreeMap<&'static str, u64>,
+    /// Attempts at upstreams that had named a limit.
+    limited: u64,
 }
 
 /// Figures by route.
@@ -49,6 +51,11 @@
         *self.lock().attempts.entry(outcome).or_default() += 1;
     }
 
+    /// Notes an attempt at an upstream that had named a limit.
+    pub fn count_limited(&self) {
+        self.lock().limited += 1;
+    }
+
     /// Notes when the first byte of an answer, or its first event, came.
     pub fn record_first_byte(&self, route: &str, took_ms: u64) {
         let mut inner = self.lock();
@@ -77,6 +84,7 @@
         for (outcome, count) in &inner.attempts {
             writeln!(text, "clayplank_entry_attempts_total{{outcome=\"{outcome}\"}} {count}").ok();
         }
+        writeln!(text, "clayplank_entry_limited_attempts_total {}", inner.limited).ok();
         for (route, histogram) in &inner.first_byte {
             for quantile in QUANTILES {
                 let value = histogram.value_at_quantile(quantile);
--- a/clayplank-forward/src/names.rs
+++ b/clayplank-forward/src/names.rs
@@ -25,6 +25,8 @@
     pub not_run: HeaderName,
     /// Requests running, waiting, and slots of the upstream.
     pub load: HeaderName,
+    /// Requests a second that the upstream takes from all hosts together, while it says so.
+    pub limit: HeaderName,
     /// Engines that read the prompt together with the receiver.
     pub helpers: HeaderName,
     /// Urgency at the engine.
@@ -44,6 +46,7 @@
             seal: HeaderName::from_static("x-clayplank-seal"),
             not_run: HeaderName::from_static("x-clayplank-not-run"),
             load: HeaderName::from_static("x-clayplank-load"),
+            limit: HeaderName::from_static("x-clayplank-limit"),
             helpers: HeaderName::from_static("x-clayplank-helpers"),
             priority: HeaderName::from_static("x-clayplank-priority"),
         }
--- a/clayplank-forward/src/seen.rs
+++ b/clayplank-forward/src/seen.rs
@@ -18,6 +18,8 @@
     told_at_ms: u64,
     mean_ms: f64,
     pub(crate) cold: Cold,
+    /// Requests a second that it takes from all hosts, as its last answer said.
+    pub(crate) limit_per_s: Option<f64>,
 }
 
 impl Seen {
--- a/clayplank-forward/tests/entry/main.rs
+++ b/clayplank-forward/tests/entry/main.rs
@@ -7,5 +7,6 @@
 mod harness;
 mod held_back;
 mod late_orders;
+mod limits;
 mod slow_readers;
 mod suspended;
