--- a/clayplank-standin/src/bin/standin-upstream.rs
+++ b/clayplank-standin/src/bin/standin-upstream.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use clayplank_placement::EngineModel;
 use clayplank_standin::{
-    CrashingRequest, Registration, ServeError, SharedRuns, bind, send_heartbeats,
+    CrashingRequest, Registration, ServeError, SharedLimit, SharedRuns, bind, send_heartbeats,
     serve_pass_engine, serve_upstream,
 };
 
@@ -45,6 +45,8 @@
     /// End the process when a request with this body begins to run at a plain service
     #[bpaf(argument("TEXT"))]
     ends_on: Option<String>,
+    /// Name this many requests a second as a limit in all answers
+    limit_per_s: Option<f64>,
 }
 
 /// From the begin of a request that ends the process to its end.
@@ -64,14 +66,16 @@
     };
     let every = Duration::from_millis(options.heartbeat_ms);
     tokio::spawn(send_heartbeats(registration, options.keepers, every));
+    let limit = SharedLimit::default();
+    limit.set(options.limit_per_s);
     if options.engine {
-        serve_pass_engine(listener, options.id, model).await;
+        serve_pass_engine(listener, options.id, model, limit).await;
     } else {
         let (begun, ends) = mpsc::unbounded_channel();
         let crashing =
             options.ends_on.map(|text| CrashingRequest { body: Bytes::from(text), begun });
         tokio::select! {
-            () = serve_upstream(listener, options.id, SharedRuns::default(), crashing) => {}
+            () = serve_upstream(listener, options.id, SharedRuns::default(), crashing, limit) => {}
             () = wait_for_end(ends) => {}
         }
     }
--- a/clayplank-standin/src/pass_server.rs
+++ b/clayplank-standin/src/pass_server.rs
@@ -11,6 +11,7 @@
 use tokio::net::TcpListener;
 
 use crate::http_util::{Body, ServeError, empty, json, read_body, serve};
+use crate::limit::SharedLimit;
 use crate::pass_answer::generate;
 use crate::pass_run::PassRun;
 
@@ -39,15 +40,22 @@
 }
 
 /// Serves one life of an engine until the task is dropped.
-pub async fn serve_pass_engine(listener: TcpListener, id: String, model: EngineModel) {
+pub async fn serve_pass_engine(
+    listener: TcpListener,
+    id: String,
+    model: EngineModel,
+    limit: SharedLimit,
+) {
     let run = Arc::new(PassRun::new(model));
     tokio::spawn(Arc::clone(&run).play());
-    serve(listener, move |request| answer(id.clone(), Arc::clone(&run), request)).await;
+    let answer = move |request| answer(id.clone(), Arc::clone(&run), limit.clone(), request);
+    serve(listener, answer).await;
 }
 
 async fn answer(
     id: String,
     run: Arc<PassRun>,
+    limit: SharedLimit,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, ServeError> {
     let (head, body) = request.into_parts();
@@ -57,7 +65,10 @@
         (&Method::PUT, RESERVATIONS_PATH) => reserve(&run, &body),
         (&Method::DELETE, RESERVATIONS_PATH) => release(&run, &body),
         (&Method::POST, PARTS_PATH) => read_part(&run, &body).await,
-        _ => generate(&id, &run, &head).await,
+        _ => {
+            limit.note_arrival();
+            limit.named_in(generate(&id, &run, &head).await)
+        }
     })
 }
 
--- a/clayplank-standin/src/upstream.rs
+++ b/clayplank-standin/src/upstream.rs
@@ -14,6 +14,7 @@
 use tokio::sync::mpsc;
 
 use crate::http_util::{Body, ServeError, serve};
+use crate::limit::SharedLimit;
 
 /// Names the fault that a request asks for.
 const FAULT_HEADER: &str = "x-standin-fault";
@@ -109,8 +110,16 @@
     id: String,
     runs: SharedRuns,
     crashing: Option<CrashingRequest>,
+    limit: SharedLimit,
 ) {
-    let answer = move |request| answer(id.clone(), runs.clone(), crashing.clone(), request);
+    let answer = move |request| {
+        let limit = limit.clone();
+        let answered = answer(id.clone(), runs.clone(), crashing.clone(), request);
+        async move {
+            limit.note_arrival();
+            Ok(limit.named_in(answered.await?))
+        }
+    };
     serve(listener, answer).await;
 }
 
--- a/clayplankd/tests/seeded/crashing_upstreams.rs
+++ b/clayplankd/tests/seeded/crashing_upstreams.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use clayplank_standin::{
-    CrashingRequest, Registration, SharedRuns, send_heartbeats, serve_upstream,
+    CrashingRequest, Registration, SharedLimit, SharedRuns, send_heartbeats, serve_upstream,
 };
 use tokio::sync::mpsc;
 
@@ -132,7 +132,13 @@
             let listener = clayplank_standin::bind(self.address).await.unwrap();
             let id = format!("fleet-{}-{life}", self.number);
             let crashing = CrashingRequest { body: CRASHING_BODY.into(), begun };
-            tokio::spawn(serve_upstream(listener, id.clone(), self.runs.clone(), Some(crashing)));
+            tokio::spawn(serve_upstream(
+                listener,
+                id.clone(),
+                self.runs.clone(),
+                Some(crashing),
+                SharedLimit::default(),
+            ));
             let registration = Registration {
                 id,
                 service: FLEET.to_owned(),
--- /dev/null
+++ b/clayplankd/tests/seeded/limited.rs
@@ -0,0 +1,178 @@
+//! Upstreams that name how many requests a second they take, from all hosts together.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use clayplank_placement::EngineModel;
+use clayplank_standin::SharedLimit;
+use rstest::rstest;
+use serde_json::{Value, json};
+
+use crate::host::Host;
+use crate::promises::plan_with_engines;
+use crate::system::{Shape, System, wait_for};
+
+/// Entry hosts.
+const ENTRIES: usize = 4;
+
+/// The service without engines.
+const SERVICE: &str = "limited";
+
+/// Requests a second that an upstream in need takes.
+const LIMIT_PER_S: f64 = 1.0;
+
+/// Hosts have this time to learn of a limit.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// Requests are counted over any span of this length.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// How long requests come after that time.
+const RUN: Duration = Duration::from_secs(9);
+
+/// Requests come for this long before a limit is named.
+const WARM_UP: Duration = Duration::from_secs(2);
+
+/// Callers of each entry host, and the pause of each between two requests: 24 a second in all.
+const CALLERS: usize = 2;
+const PAUSE: Duration = Duration::from_millis(330);
+
+/// What an upstream with a limit may get within the span, over all hosts.
+fn most_allowed(limit_per_s: f64) -> usize {
+    (1.5 * limit_per_s * WINDOW.as_secs_f64() + 5.0) as usize
+}
+
+/// The most arrivals within the span, among those after a time.
+fn most_in_window(limit: &SharedLimit, since: Instant) -> usize {
+    let arrivals: Vec<_> = limit.arrivals().into_iter().filter(|at| *at >= since).collect();
+    let within = |(first, from): (usize, &Instant)| {
+        arrivals[first..].iter().take_while(|at| **at < *from + WINDOW).count()
+    };
+    arrivals.iter().enumerate().map(within).max().unwrap_or_default()
+}
+
+/// What serves the requests of a test.
+#[derive(Clone, Copy, Debug)]
+enum Served {
+    ByEngines,
+    ByService,
+}
+
+impl Served {
+    fn path(self) -> &'static str {
+        match self {
+            Self::ByEngines => "/prompt/x",
+            Self::ByService => "/repeatable/x",
+        }
+    }
+}
+
+fn limited_plan() -> Value {
+    let mut plan = plan_with_engines(2, &EngineModel::default());
+    plan["services"].as_array_mut().unwrap().push(json!({ "name": SERVICE }));
+    plan["routes"][0]["targets"] = json!([{ "service": SERVICE, "weight": 1 }]);
+    plan
+}
+
+/// A system before four upstreams.
+struct Limited {
+    system: System,
+    served: Served,
+    limits: Vec<SharedLimit>,
+}
+
+impl Limited {
+    fn start(served: Served) -> Self {
+        let system = System::start_as(Shape { entries: ENTRIES, ..Shape::default() });
+        let limits: Vec<_> = (0..4).map(|_| SharedLimit::default()).collect();
+        for (number, limit) in (1_u8..).zip(&limits) {
+            let (id, last) = (format!("l{number}"), 30 + number);
+            match served {
+                Served::ByEngines => {
+                    let model = EngineModel::default();
+                    system.start_limited_engine(&id, last, model, limit.clone());
+                }
+                Served::ByService => {
+                    system.start_limited_service(SERVICE, &id, last, limit.clone());
+                }
+            }
+        }
+        system.wait_for_plan(&limited_plan());
+        let limited = Self { system, served, limits };
+        for entry in 0..ENTRIES {
+            let mut number = 0;
+            wait_for("an answer at each host", || {
+                number += 1;
+                limited.is_served(entry, &format!("first-{entry}-{number}"))
+            });
+        }
+        limited
+    }
+
+    fn is_served(&self, entry: usize, attempt: &str) -> bool {
+        let headers = [("x-clayplank-tokens", "2000,90")];
+        let answer = self.system.send(entry, attempt, self.served.path(), &headers);
+        answer.status == 200 && answer.is_whole
+    }
+
+    /// What the hosts told of requests that went to upstreams with a limit: how many, and how many of them
+    /// were first tries.
+    fn told_sends(&self) -> String {
+        let of_host = |host: &Host| {
+            let lines = host.lines("Sends to an upstream with a limit");
+            let first = lines.iter().filter(|line| line["sent"] == 1).count();
+            format!("{} ({first})", lines.len())
+        };
+        self.system.entries.iter().map(of_host).collect::<Vec<_>>().join(", ")
+    }
+
+    /// Plays callers of all hosts beside `main`; how many requests were served, of how many.
+    fn beside_callers(&self, main: impl FnOnce()) -> (usize, usize) {
+        let is_over = AtomicBool::new(false);
+        let call_on = |entry: usize, caller: usize| {
+            let (mut served, mut sent) = (0, 0);
+            while !is_over.load(Ordering::SeqCst) {
+                sent += 1;
+                served += usize::from(self.is_served(entry, &format!("{entry}-{caller}-{sent}")));
+                std::thread::sleep(PAUSE);
+            }
+            (served, sent)
+        };
+        std::thread::scope(|scope| {
+            let callers = (0..ENTRIES).flat_map(|entry| (0..CALLERS).map(move |one| (entry, one)));
+            let threads: Vec<_> = callers
+                .map(|(entry, caller)| scope.spawn(move || call_on(entry, caller)))
+                .collect();
+            main();
+            is_over.store(true, Ordering::SeqCst);
+            let counts = threads.into_iter().map(|thread| thread.join().unwrap());
+            counts.fold((0, 0), |(served, sent), (more, of)| (served + more, sent + of))
+        })
+    }
+}
+
+/// The upstream that got most so far.
+fn busiest(limits: &[SharedLimit]) -> &SharedLimit {
+    limits.iter().max_by_key(|limit| limit.arrivals().len()).unwrap()
+}
+
+/// Callers saw nothing; an upstream that had named one request a second got 26 in four seconds.
+#[rstest]
+#[case::engines(Served::ByEngines)]
+#[case::service(Served::ByService)]
+fn hosts_told_of_a_limit_stay_below_it_together(#[case] served: Served) {
+    let limited = Limited::start(served);
+    let mut most = 0;
+    let (served, sent) = limited.beside_callers(|| {
+        std::thread::sleep(WARM_UP);
+        let limit = busiest(&limited.limits);
+        limit.set(Some(LIMIT_PER_S));
+        let since = Instant::now() + CONTACT;
+        std::thread::sleep(CONTACT + RUN);
+        most = most_in_window(limit, since);
+    });
+    println!("{}", limited.told_sends());
+    println!("{most} in a span, {} allowed; {served} of {sent} served", most_allowed(LIMIT_PER_S));
+    assert!(most <= most_allowed(LIMIT_PER_S), "{most} in a span of {WINDOW:?}");
+    assert!(served * 100 >= sent * 98, "{served} of {sent} were served, beside upstreams at rest");
+}
--- a/clayplankd/tests/seeded/main.rs
+++ b/clayplankd/tests/seeded/main.rs
@@ -12,6 +12,7 @@
 mod crashing_upstreams;
 mod failover;
 mod host;
+mod limited;
 mod promises;
 mod proxy;
 mod replacement;
--- a/clayplankd/tests/seeded/upstreams.rs
+++ b/clayplankd/tests/seeded/upstreams.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use clayplank_placement::EngineModel;
-use clayplank_standin::{Registration, send_heartbeats, serve_pass_engine, serve_upstream};
+use clayplank_standin::{
+    Registration, SharedLimit, SharedRuns, send_heartbeats, serve_pass_engine, serve_upstream,
+};
 use serde_json::Value;
 
 use crate::answer::Answer;
@@ -27,21 +29,44 @@
         let address = SocketAddr::new(IpAddr::V4(bind_ip), UPSTREAM);
         let (id, runs) = (id.to_owned(), self.runs.clone());
         let listener = self.runtime.block_on(clayplank_standin::bind(address)).unwrap();
-        self.runtime.spawn(serve_upstream(listener, id, runs, None));
+        self.runtime.spawn(serve_upstream(listener, id, runs, None, SharedLimit::default()));
     }
 
     /// Starts an engine of the pass model, which registers with all keepers.
     pub fn start_engine(&self, id: &str, last: u8, model: EngineModel) -> SocketAddr {
+        self.start_limited_engine(id, last, model, SharedLimit::default())
+    }
+
+    /// The same for one that may name a limit.
+    pub fn start_limited_engine(
+        &self,
+        id: &str,
+        last: u8,
+        model: EngineModel,
+        limit: SharedLimit,
+    ) -> SocketAddr {
         let address = self.upstream_address(last);
         let listener = self.runtime.block_on(clayplank_standin::bind(address)).unwrap();
-        self.runtime.spawn(serve_pass_engine(listener, id.to_owned(), model));
+        self.runtime.spawn(serve_pass_engine(listener, id.to_owned(), model, limit));
         self.register_engine(id, last);
         address
     }
 
+    /// Starts an upstream of a plain service that may name a limit, which registers with all keepers.
+    pub fn start_limited_service(&self, service: &str, id: &str, last: u8, limit: SharedLimit) {
+        let address = self.upstream_address(last);
+        let listener = self.runtime.block_on(clayplank_standin::bind(address)).unwrap();
+        let runs = SharedRuns::default();
+        self.runtime.spawn(serve_upstream(listener, id.to_owned(), runs, None, limit));
+        self.send_heartbeats(self.registration(id, service, last, APP_SLOTS));
+    }
+
     /// Sends heartbeats of an engine, whether it is there or not.
     pub fn register_engine(&self, id: &str, last: u8) {
-        let registration = self.registration(id, "pool", last, EngineModel::default().slots);
+        self.send_heartbeats(self.registration(id, "pool", last, EngineModel::default().slots));
+    }
+
+    fn send_heartbeats(&self, registration: Registration) {
         let keepers = self.keepers.iter().map(Host::control).collect();
         self.runtime.spawn(send_heartbeats(registration, keepers, Duration::from_millis(300)));
     }
