--- a/clayplank-forward/src/attempt.rs
+++ b/clayplank-forward/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use clayplank_registry::{Noted, ObservedLimit};
 use clayplank_types::UpstreamId;
 use http::{Request, Response};
 use http_body_util::Full;
@@ -11,6 +12,7 @@
 use crate::answer::{NamedLimit, Verdict, judge, scan_limit, scan_load};
 use crate::call::Call;
 use crate::choice::Chosen;
+use crate::clock::now_ms;
 use crate::exchange::{Connection, ExchangeError, exchange};
 use crate::facts::text;
 use crate::headers::{Told, for_upstream};
@@ -32,6 +34,14 @@
     Lost,
 }
 
+/// An answer up to its head.
+struct Answer {
+    response: Response<Incoming>,
+    connection: Connection,
+    /// When its request was sent.
+    sent_ms: u64,
+}
+
 impl Call {
     /// Sends the request to an upstream, and judges the head of its answer.
     pub(crate) async fn attempt(
@@ -51,10 +61,12 @@
         let could_have_run = self.may_have_run;
         self.count_sent();
         self.log_limited(&upstream);
+        let sent_ms = now_ms();
         let sent = exchange(record.heartbeat.address, request);
         match clayplank_clock::timeout(patience, sent).await {
             Ok(Ok((response, connection))) => {
-                self.take_head(&upstream, load, response, connection, could_have_run)
+                let answer = Answer { response, connection, sent_ms };
+                self.take_head(&upstream, load, answer, could_have_run)
             }
             Ok(Err(ExchangeError::Connect(error))) => {
                 self.sent_count -= 1;
@@ -75,10 +87,10 @@
         &mut self,
         upstream: &UpstreamId,
         mut load: LoadGuard,
-        response: Response<Incoming>,
-        connection: Connection,
+        answer: Answer,
         could_have_run: bool,
     ) -> Attempt {
+        let Answer { response, connection, sent_ms } = answer;
         let (head, body) = response.into_parts();
         let names = &self.entry.names;
         if let Some((running, waiting)) = scan_load(&head.headers, names) {
@@ -88,7 +100,7 @@
         let verdict = judge(&head, names, &self.facts.attempt_id);
         // Any other answer may be another upstream's.
         if matches!(verdict, Verdict::Own | Verdict::NotRun) {
-            self.note_limit(upstream, limit);
+            self.note_limit(upstream, limit, sent_ms);
         }
         match verdict {
             Verdict::Own => {
@@ -112,26 +124,40 @@
         }
     }
 
-    /// Takes in how many requests the upstream says that it takes.
-    fn note_limit(&self, upstream: &UpstreamId, limit: NamedLimit) {
-        let limit_per_s = match limit {
-            NamedLimit::None => None,
-            NamedLimit::PerSecond(rate) => Some(rate),
+    /// Takes in how many requests the upstream says that it takes, in its answer to one that was sent at
+    /// a time.
+    fn note_limit(&self, upstream: &UpstreamId, limit: NamedLimit, sent_ms: u64) {
+        let (requests_per_s, at_ms) = match limit {
+            NamedLimit::None => (None, sent_ms),
+            NamedLimit::PerSecond(per_s) => (Some(per_s), now_ms()),
             NamedLimit::Unreadable => {
                 log::warn!(target: "forward", upstream = upstream.as_str(); "A limit cannot be read");
                 return;
             }
         };
-        if self.entry.directory.note_limit(upstream, limit_per_s) {
+        let observed = ObservedLimit { upstream: upstream.clone(), requests_per_s, at_ms };
+        let noted = self.entry.directory.note_limit(&observed);
+        if noted == Noted::Changed {
             log::info!(target: "forward",
-                upstream = upstream.as_str(), limit_per_s = limit_per_s, request = self.facts.attempt_id;
+                upstream = upstream.as_str(), limit_per_s = requests_per_s,
+                request = self.facts.attempt_id;
                 "An upstream's limit changed");
         }
+        // A limit is told with each answer that names it: others may have heard since that it was lifted.
+        let is_told = match noted {
+            Noted::Changed => true,
+            Noted::Unchanged => requests_per_s.is_some(),
+            Noted::Outdated(_) => false,
+        };
+        if is_told {
+            self.entry.placer.note_limit(&observed);
+        }
     }
 
     /// Tells of a request that goes to an upstream which named a limit.
     fn log_limited(&self, upstream: &UpstreamId) {
-        let Some(limit_per_s) = self.entry.directory.limit_per_s(upstream) else {
+        let limit = self.entry.directory.limit(upstream);
+        let Some(limit_per_s) = limit.and_then(|limit| limit.requests_per_s) else {
             return;
         };
         self.entry.figures.count_limited();
--- a/clayplank-forward/src/choice.rs
+++ b/clayplank-forward/src/choice.rs
@@ -12,7 +12,7 @@
 use crate::reserve::{Reservation, Ticket};
 
 /// When to come back if no upstream is known, in ms: about a heartbeat of upstreams.
-const NO_UPSTREAM_RETRY_MS: u64 = 1_500;
+pub(crate) const NO_UPSTREAM_RETRY_MS: u64 = 1_500;
 
 /// The least time, in ms, after which engines that are full are worth another try.
 const FULL_RETRY_MS: u64 = 700;
@@ -46,17 +46,7 @@
 impl Call {
     /// Chooses an upstream for the next attempt.
     pub(crate) async fn choose(&self) -> Result<Chosen, Refusal> {
-        if self.is_engine { self.choose_engine().await } else { self.choose_service() }
-    }
-
-    fn choose_service(&self) -> Result<Chosen, Refusal> {
-        let entry = &self.entry;
-        let record = entry
-            .directory
-            .choose(&self.service, &entry.data_centre, &self.tried)
-            .ok_or(Refusal::NotRun { retry_after_ms: NO_UPSTREAM_RETRY_MS })?;
-        let load = LoadGuard::new(entry, &record.heartbeat.id, None);
-        Ok(Chosen { record, helpers: String::new(), expected_ms: 0.0, load })
+        if self.is_engine { self.choose_engine().await } else { self.choose_service().await }
     }
 
     /// A request that cannot be served in time is told so at once. What is held asks again; it is
--- a/clayplank-forward/src/directory.rs
+++ b/clayplank-forward/src/directory.rs
@@ -2,9 +2,12 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
-use clayplank_placement::{Cold, ColdShare, ColdStart};
-use clayplank_registry::{Buckets, Digest, Heartbeat, Record, Standing, life_ids};
+use clayplank_placement::{ColdStart, HostShare, RateLimit};
+use clayplank_registry::{
+    Buckets, Digest, Heartbeat, Limits, Noted, ObservedLimit, Record, Standing, life_ids,
+};
 use clayplank_routes::ServingPlan;
 use clayplank_types::{DataCentre, UpstreamId};
 
@@ -18,6 +21,24 @@
 /// be late.
 const TOMBSTONE_MS: u64 = 120_000;
 
+/// An upstream that was chosen for a request at a plain service.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Choice {
+    /// The request counts there.
+    Counted(Record),
+    /// It names a limit: the request has to wait for its turn.
+    NeedsTurn(Record),
+}
+
+impl Choice {
+    /// The upstream.
+    pub fn record(&self) -> &Record {
+        match self {
+            Self::Counted(record) | Self::NeedsTurn(record) => record,
+        }
+    }
+}
+
 /// What stands behind the lock of a [`Directory`].
 #[derive(Debug)]
 struct Inner {
@@ -29,8 +50,10 @@
     cordoned: BTreeSet<DataCentre>,
     /// How upstreams bear their start, by service.
     cold_starts: HashMap<String, ColdStart>,
-    /// This host's share of the requests that cold upstreams bear.
-    share: ColdShare,
+    /// What upstreams say that they take.
+    limits: Limits,
+    /// This host's share of the requests that upstreams take which are cold or name a limit.
+    share: HostShare,
 }
 
 impl Default for Inner {
@@ -41,7 +64,8 @@
             seen: HashMap::new(),
             cordoned: BTreeSet::new(),
             cold_starts: HashMap::new(),
-            share: ColdShare { seed: rand::random(), hosts: 1 },
+            limits: Limits::new(rand::random()),
+            share: HostShare { seed: rand::random(), hosts: 1 },
         }
     }
 }
@@ -68,7 +92,11 @@
         }
         let cold_left_ms = record.heartbeat.cold_left_ms as f64;
         if cold_left_ms > 0.0 {
-            self.seen.entry(id.clone()).or_default().cold.note(now_ms() as f64, cold_left_ms);
+            self.seen
+                .entry(id.clone())
+                .or_default()
+                .rate_limit
+                .note_cold(now_ms() as f64, cold_left_ms);
         }
         self.records.insert(id, record.clone());
         changed.push(record);
@@ -108,22 +136,48 @@
         ended
     }
 
-    /// How long an upstream is cold, and how many requests it bears then.
-    fn cold(&self, heartbeat: &Heartbeat) -> Cold {
-        let mut cold = self.seen.get(&heartbeat.id).map(|seen| seen.cold).unwrap_or_default();
+    /// How many requests an upstream takes, as long as it is cold or names a limit.
+    fn rate_limit(&self, heartbeat: &Heartbeat) -> RateLimit {
+        let seen = self.seen.get(&heartbeat.id);
+        let mut rate_limit = seen.map(|seen| seen.rate_limit).unwrap_or_default();
         let start = self.cold_starts.get(&heartbeat.service);
-        cold.set_limit(start.map_or(0.0, |start| start.requests_per_s));
-        cold
+        rate_limit.set_cold_limit(start.map_or(0.0, |start| start.requests_per_s));
+        rate_limit.set_named_limit(self.limits.limit_per_s(&heartbeat.id));
+        rate_limit
+    }
+
+    /// Whether an upstream takes one more request of this host, which decides alone.
+    fn takes_one_alone(&self, now_ms: u64, heartbeat: &Heartbeat) -> bool {
+        self.rate_limit(heartbeat).may_send_alone(now_ms as f64, &heartbeat.id, &self.share)
+    }
+
+    /// Whether a request waits for its turn at an upstream: the leader gives them, for all hosts. While it is
+    /// cold, hosts have a share each.
+    fn needs_turn(&self, now_ms: u64, heartbeat: &Heartbeat) -> bool {
+        let is_limited = self.limits.limit_per_s(&heartbeat.id).is_some();
+        is_limited && !self.rate_limit(heartbeat).is_cold(now_ms as f64)
     }
 
-    /// Whether an upstream is not too cold for one more request of this host.
-    fn bears_one(&self, now_ms: u64, heartbeat: &Heartbeat) -> bool {
-        self.cold(heartbeat).may_send_alone(now_ms as f64, &heartbeat.id, &self.share)
+    /// Whether an upstream may take one more request of this host.
+    fn may_take_one(&self, now_ms: u64, heartbeat: &Heartbeat) -> bool {
+        if self.needs_turn(now_ms, heartbeat) {
+            let seen = self.seen.get(&heartbeat.id);
+            seen.is_none_or(|seen| seen.next_turn_ms <= now_ms)
+        } else {
+            self.takes_one_alone(now_ms, heartbeat)
+        }
+    }
+
+    /// Counts a request at an upstream.
+    fn count(&mut self, now_ms: u64, id: &UpstreamId) {
+        let seen = self.seen.entry(id.clone()).or_default();
+        seen.in_flight += 1;
+        seen.rate_limit.note_sent_alone(now_ms as f64);
     }
 
     /// Forgets upstreams that left long ago, and what was seen of them.
     fn forget_gone(&mut self, now_ms: u64) {
-        let Self { records, gone_at_ms, seen, .. } = self;
+        let Self { records, gone_at_ms, seen, limits, .. } = self;
         gone_at_ms.retain(|id, gone_at_ms| {
             let is_kept = now_ms < *gone_at_ms + TOMBSTONE_MS;
             if !is_kept {
@@ -132,6 +186,7 @@
             }
             is_kept
         });
+        limits.forget(now_ms, |id| records.contains_key(id));
     }
 }
 
@@ -224,7 +279,7 @@
                 held.contains(&heartbeat.data_centre) && !cordoned.contains(&heartbeat.data_centre);
             if let Some(start) = cold_starts.get(&heartbeat.service).filter(|_| is_back) {
                 let lasts_ms = start.lasts_ms as f64;
-                seen.entry(id.clone()).or_default().cold.note(now_ms, lasts_ms);
+                seen.entry(id.clone()).or_default().rate_limit.note_cold(now_ms, lasts_ms);
             }
         }
         *held = cordoned;
@@ -261,14 +316,14 @@
         self.lock().records.values().cloned().collect()
     }
 
-    /// Chooses an upstream of a plain service, and counts a request there.
-    pub fn choose(&self, service: &str, own: &DataCentre, avoid: &[UpstreamId]) -> Option<Record> {
+    /// Chooses an upstream of a plain service. A request there counts from now on, unless it needs a turn.
+    pub fn choose(&self, service: &str, own: &DataCentre, avoid: &[UpstreamId]) -> Option<Choice> {
         let now_ms = now_ms();
         let mut inner = self.lock();
         let seen = &inner.seen;
         let cost = |record: &Record| {
             let seen = seen.get(&record.heartbeat.id).cloned().unwrap_or_default();
-            let is_cold = inner.cold(&record.heartbeat).is_cold(now_ms as f64);
+            let is_cold = inner.rate_limit(&record.heartbeat).is_cold(now_ms as f64);
             let remote_ms = if record.heartbeat.data_centre == *own { 0.0 } else { REMOTE_MS };
             // One whose heartbeats are missing may be dead: it is asked if no other is there.
             let is_avoided = seen.is_avoided(now_ms) || record.is_silent;
@@ -279,7 +334,7 @@
             heartbeat.service == service
                 && inner.takes_work(heartbeat)
                 && !avoid.contains(&heartbeat.id)
-                && inner.bears_one(now_ms, heartbeat)
+                && inner.may_take_one(now_ms, heartbeat)
         });
         let best = fit
             .map(|record| (cost(record), record))
@@ -290,10 +345,52 @@
                 },
             )
             .map(|(_, record)| record.clone())?;
-        let seen = inner.seen.entry(best.heartbeat.id.clone()).or_default();
-        seen.in_flight += 1;
-        seen.cold.note_sent_alone(now_ms as f64);
-        Some(best)
+        if inner.needs_turn(now_ms, &best.heartbeat) {
+            return Some(Choice::NeedsTurn(best));
+        }
+        inner.count(now_ms, &best.heartbeat.id);
+        Some(Choice::Counted(best))
+    }
+
+    /// Counts a request that has a turn.
+    pub fn count_turn(&self, id: &UpstreamId) {
+        self.lock().count(now_ms(), id);
+    }
+
+    /// Notes that an upstream takes no request for a while.
+    pub fn note_no_turn(&self, id: &UpstreamId, wait: Duration) {
+        let wait_ms = (wait.as_millis() as u64).max(1);
+        self.lock().seen.entry(id.clone()).or_default().next_turn_ms = now_ms() + wait_ms;
+    }
+
+    /// The upstream of a plain service that gives the next turn, and the least time until then.
+    pub fn soonest_turn(&self, service: &str, avoid: &[UpstreamId]) -> Option<(Record, Duration)> {
+        let now_ms = now_ms();
+        let inner = self.lock();
+        let limited = inner.records.values().filter(|record| {
+            let heartbeat = &record.heartbeat;
+            heartbeat.service == service
+                && inner.takes_work(heartbeat)
+                && !avoid.contains(&heartbeat.id)
+                && inner.needs_turn(now_ms, heartbeat)
+        });
+        let next_turn_ms = |record: &&Record| {
+            inner.seen.get(&record.heartbeat.id).map_or(0, |seen| seen.next_turn_ms)
+        };
+        let soonest = limited.min_by_key(next_turn_ms)?;
+        let wait_ms = next_turn_ms(&soonest).saturating_sub(now_ms);
+        Some((soonest.clone(), Duration::from_millis(wait_ms)))
+    }
+
+    /// Counts a request if an upstream takes one of this host, which nobody gives a turn; whether it does.
+    pub fn count_alone(&self, heartbeat: &Heartbeat) -> bool {
+        let now_ms = now_ms();
+        let mut inner = self.lock();
+        let takes_one = inner.takes_one_alone(now_ms, heartbeat);
+        if takes_one {
+            inner.count(now_ms, &heartbeat.id);
+        }
+        takes_one
     }
 
     /// Notes how a request at a plain service ended.
@@ -309,24 +406,23 @@
         inner.seen.entry(id.clone()).or_default().note_load(now_ms(), running + waiting);
     }
 
-    /// Notes how many requests a second an upstream takes from all hosts, `None` for any number;
-    /// whether it had not said so before.
-    pub fn note_limit(&self, id: &UpstreamId, limit_per_s: Option<f64>) -> bool {
-        let mut inner = self.lock();
-        let is_known = inner.seen.get(id).and_then(|seen| seen.limit_per_s) == limit_per_s;
-        if !is_known {
-            inner.seen.entry(id.clone()).or_default().limit_per_s = limit_per_s;
-        }
-        !is_known
+    /// Takes in what was observed of an upstream's limit, here or at another host.
+    pub fn note_limit(&self, observed: &ObservedLimit) -> Noted {
+        self.lock().limits.note(observed)
+    }
+
+    /// The limit of an upstream, if it named one.
+    pub fn limit(&self, id: &UpstreamId) -> Option<ObservedLimit> {
+        self.lock().limits.observed_of(id)
     }
 
-    /// How many requests a second an upstream takes from all hosts, if it named a limit.
-    pub fn limit_per_s(&self, id: &UpstreamId) -> Option<f64> {
-        self.lock().seen.get(id)?.limit_per_s
+    /// The limits that are in force.
+    pub fn limits(&self) -> Vec<ObservedLimit> {
+        self.lock().limits.observed().collect()
     }
 
     /// How many upstreams name a limit.
     pub fn count_limited(&self) -> usize {
-        self.lock().seen.values().filter(|seen| seen.limit_per_s.is_some()).count()
+        self.lock().limits.limited().count()
     }
 }
--- a/clayplank-forward/src/seen.rs
+++ b/clayplank-forward/src/seen.rs
@@ -1,6 +1,6 @@
 //! What a host saw of one upstream: its answers, its failures, and the load that it told.
 
-use clayplank_placement::{Cold, avoid_ms};
+use clayplank_placement::{RateLimit, avoid_ms};
 
 /// Load that an upstream told counts for this long, in ms.
 const LOAD_AGE_MS: u64 = 1_000;
@@ -17,9 +17,9 @@
     told_load: u64,
     told_at_ms: u64,
     mean_ms: f64,
-    pub(crate) cold: Cold,
-    /// Requests a second that it takes from all hosts, as its last answer said.
-    pub(crate) limit_per_s: Option<f64>,
+    pub(crate) rate_limit: RateLimit,
+    /// It takes no request before, as the keeper said that gives its turns.
+    pub(crate) next_turn_ms: u64,
 }
 
 impl Seen {
--- a/clayplank-forward/tests/cordons.rs
+++ b/clayplank-forward/tests/cordons.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
-use clayplank_forward::Directory;
+use clayplank_forward::{Choice, Directory};
 use clayplank_placement::ColdStart;
 use clayplank_registry::{Heartbeat, Record};
 use clayplank_routes::{ServiceGroup, ServingPlan};
@@ -34,7 +34,10 @@
 }
 
 fn choose(directory: &Directory) -> Option<UpstreamId> {
-    directory.choose("app", &DataCentre::new("a"), &[]).map(|record| record.heartbeat.id)
+    match directory.choose("app", &DataCentre::new("a"), &[])? {
+        Choice::Counted(record) => Some(record.heartbeat.id),
+        Choice::NeedsTurn(record) => panic!("{} names no limit", record.heartbeat.id),
+    }
 }
 
 #[tokio::test(start_paused = true)]
--- a/clayplank-forward/tests/entry/broken_stream.rs
+++ b/clayplank-forward/tests/entry/broken_stream.rs
@@ -2,9 +2,11 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
-use clayplank_forward::{BoxFuture, Directory, EntryBuilder, Placer};
+use clayplank_forward::{BoxFuture, Directory, EntryBuilder, Placer, Turn};
 use clayplank_placement::{Ask, Assignment, EngineModel, Event, Part, Placed, PlacementId};
+use clayplank_registry::ObservedLimit;
 use clayplank_routes::{RequestKind, Route, ServiceGroup};
 use clayplank_types::{DataCentre, UpstreamId};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -46,6 +48,12 @@
 
     fn note(&self, _: PlacementId, _: Event) {}
 
+    fn note_limit(&self, _: &ObservedLimit) {}
+
+    fn take_turn<'a>(&'a self, _: &'a ObservedLimit, _: Duration) -> BoxFuture<'a, Turn> {
+        Box::pin(std::future::ready(Turn::Unknown))
+    }
+
     fn next_id(&self) -> PlacementId {
         PlacementId::default()
     }
--- a/clayplank-forward/tests/entry/harness.rs
+++ b/clayplank-forward/tests/entry/harness.rs
@@ -2,13 +2,15 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use clayplank_forward::{
-    BoxFuture, Directory, Entry, EntryBuilder, Gate, OrderFormat, Placer, now_ms, serve_callers,
+    BoxFuture, Directory, Entry, EntryBuilder, Gate, OrderFormat, Placer, Turn, now_ms,
+    serve_callers,
 };
 use clayplank_placement::{Ask, Event, Placed, PlacementId};
-use clayplank_registry::{Heartbeat, Record};
+use clayplank_registry::{Heartbeat, ObservedLimit, Record};
 use clayplank_routes::{
     CallerLimits, PlanIndex, RequestKind, Route, ServiceGroup, ServingPlan, Target,
 };
@@ -31,6 +33,12 @@
 
     fn note(&self, _: PlacementId, _: Event) {}
 
+    fn note_limit(&self, _: &ObservedLimit) {}
+
+    fn take_turn<'a>(&'a self, _: &'a ObservedLimit, _: Duration) -> BoxFuture<'a, Turn> {
+        Box::pin(std::future::ready(Turn::Unknown))
+    }
+
     fn next_id(&self) -> PlacementId {
         PlacementId::default()
     }
--- a/clayplank-forward/tests/entry/limits.rs
+++ b/clayplank-forward/tests/entry/limits.rs
@@ -5,7 +5,7 @@
 use clayplank_forward::{Directory, EntryBuilder};
 use clayplank_routes::RequestKind;
 use clayplank_types::UpstreamId;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 
 use crate::harness::{Host, NoPlacer, plain_service, read_some, record, route};
@@ -22,7 +22,7 @@
     tokio::spawn(async move {
         for answer in given {
             let (mut stream, _) = listener.accept().await.unwrap();
-            stream.read(&mut [0; 4_096]).await.unwrap();
+            read_some(&mut stream).await;
             stream
                 .write_all(format!("{answer}content-length: 2\r\n\r\nok").as_bytes())
                 .await
@@ -44,15 +44,15 @@
         caller.write_all(request.as_bytes()).await.unwrap();
         read_some(&mut caller).await;
     }
-    directory.limit_per_s(&UpstreamId::new("u"))
+    directory.limit(&UpstreamId::new("u"))?.requests_per_s
 }
 
-const NAMED: &str = "HTTP/1.1 200 OK\r\nx-clayplank-attempt-id: a\r\nx-clayplank-seal: s\r\nx-clayplank-limit: 2.5\r\n";
+const NAMED: &str = "HTTP/1.1 200 OK\r\nx-clayplank-attempt-id: a\r\nx-clayplank-seal: s\r\nx-clayplank-limit: 40.5\r\n";
 
 #[tokio::test]
 async fn a_limit_holds_until_an_answer_names_none() {
     assert_eq!(limit_after(&[OWN]).await, None);
-    assert_eq!(limit_after(&[NAMED]).await, Some(2.5));
+    assert_eq!(limit_after(&[NAMED]).await, Some(40.5));
     assert_eq!(limit_after(&[NAMED, OWN]).await, None);
 }
 
@@ -72,7 +72,7 @@
         "HTTP/1.1 200 OK\r\nx-clayplank-attempt-id: a\r\nx-clayplank-seal: s\r\nx-clayplank-limit:\r\n",
     ];
     assert_eq!(limit_after(&MALFORMED).await, None);
-    assert_eq!(limit_after(&[NAMED, MALFORMED[0], MALFORMED[2]]).await, Some(2.5));
+    assert_eq!(limit_after(&[NAMED, MALFORMED[0], MALFORMED[2]]).await, Some(40.5));
 }
 
 /// The answer may come from another life at the same address, or belong to another request.
--- a/clayplank-forward/tests/parts.rs
+++ b/clayplank-forward/tests/parts.rs
@@ -66,7 +66,7 @@
     let own = DataCentre::new("a");
     let mut chosen = Vec::new();
     for _ in 0..6 {
-        chosen.push(directory.choose("app", &own, &[]).unwrap().heartbeat.id.to_string());
+        chosen.push(directory.choose("app", &own, &[]).unwrap().record().heartbeat.id.to_string());
     }
     assert_eq!(chosen[0], "near");
     assert!(chosen.contains(&"far".to_owned()), "{chosen:?}");
@@ -82,10 +82,10 @@
     let own = DataCentre::new("a");
     directory.choose("app", &own, &[]).unwrap();
     directory.note_end(&UpstreamId::new("near"), 10, false);
-    assert_eq!(directory.choose("app", &own, &[]).unwrap().heartbeat.id.as_str(), "far");
+    assert_eq!(directory.choose("app", &own, &[]).unwrap().record().heartbeat.id.as_str(), "far");
     directory.note_end(&UpstreamId::new("far"), 10, true);
     tokio::time::advance(std::time::Duration::from_secs(2)).await;
-    assert_eq!(directory.choose("app", &own, &[]).unwrap().heartbeat.id.as_str(), "near");
+    assert_eq!(directory.choose("app", &own, &[]).unwrap().record().heartbeat.id.as_str(), "near");
 }
 
 #[test]
@@ -106,7 +106,9 @@
     let own = DataCentre::new("a");
     let silent = Record { is_silent: true, ..record("silent", "a", Standing::Ready, 2) };
     directory.apply(vec![silent, record("heard", "b", Standing::Ready, 1)]);
-    let choose = |avoid: &[UpstreamId]| directory.choose("app", &own, avoid).unwrap().heartbeat.id;
+    let choose = |avoid: &[UpstreamId]| {
+        directory.choose("app", &own, avoid).unwrap().record().heartbeat.id.clone()
+    };
     for _ in 0..20 {
         assert_eq!(choose(&[]).as_str(), "heard");
     }
@@ -164,7 +166,7 @@
     directory.apply(vec![life(100, Standing::Ready)]);
     directory.apply(vec![life(200, Standing::Ready)]);
     directory.apply(vec![life(100, Standing::Draining), life(100, Standing::Ready)]);
-    let chosen = directory.choose("app", &own, &[]).unwrap().heartbeat;
+    let chosen = directory.choose("app", &own, &[]).unwrap().record().heartbeat.clone();
     assert_eq!(chosen.born_ms, 200);
     assert_eq!(directory.find("u"), Some(chosen.id.clone()));
     assert!(directory.choose("app", &own, &[chosen.id]).is_none(), "the former one has ended");
@@ -175,6 +177,7 @@
     let directory = Directory::default();
     directory.apply(vec![life(200, Standing::Ready)]);
     directory.apply(vec![life(200, Standing::Gone), life(100, Standing::Ready)]);
-    let chosen = directory.choose("app", &DataCentre::new("a"), &[]).unwrap().heartbeat;
+    let chosen =
+        directory.choose("app", &DataCentre::new("a"), &[]).unwrap().record().heartbeat.clone();
     assert_eq!(chosen.born_ms, 100);
 }
--- a/clayplank-placement/src/candidate.rs
+++ b/clayplank-placement/src/candidate.rs
@@ -43,12 +43,12 @@
 /// reached is none of them, so that it stands in no count of places either.
 pub(crate) fn open_engines<'a>(fleet: &'a Fleet, now_ms: f64, ask: &Ask) -> Vec<Open<'a>> {
     usable_engines(fleet, ask)
-        .filter(|(id, engine)| engine.cold.wait_ms(now_ms, id, &fleet.sender) == 0.0)
+        .filter(|(id, engine)| engine.rate_limit.wait_ms(now_ms, id, &fleet.sender) == 0.0)
         .map(|(id, engine)| Open { id, engine, noise: fleet.draw_noise() * ask.weight() })
         .collect()
 }
 
-/// Engines that may take the prompt, now or once they are not too cold for it.
+/// Engines that may take the prompt, now or once they take another request.
 fn usable_engines<'a>(
     fleet: &'a Fleet,
     ask: &Ask,
@@ -59,10 +59,11 @@
     })
 }
 
-/// When the first cold engine bears another request, in ms from now; `None` if there is none.
-pub(crate) fn cold_wait_ms(fleet: &Fleet, now_ms: f64, ask: &Ask) -> Option<f64> {
+/// When the first of the engines that take only so many takes another request, in ms from now; `None` if
+/// there is none.
+pub(crate) fn limited_wait_ms(fleet: &Fleet, now_ms: f64, ask: &Ask) -> Option<f64> {
     let waits = usable_engines(fleet, ask)
-        .map(|(id, engine)| engine.cold.wait_ms(now_ms, id, &fleet.sender));
+        .map(|(id, engine)| engine.rate_limit.wait_ms(now_ms, id, &fleet.sender));
     waits.filter(|wait_ms| *wait_ms > 0.0).min_by(f64::total_cmp)
 }
 
--- a/clayplank-placement/src/choose.rs
+++ b/clayplank-placement/src/choose.rs
@@ -2,7 +2,7 @@
 
 use crate::admit::is_worth_it;
 use crate::ask::{Ask, Placed};
-use crate::candidate::{Open, cold_wait_ms, open_engines};
+use crate::candidate::{Open, limited_wait_ms, open_engines};
 use crate::costs::Exposure;
 use crate::fleet::Fleet;
 use crate::hold::hold_ms;
@@ -33,9 +33,9 @@
 pub(crate) fn choose(fleet: &Fleet, now_ms: f64, ask: &Ask) -> Placed {
     let open = open_engines(fleet, now_ms, ask);
     if open.is_empty()
-        && let Some(wait_ms) = cold_wait_ms(fleet, now_ms, ask)
+        && let Some(wait_ms) = limited_wait_ms(fleet, now_ms, ask)
     {
-        return wait_for_cold(fleet, ask, wait_ms);
+        return wait_for_turn(fleet, ask, wait_ms);
     }
     let Some(way) = choose_way(fleet, &open, now_ms, ask) else {
         return wait_for_slot(fleet, &open, ask);
@@ -70,9 +70,9 @@
     best
 }
 
-/// What a prompt is told when all engines are cold and bear nothing more now: it waits while it can
-/// still be in time, and is refused at once if it cannot.
-fn wait_for_cold(fleet: &Fleet, ask: &Ask, wait_ms: f64) -> Placed {
+/// What a prompt is told when no engine takes another request now, since all are cold or named a limit: it
+/// waits while it can still be in time, and is refused at once if it cannot.
+fn wait_for_turn(fleet: &Fleet, ask: &Ask, wait_ms: f64) -> Placed {
     if wait_ms < ask.goal_ms || ask.is_late() && wait_ms < ask.limit_ms {
         Placed::Soon { again_in_ms: wait_ms.ceil() as u64 }
     } else {
--- a/clayplank-placement/src/engine.rs
+++ b/clayplank-placement/src/engine.rs
@@ -3,10 +3,10 @@
 use clayplank_types::DataCentre;
 
 use crate::ask::PlacementId;
-use crate::cold::Cold;
 use crate::health::Health;
 use crate::job::{Job, JobKind, Queued};
 use crate::model::EngineModel;
+use crate::rate_limit::RateLimit;
 use crate::reach::Reach;
 
 /// Memory left free on each engine, as a share: answers may be longer than expected.
@@ -30,7 +30,7 @@
     pub(crate) is_open: bool,
     /// Whether its data centre is to get nothing.
     pub(crate) is_cordoned: bool,
-    pub(crate) cold: Cold,
+    pub(crate) rate_limit: RateLimit,
     /// Whether its heartbeats are missing.
     pub(crate) is_silent: bool,
     pub(crate) health: Health,
@@ -48,7 +48,7 @@
             spec,
             is_open,
             is_cordoned: false,
-            cold: Cold::default(),
+            rate_limit: RateLimit::default(),
             is_silent: false,
             health: Health::default(),
             reach: Reach::default(),
--- a/clayplank-placement/src/fleet.rs
+++ b/clayplank-placement/src/fleet.rs
@@ -9,12 +9,12 @@
 
 use crate::ask::{Ask, Assignment, Placed, PlacementId};
 use crate::choose::choose;
-use crate::cold::{ColdShare, Sender};
 use crate::engine::{Engine, EngineSpec};
 use crate::event::{Event, Renewed};
 use crate::holds::Holds;
 use crate::job::{Job, JobKind};
 use crate::placement::Placement;
+use crate::rate_limit::{HostShare, Sender};
 use crate::usual::UsualLimits;
 
 /// What chance adds to an engine's cost for a host that decides alone, as a share of a
@@ -57,6 +57,8 @@
     holds: Holds,
     /// Data centres whose engines get nothing.
     cordoned: BTreeSet<DataCentre>,
+    /// Requests a second that engines say they take, for those that do.
+    limits_per_s: HashMap<UpstreamId, f64>,
     pub(crate) sender: Sender,
     /// The most that chance adds to an engine's cost, as a share of a prompt's weight.
     noise: f64,
@@ -68,7 +70,7 @@
     /// decide alike from sending all to the same engines.
     pub fn alone(seed: u64) -> Self {
         let rng = RefCell::new(Some(SmallRng::seed_from_u64(seed)));
-        let sender = Sender::Host(ColdShare { seed, hosts: 1 });
+        let sender = Sender::Host(HostShare { seed, hosts: 1 });
         Self { noise: ALONE_NOISE, rng, sender, ..Self::default() }
     }
 
@@ -114,6 +116,7 @@
                 let is_cordoned = self.cordoned.contains(&spec.data_centre);
                 let mut engine = Engine::new(spec, is_open);
                 engine.is_cordoned = is_cordoned;
+                engine.rate_limit.set_named_limit(self.limits_per_s.get(&id).copied());
                 self.engines.insert(id, engine);
             }
         }
@@ -142,8 +145,20 @@
     /// Notes for how much longer an engine is cold, and how many requests a second it bears then.
     pub fn set_cold(&mut self, now_ms: f64, id: &UpstreamId, left_ms: f64, requests_per_s: f64) {
         if let Some(engine) = self.engines.get_mut(id) {
-            engine.cold.set_limit(requests_per_s);
-            engine.cold.note(now_ms, left_ms);
+            engine.rate_limit.set_cold_limit(requests_per_s);
+            engine.rate_limit.note_cold(now_ms, left_ms);
+        }
+    }
+
+    /// Sets how many requests a second an engine says that it takes from all hosts; `None` for any number.
+    /// It holds also for an engine that is added later.
+    pub fn set_named_limit(&mut self, id: &UpstreamId, requests_per_s: Option<f64>) {
+        match requests_per_s {
+            Some(per_s) => self.limits_per_s.insert(id.clone(), per_s),
+            None => self.limits_per_s.remove(id),
+        };
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.rate_limit.set_named_limit(requests_per_s);
         }
     }
 
@@ -164,6 +179,7 @@
     /// Forgets engines that are not in the list.
     pub fn retain_engines(&mut self, is_known: impl Fn(&UpstreamId) -> bool) {
         self.engines.retain(|id, _| is_known(id));
+        self.limits_per_s.retain(|id, _| is_known(id));
     }
 
     /// Chooses engines for a prompt and notes their load.
@@ -187,7 +203,7 @@
         let helpers = assignment.helpers.iter().map(|part| &part.engine);
         for id in std::iter::once(&assignment.engine).chain(helpers) {
             if let Some(engine) = self.engines.get_mut(id) {
-                engine.cold.note_sent(now_ms, &self.sender);
+                engine.rate_limit.note_sent(now_ms, &self.sender);
             }
         }
     }
--- a/clayplank-registry/src/lib.rs
+++ b/clayplank-registry/src/lib.rs
@@ -24,8 +24,10 @@
 
 mod digest;
 mod heartbeat;
+mod limits;
 mod registry;
 
 pub use digest::{Buckets, Digest};
 pub use heartbeat::{Heartbeat, Standing, life_ids};
+pub use limits::{AgedLimit, LimitChanges, Limits, Noted, ObservedLimit};
 pub use registry::{Changes, Cursor, Record, Registry};
--- /dev/null
+++ b/clayplank-registry/tests/limits.rs
@@ -0,0 +1,88 @@
+//! Which of several observations of an upstream's limit holds.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use clayplank_registry::{Cursor, Limits, Noted, ObservedLimit};
+use clayplank_types::UpstreamId;
+use rstest::rstest;
+
+fn id() -> UpstreamId {
+    UpstreamId::new("u")
+}
+
+fn observed(requests_per_s: Option<f64>, at_ms: u64) -> ObservedLimit {
+    ObservedLimit { upstream: id(), requests_per_s, at_ms }
+}
+
+#[rstest]
+#[case::later_limit(&[(Some(2.0), 10), (Some(1.0), 20)], Some(1.0))]
+#[case::earlier_limit(&[(Some(1.0), 20), (Some(2.0), 10)], Some(1.0))]
+#[case::lifted(&[(Some(1.0), 20), (None, 30)], None)]
+#[case::lifted_before(&[(Some(1.0), 20), (None, 10)], Some(1.0))]
+#[case::lifted_between_two_answers_that_name_it(&[(Some(1.0), 10), (Some(1.0), 30), (None, 20)], Some(1.0))]
+#[case::named_again(&[(Some(1.0), 10), (None, 20), (Some(1.0), 30)], Some(1.0))]
+#[case::never_named(&[(None, 10)], None)]
+fn the_latest_observation_holds(
+    #[case] told: &[(Option<f64>, u64)],
+    #[case] limit_per_s: Option<f64>,
+) {
+    let mut limits = Limits::new(1);
+    for (requests_per_s, at_ms) in told {
+        limits.note(&observed(*requests_per_s, *at_ms));
+    }
+    assert_eq!(limits.limit_per_s(&id()), limit_per_s);
+    assert_eq!(limits.limited().count(), usize::from(limit_per_s.is_some()));
+}
+
+#[test]
+fn a_follower_is_told_what_changed_after_its_cursor() {
+    let mut limits = Limits::new(1);
+    assert_eq!(limits.note(&observed(Some(1.0), 10)), Noted::Changed);
+    let first = limits.changes_after(15, Cursor::default());
+    assert_eq!(first.limits.len(), 1);
+    assert_eq!(first.limits[0].age_ms, 5);
+    assert!(limits.changes_after(15, first.cursor).limits.is_empty());
+    assert_eq!(limits.note(&observed(Some(1.0), 20)), Noted::Unchanged);
+    assert!(limits.changes_after(20, first.cursor).limits.is_empty());
+    assert_eq!(limits.note(&observed(None, 30)), Noted::Changed);
+    let second = limits.changes_after(30, first.cursor);
+    assert_eq!(second.limits[0].requests_per_s, None);
+    let other = Limits::new(2);
+    assert_eq!(
+        limits.changes_after(30, other.changes_after(30, first.cursor).cursor).limits.len(),
+        1
+    );
+}
+
+/// Whoever told what is outdated may have told others too.
+#[test]
+fn what_is_outdated_is_answered_by_what_holds_and_told_again() {
+    let mut limits = Limits::new(1);
+    limits.note(&observed(Some(1.0), 10));
+    limits.note(&observed(None, 20));
+    let cursor = limits.changes_after(20, Cursor::default()).cursor;
+    let noted = limits.note(&observed(Some(1.0), 15));
+    assert_eq!(noted, Noted::Outdated(observed(None, 20)));
+    assert_eq!(limits.changes_after(25, cursor).limits.len(), 1);
+}
+
+#[test]
+fn two_hosts_with_other_clocks_agree() {
+    let (mut here, mut there) = (Limits::new(1), Limits::new(2));
+    here.note(&observed(Some(3.0), 1_000));
+    let told = here.changes_after(1_040, Cursor::default()).limits.remove(0);
+    assert_eq!(there.note(&told.into_observed(90_000)), Noted::Changed);
+    // An answer there that came before says nothing any more.
+    assert!(matches!(there.note(&observed(None, 89_950)), Noted::Outdated(_)));
+    assert_eq!(there.note(&observed(None, 89_970)), Noted::Changed);
+}
+
+#[test]
+fn limits_of_upstreams_that_are_gone_are_forgotten() {
+    let mut limits = Limits::new(1);
+    limits.note(&observed(Some(1.0), 10));
+    limits.forget(1_000_000, |_| true);
+    assert_eq!(limits.limit_per_s(&id()), Some(1.0), "it is in force for as long as it says so");
+    limits.forget(20, |_| false);
+    assert_eq!(limits.limit_per_s(&id()), None);
+}
--- a/clayplankd/src/fleet.rs
+++ b/clayplankd/src/fleet.rs
@@ -5,6 +5,7 @@
 pub(crate) mod fleet_keeper;
 pub(crate) mod fleet_link;
 pub(crate) mod host_counts;
+pub(crate) mod limit_reports;
 pub(crate) mod mirror;
 pub(crate) mod sightings;
 pub(crate) mod spread;
--- a/clayplankd/src/fleet/fleet_keeper.rs
+++ b/clayplankd/src/fleet/fleet_keeper.rs
@@ -1,13 +1,16 @@
 //! A keeper's soft state: registered upstreams, and the load of the engines.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwapOption;
-use clayplank_placement::{Ask, Event, Fleet, Outlook, Placed, PlacementId, Renewed};
-use clayplank_registry::{Buckets, Changes, Cursor, Digest, Heartbeat, Registry, Standing};
+use clayplank_placement::{Ask, Event, Fleet, Outlook, Placed, PlacementId, RateLimit, Renewed};
+use clayplank_registry::{
+    AgedLimit, Buckets, Changes, Cursor, Digest, Heartbeat, LimitChanges, Limits, Noted,
+    ObservedLimit, Registry, Standing,
+};
 use clayplank_routes::PlanIndex;
 use clayplank_state::{Delta, PackError, PlanDocument, pack};
 use clayplank_types::{DataCentre, HostId, UpstreamId};
@@ -65,6 +68,9 @@
     /// Whether the registry holds news that followers were not told.
     has_news: AtomicBool,
     news_pages: Mutex<NewsPages>,
+    limits: Mutex<Limits>,
+    /// Turns at upstreams without engines that name a limit.
+    turns: Mutex<HashMap<UpstreamId, RateLimit>>,
     /// The registry's newest change.
     changed: watch::Sender<Cursor>,
     fleet: Mutex<Fleet>,
@@ -89,6 +95,8 @@
             registry: Mutex::new(Registry::new(rand::random())),
             has_news: AtomicBool::new(false),
             news_pages: Mutex::default(),
+            limits: Mutex::new(Limits::new(rand::random())),
+            turns: Mutex::default(),
             changed: watch::Sender::new(Cursor::default()),
             fleet: Mutex::default(),
             mirror: Mutex::default(),
@@ -181,6 +189,7 @@
             (registry.records().cloned().collect::<Vec<_>>(), registry.cursor())
         };
         set_engines(&mut lock(&self.fleet), &plan, &records);
+        self.set_named_limits();
         *lock(&self.engines_at) = cursor;
     }
 
@@ -243,6 +252,7 @@
             (registry.cursor() != before, has_forgotten)
         };
         if has_forgotten {
+            self.forget_limits();
             self.set_engines();
         }
         if has_aged || self.has_news.load(Ordering::SeqCst) {
@@ -286,6 +296,58 @@
         }
     }
 
+    /// Takes in what upstreams said of their limits; returns it by the clock of this host.
+    pub(crate) fn note_limits(&self, told: Vec<AgedLimit>) -> Vec<ObservedLimit> {
+        let now_ms = now_ms();
+        let told: Vec<_> = told.into_iter().map(|limit| limit.into_observed(now_ms)).collect();
+        for observed in &told {
+            if lock(&self.limits).note(observed) == Noted::Changed {
+                log_limit(observed);
+                lock(&self.fleet).set_named_limit(&observed.upstream, observed.requests_per_s);
+            }
+        }
+        told
+    }
+
+    /// What a follower lacks of the limits that upstreams name.
+    pub(crate) fn limit_changes(&self, cursor: Cursor) -> LimitChanges {
+        lock(&self.limits).changes_after(now_ms(), cursor)
+    }
+
+    /// Sets the limits of engines that were added anew.
+    fn set_named_limits(&self) {
+        let limits = lock(&self.limits);
+        let mut fleet = lock(&self.fleet);
+        for (id, per_s) in limits.limited() {
+            fleet.set_named_limit(id, Some(per_s));
+        }
+    }
+
+    /// Takes a turn at an upstream for a request that waits no longer than `patience_ms`. `Ok` with the time
+    /// until its turn, in ms.
+    ///
+    /// # Errors
+    /// The time until there is a turn, in ms.
+    pub(crate) fn take_turn(&self, limit: AgedLimit, patience_ms: u64) -> Result<u64, u64> {
+        let id = limit.upstream.clone();
+        // The host may have heard of the limit just now.
+        self.note_limits(vec![limit]);
+        let limit_per_s = lock(&self.limits).limit_per_s(&id);
+        let mut turns = lock(&self.turns);
+        let turn = turns.entry(id).or_default();
+        turn.set_named_limit(limit_per_s);
+        let taken = turn.take_turn(fleet_now_ms(), patience_ms as f64);
+        taken.map(|wait_ms| wait_ms.ceil() as u64).map_err(|wait_ms| wait_ms.ceil() as u64)
+    }
+
+    /// Forgets limits of upstreams that this keeper does not know any more.
+    fn forget_limits(&self) {
+        let registry = lock(&self.registry);
+        let is_known = |id: &UpstreamId| registry.record(id).is_some();
+        lock(&self.limits).forget(now_ms(), is_known);
+        lock(&self.turns).retain(|id, _| is_known(id));
+    }
+
     /// Takes over placements that another keeper made.
     pub(crate) fn take_over(&self, placed: Vec<Renewed>) {
         lock(&self.fleet).take_over(fleet_now_ms(), &placed);
@@ -448,8 +510,10 @@
     pub(crate) fn to_text(&self) -> String {
         let upstreams = lock(&self.registry).records().count();
         let placed = lock(&self.fleet).placed_count();
+        let limited = lock(&self.limits).limited().count();
         format!(
-            "clayplank_keeper_upstreams {upstreams}\nclayplank_keeper_placements {placed}\nclayplank_keeper_entry_hosts {}\n",
+            "clayplank_keeper_upstreams {upstreams}\nclayplank_keeper_limited_upstreams {limited}\n\
+             clayplank_keeper_placements {placed}\nclayplank_keeper_entry_hosts {}\n",
             self.count_entry_hosts()
         )
     }
@@ -473,6 +537,12 @@
         "An upstream's standing changed");
 }
 
+fn log_limit(observed: &ObservedLimit) {
+    log::info!(target: part::KEEPER,
+        upstream = observed.upstream.as_str(), limit_per_s = observed.requests_per_s;
+        "An upstream's limit changed");
+}
+
 /// Ages records, and follows what is in force.
 pub(crate) async fn run_fleet(fleet: Arc<FleetKeeper>, mut applied: watch::Receiver<Applied>) {
     let silent_ms = MISSED_HEARTBEATS * fleet.heartbeat_ms + LATE_HEARTBEAT_MS;
--- a/clayplankd/src/fleet/fleet_link.rs
+++ b/clayplankd/src/fleet/fleet_link.rs
@@ -6,19 +6,19 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use clayplank_forward::{BoxFuture, Placer};
+use clayplank_forward::{BoxFuture, Placer, Turn};
 use clayplank_placement::{Ask, Event, Fleet, Placed, PlacementId, Renewed};
-use clayplank_registry::Record;
+use clayplank_registry::{ObservedLimit, Record};
 use clayplank_routes::PlanIndex;
 use clayplank_state::{decode, encode};
 use clayplank_types::{DataCentre, HostId};
-use clayplank_wire::{PlaceRequest, ReportRequest};
+use clayplank_wire::{PlaceRequest, ReportRequest, TakeTurnReply, TakeTurnRequest};
 use tokio::sync::mpsc;
 
 use crate::fleet::fleet_engines::{change_engines, set_cordoned, set_engines};
 use crate::fleet::unreached::Unreached;
 use crate::keepers::keeper_client::KeeperClient;
-use crate::process::clock::{fleet_now_ms, now_ms};
+use crate::process::clock::{fleet_now_ms, millis, now_ms};
 use crate::process::lock::lock;
 use crate::process::logging::part;
 use crate::process::peers::Peers;
@@ -36,6 +36,13 @@
 /// Time for the leader to take events; lost ones are made up for by the next renewal.
 const REPORT_PATIENCE: Duration = Duration::from_millis(300);
 
+/// What a link has the keepers told.
+#[derive(Debug)]
+pub(crate) struct Reports {
+    pub(crate) events: mpsc::UnboundedReceiver<(PlacementId, Event)>,
+    pub(crate) limits: mpsc::UnboundedReceiver<ObservedLimit>,
+}
+
 /// The link, shared by all requests of the host.
 pub(crate) struct FleetLink {
     /// This life of the host, in the ids of its placements.
@@ -48,17 +55,16 @@
     /// Placements of this host that have not ended.
     active: Mutex<HashMap<PlacementId, Renewed>>,
     events: mpsc::UnboundedSender<(PlacementId, Event)>,
+    limits: mpsc::UnboundedSender<ObservedLimit>,
     leader_silent_until_ms: AtomicU64,
     deputy_silent_until_ms: AtomicU64,
     unreached: Mutex<Unreached>,
 }
 
 impl FleetLink {
-    pub(crate) fn new(
-        peers: Peers,
-        keepers: KeeperClient,
-    ) -> (Self, mpsc::UnboundedReceiver<(PlacementId, Event)>) {
-        let (events, receiver) = mpsc::unbounded_channel();
+    pub(crate) fn new(peers: Peers, keepers: KeeperClient) -> (Self, Reports) {
+        let (events, told_events) = mpsc::unbounded_channel();
+        let (limits, told_limits) = mpsc::unbounded_channel();
         let link = Self {
             life: rand::random(),
             next: AtomicU64::new(0),
@@ -67,11 +73,12 @@
             local: Mutex::new(Fleet::alone(rand::random())),
             active: Mutex::default(),
             events,
+            limits,
             leader_silent_until_ms: AtomicU64::new(0),
             deputy_silent_until_ms: AtomicU64::new(0),
             unreached: Mutex::default(),
         };
-        (link, receiver)
+        (link, Reports { events: told_events, limits: told_limits })
     }
 
     /// Asks the leader, and its deputy while the leader is silent; `None` if neither answers.
@@ -113,9 +120,34 @@
         }
     }
 
+    /// Asks the leader for a turn, or its deputy while the leader is silent.
+    async fn take_turn_at_keeper(
+        &self,
+        limit: &ObservedLimit,
+        patience: Duration,
+    ) -> Option<TakeTurnReply> {
+        let request = TakeTurnRequest {
+            limit: encode(&limit.to_aged(now_ms())).ok()?,
+            patience_ms: patience.as_millis() as u64,
+        };
+        let keeper = self.placing_keeper()?;
+        let call = self.peers.call(&keeper, PLACE_PATIENCE, |mut client| async move {
+            client.take_turn(request).await
+        });
+        match call.await {
+            Ok(reply) => Some(reply),
+            Err(error) => {
+                log::info!(target: part::MEMBERS,
+                    keeper = keeper.as_str(), cause:% = error;
+                    "A keeper gives no turn");
+                None
+            }
+        }
+    }
+
     /// The keeper that places now: the deputy while the leader is silent. Without the events of
     /// that time, the deputy would be as far off as a host that chooses alone.
-    fn placing_keeper(&self) -> Option<HostId> {
+    pub(crate) fn placing_keeper(&self) -> Option<HostId> {
         let is_silent = now_ms() < self.leader_silent_until_ms.load(Ordering::SeqCst);
         if is_silent { self.keepers.deputy() } else { self.keepers.leader() }
     }
@@ -165,6 +197,20 @@
         change_engines(&mut lock(&self.local), plan, records);
     }
 
+    pub(crate) fn peers(&self) -> &Peers {
+        &self.peers
+    }
+
+    /// Takes in what this host may send by itself to an engine that names a limit, or named one.
+    pub(crate) fn set_named_limit(&self, observed: &ObservedLimit) {
+        lock(&self.local).set_named_limit(&observed.upstream, observed.requests_per_s);
+    }
+
+    /// Has the keeper that places told of a limit.
+    pub(crate) fn tell_limit(&self, observed: ObservedLimit) {
+        self.limits.send(observed).ok();
+    }
+
     /// Chooses no engines by itself in some data centres.
     pub(crate) fn set_cordoned(&self, plan: &PlanIndex, cordoned: &BTreeSet<DataCentre>) {
         set_cordoned(&mut lock(&self.local), plan, cordoned);
@@ -218,6 +264,25 @@
         self.events.send((id, event)).ok();
     }
 
+    fn note_limit(&self, observed: &ObservedLimit) {
+        self.set_named_limit(observed);
+        self.tell_limit(observed.clone());
+    }
+
+    fn take_turn<'a>(
+        &'a self,
+        limit: &'a ObservedLimit,
+        patience: Duration,
+    ) -> BoxFuture<'a, Turn> {
+        Box::pin(async move {
+            match self.take_turn_at_keeper(limit, patience).await {
+                Some(reply) if reply.is_taken => Turn::After(millis(reply.wait_ms)),
+                Some(reply) => Turn::NotBefore(millis(reply.wait_ms)),
+                None => Turn::Unknown,
+            }
+        })
+    }
+
     fn next_id(&self) -> PlacementId {
         let number = self.next.fetch_add(1, Ordering::SeqCst);
         PlacementId { host: self.life, number }
@@ -256,7 +321,7 @@
         let (Some(keeper), Ok(events)) = (link.placing_keeper(), encode(&batch)) else {
             continue;
         };
-        let request = ReportRequest { events, placed: Vec::new() };
+        let request = ReportRequest { events, ..ReportRequest::default() };
         let told = link
             .peers
             .call(
--- a/clayplankd/src/fleet/mirror.rs
+++ b/clayplankd/src/fleet/mirror.rs
@@ -198,7 +198,7 @@
         log::error!(target: part::KEEPER, "Placements cannot be told.");
         return;
     };
-    let request = ReportRequest { events, placed };
+    let request = ReportRequest { events, placed, ..ReportRequest::default() };
     let sent =
         peers.call(&to, PATIENCE, |mut client| async move { client.report(request).await }).await;
     if let Err(error) = sent {
--- a/clayplankd/src/fleet/spread.rs
+++ b/clayplankd/src/fleet/spread.rs
@@ -1,15 +1,18 @@
-//! Passes heartbeats of upstreams from the keeper that heard them to the others.
+//! Passes heartbeats of upstreams, and the limits that they name, from the keeper that heard of them to
+//! the others.
 
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use clayplank_registry::Heartbeat;
+use clayplank_registry::{AgedLimit, Heartbeat, ObservedLimit};
 use clayplank_state::encode;
-use clayplank_types::HostId;
+use clayplank_types::{HostId, UpstreamId};
 use clayplank_wire::SpreadRequest;
 use rand::seq::SliceRandom;
 
 use crate::keepers::keeper_client::KeeperClient;
+use crate::process::clock::now_ms;
 use crate::process::lock::lock;
 use crate::process::logging::part;
 use crate::process::peers::Peers;
@@ -34,11 +37,12 @@
     peers: Peers,
     keepers: KeeperClient,
     waiting: Arc<Mutex<Vec<Heartbeat>>>,
+    waiting_limits: Arc<Mutex<BTreeMap<UpstreamId, ObservedLimit>>>,
 }
 
 impl Spread {
     pub(crate) fn new(own: HostId, peers: Peers, keepers: KeeperClient) -> Self {
-        Self { own, peers, keepers, waiting: Arc::default() }
+        Self { own, peers, keepers, waiting: Arc::default(), waiting_limits: Arc::default() }
     }
 
     fn take_waiting(&self) -> Vec<Heartbeat> {
@@ -68,6 +72,16 @@
         lock(&self.waiting).push(heartbeat);
     }
 
+    /// Passes a limit on with the next call.
+    pub(crate) fn push_limit(&self, limit: ObservedLimit) {
+        lock(&self.waiting_limits).insert(limit.upstream.clone(), limit);
+    }
+
+    fn take_waiting_limits(&self) -> Vec<AgedLimit> {
+        let limits = std::mem::take(&mut *lock(&self.waiting_limits));
+        limits.values().map(|limit| limit.to_aged(now_ms())).collect()
+    }
+
     /// Passes on at once that an upstream takes no new work; returns whether the
     /// leader knows, from which the entry hosts learn it.
     pub(crate) async fn push_urgent(&self, heartbeat: &Heartbeat, leader: Option<&HostId>) -> bool {
@@ -92,7 +106,8 @@
         let Ok(heartbeats) = encode(&heartbeats) else {
             return false;
         };
-        self.call(host, SpreadRequest { heartbeats, passes_on: false }, patience).await
+        let request = SpreadRequest { heartbeats, ..SpreadRequest::default() };
+        self.call(host, request, patience).await
     }
 
     /// Sends heartbeats to a keeper that passes them on to the others.
@@ -100,7 +115,8 @@
         let Ok(heartbeats) = encode(&heartbeats) else {
             return false;
         };
-        self.call(host, SpreadRequest { heartbeats, passes_on: true }, PATIENCE).await
+        let request = SpreadRequest { heartbeats, passes_on: true, ..SpreadRequest::default() };
+        self.call(host, request, PATIENCE).await
     }
 
     async fn call(&self, host: &HostId, request: SpreadRequest, patience: Duration) -> bool {
@@ -119,15 +135,18 @@
 pub(crate) async fn run_spread(spread: Spread) {
     loop {
         clayplank_clock::sleep(COLLECT).await;
-        let collected = spread.take_waiting();
-        if collected.is_empty() {
+        let (heartbeats, limits) = (spread.take_waiting(), spread.take_waiting_limits());
+        if heartbeats.is_empty() && limits.is_empty() {
             continue;
         }
-        let collected: Arc<[Heartbeat]> = collected.into();
+        let (Ok(heartbeats), Ok(limits)) = (encode(&heartbeats), encode(&limits)) else {
+            log::error!(target: part::KEEPER, "What upstreams told cannot be passed on.");
+            continue;
+        };
+        let request = SpreadRequest { heartbeats, limits, passes_on: false };
         for host in spread.others() {
-            let spread = spread.clone();
-            let collected = Arc::clone(&collected);
-            tokio::spawn(async move { spread.send(&host, &collected, PATIENCE).await });
+            let (spread, request) = (spread.clone(), request.clone());
+            tokio::spawn(async move { spread.call(&host, request, PATIENCE).await });
         }
     }
 }
--- a/clayplankd/src/follow/fleet_followers.rs
+++ b/clayplankd/src/follow/fleet_followers.rs
@@ -36,6 +36,7 @@
     plan_version: u64,
     cursor: Cursor,
     digest: Option<Digest>,
+    limits_cursor: Cursor,
 }
 
 impl Followers<'_> {
@@ -51,6 +52,7 @@
             plan_version: request.plan_version,
             cursor: decode(&request.cursor).map_err(malformed)?,
             digest: decode_digest(&request.digest)?,
+            limits_cursor: decode(&request.limits_cursor).map_err(malformed)?,
         };
         self.fleet.learn(&known);
         match request.keeper {
@@ -121,6 +123,7 @@
             keepers: fleet.keepers().hosts().iter().map(ToString::to_string).collect(),
             deputy: fleet.keepers().deputy().map_or_else(String::new, |host| host.to_string()),
             leader: leader.to_string(),
+            limits: encode_limits(fleet, asked.limits_cursor)?,
         }))
     }
 }
@@ -129,6 +132,15 @@
     Status::unavailable("the keeper is stopping")
 }
 
+/// What a follower lacks of the limits that upstreams name; empty if nothing.
+fn encode_limits(fleet: &FleetKeeper, cursor: Cursor) -> Result<Vec<u8>, Status> {
+    let changes = fleet.limit_changes(cursor);
+    if changes.cursor == cursor {
+        return Ok(Vec::new());
+    }
+    encode(&changes).map_err(malformed)
+}
+
 /// What a follower knows, if it told it.
 fn decode_digest(bytes: &[u8]) -> Result<Option<Digest>, Status> {
     if bytes.is_empty() {
--- a/clayplankd/src/follow/following.rs
+++ b/clayplankd/src/follow/following.rs
@@ -6,7 +6,7 @@
 
 use clayplank_forward::{Directory, Entry, Gate};
 use clayplank_members::KeeperChoice;
-use clayplank_registry::{Buckets, Changes, Cursor, Record};
+use clayplank_registry::{Buckets, Changes, Cursor, LimitChanges, Noted, Record};
 use clayplank_routes::PlanIndex;
 use clayplank_state::{
     Delta, EditError, PackError, PlanDocument, PlanEdit, decode, encode, unpack,
@@ -60,6 +60,7 @@
     tells_digest: bool,
     /// Upstreams of which the keeper may lack what this host knows.
     tells_known: Buckets,
+    limits_cursor: Cursor,
 }
 
 /// What an exchange with a keeper came to.
@@ -152,6 +153,7 @@
             known: encode(&known).ok()?,
             digest,
             keeper: None,
+            limits_cursor: encode(&position.limits_cursor).ok()?,
         })
     }
 
@@ -190,6 +192,7 @@
         } else {
             self.change_engines(&changed);
         }
+        self.take_limits(position, &followed.limits);
         self.gate.confirm(asked_ms);
         self.entry.set_hosts(followed.entry_hosts);
         self.link.set_hosts(followed.entry_hosts);
@@ -204,6 +207,30 @@
         position.tells_known = Buckets(followed.asks_known);
     }
 
+    /// Takes in what others heard of limits. A keeper that knows less than this host is told so.
+    fn take_limits(&self, position: &mut Position, limits: &[u8]) {
+        if limits.is_empty() {
+            return;
+        }
+        let changes = match decode::<LimitChanges>(limits) {
+            Ok(changes) => changes,
+            Err(error) => {
+                log::error!(target: part::SETTINGS, "Limits of upstreams cannot be read: {error}.");
+                return;
+            }
+        };
+        let now_ms = now_ms();
+        for limit in changes.limits {
+            let observed = limit.into_observed(now_ms);
+            match self.directory.note_limit(&observed) {
+                Noted::Changed => self.link.set_named_limit(&observed),
+                Noted::Unchanged => {}
+                Noted::Outdated(own) => self.link.tell_limit(own),
+            }
+        }
+        position.limits_cursor = changes.cursor;
+    }
+
     /// Takes in who leads.
     fn note_leader(&self, position: &mut Position, leader: &str, asked_ms: u64) {
         let leader = HostId::new(leader);
@@ -248,6 +275,7 @@
     fn set_engines(&self) {
         if let Some(plan) = self.gate.plan() {
             self.link.set_engines(&plan, &self.directory.records());
+            self.directory.limits().iter().for_each(|limit| self.link.set_named_limit(limit));
         }
     }
 
--- a/clayplankd/src/follow/relay.rs
+++ b/clayplankd/src/follow/relay.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use clayplank_placement::Renewed;
-use clayplank_registry::{Buckets, Changes, Cursor};
+use clayplank_registry::{Buckets, Changes, Cursor, LimitChanges};
 use clayplank_state::{CodecError, Delta, PackError, decode, encode, unpack};
 use clayplank_types::HostId;
 use clayplank_wire::{FollowRequest, Followed, KeeperFollow, follow_reply};
@@ -55,6 +55,7 @@
     cursor: Cursor,
     tells_digest: bool,
     tells_known: Buckets,
+    limits_cursor: Cursor,
 }
 
 /// Why a round confirmed nothing.
@@ -229,6 +230,7 @@
             known: encode(&self.fleet.heartbeats_in(position.tells_known))?,
             digest,
             keeper: Some(keeper),
+            limits_cursor: encode(&position.limits_cursor)?,
             ..FollowRequest::default()
         })
     }
@@ -238,6 +240,11 @@
         let heartbeats: Vec<_> =
             changes.records.into_iter().map(|record| record.heartbeat).collect();
         self.fleet.apply(&heartbeats);
+        if !followed.limits.is_empty() {
+            let changes: LimitChanges = decode(&followed.limits)?;
+            self.fleet.note_limits(changes.limits);
+            position.limits_cursor = changes.cursor;
+        }
         self.fleet.set_told_hosts(followed.entry_hosts);
         let keepers = self.fleet.keepers();
         keepers.learn(followed.keepers.iter().map(HostId::new));
--- a/clayplankd/src/process/inner.rs
+++ b/clayplankd/src/process/inner.rs
@@ -7,7 +7,7 @@
 use clayplank_agreement::{Envelope, ReplicaId};
 use clayplank_members::Rumour;
 use clayplank_placement::{Ask, Event, PlacementId, Renewed};
-use clayplank_registry::Heartbeat;
+use clayplank_registry::{AgedLimit, Heartbeat};
 use clayplank_schedule::{GrantId, HeldGrant, Holder, Usage};
 use clayplank_state::{Body, decode, encode};
 use clayplank_types::{AttemptId, HostId, Incarnation, PoolId, Priority, RequestId, UpstreamId};
@@ -18,8 +18,8 @@
     InspectRequest, IntroduceReply, IntroduceRequest, NotOwner, PlaceReply, PlaceRequest,
     ProbeReply, ProbeRequest, Refused, RenewReply, RenewRequest, ReportReply, ReportRequest,
     ReserveReply, ReserveRequest, SpreadReply, SpreadRequest, StepReply, StepRequest,
-    StoppingReply, StoppingRequest, WatchReply, WatchRequest, execute_reply, inspect_reply,
-    reserve_reply, stopping_reply, watch_reply,
+    StoppingReply, StoppingRequest, TakeTurnReply, TakeTurnRequest, WatchReply, WatchRequest,
+    execute_reply, inspect_reply, reserve_reply, stopping_reply, watch_reply,
 };
 use tonic::{Request, Response, Status};
 use xtra::Address;
@@ -91,6 +91,14 @@
     Status::invalid_argument(error.to_string())
 }
 
+/// Limits that a peer tells, if it tells any.
+fn decode_limits(bytes: &[u8]) -> Result<Vec<AgedLimit>, Status> {
+    if bytes.is_empty() {
+        return Ok(Vec::new());
+    }
+    decode(bytes).map_err(malformed)
+}
+
 fn hint_text(hint: Option<HostId>) -> String {
     hint.map_or_else(String::new, |host| host.to_string())
 }
@@ -242,6 +250,17 @@
         Ok(Response::new(PlaceReply { placed: encode(&placed).map_err(malformed)? }))
     }
 
+    async fn take_turn(&self, request: Request<TakeTurnRequest>) -> Answer<TakeTurnReply> {
+        let request = request.into_inner();
+        let limit: AgedLimit = decode(&request.limit).map_err(malformed)?;
+        let taken = self.fleet()?.take_turn(limit, request.patience_ms);
+        let (is_taken, wait_ms) = match taken {
+            Ok(wait_ms) => (true, wait_ms),
+            Err(wait_ms) => (false, wait_ms),
+        };
+        Ok(Response::new(TakeTurnReply { is_taken, wait_ms }))
+    }
+
     async fn report(&self, request: Request<ReportRequest>) -> Answer<ReportReply> {
         let request = request.into_inner();
         if !request.placed.is_empty() {
@@ -250,6 +269,11 @@
         }
         let events: Vec<(PlacementId, Event)> = decode(&request.events).map_err(malformed)?;
         self.fleet()?.note(&events);
+        for limit in self.fleet()?.note_limits(decode_limits(&request.limits)?) {
+            if let Some(spread) = &self.spread {
+                spread.push_limit(limit);
+            }
+        }
         Ok(Response::new(ReportReply {}))
     }
 
@@ -257,6 +281,7 @@
         let request = request.into_inner();
         let heartbeats: Vec<Heartbeat> = decode(&request.heartbeats).map_err(malformed)?;
         self.fleet()?.apply(&heartbeats);
+        self.fleet()?.note_limits(decode_limits(&request.limits)?);
         if let Some(spread) = self.spread.as_ref().filter(|_| request.passes_on) {
             heartbeats.into_iter().for_each(|heartbeat| spread.push(heartbeat));
         }
--- a/clayplankd/src/process/seeded_entry.rs
+++ b/clayplankd/src/process/seeded_entry.rs
@@ -14,6 +14,7 @@
 
 use crate::doors::contract::SharedContract;
 use crate::fleet::fleet_link::{FleetLink, run_reports, run_return_to_leader};
+use crate::fleet::limit_reports::run_limit_reports;
 use crate::fleet::sightings::{SightingLink, run_sightings};
 use crate::follow::following::{Following, run_following};
 use crate::process::daemon::{StartError, bind, serve_inner};
@@ -72,7 +73,7 @@
         let bounds = &self.settings.bounds;
         let gate = Arc::new(Gate::new(lease_ms(bounds)));
         let directory = Arc::new(Directory::default());
-        let (link, events) = FleetLink::new(self.peers.clone(), self.keepers.clone());
+        let (link, reports) = FleetLink::new(self.peers.clone(), self.keepers.clone());
         let link = Arc::new(link);
         let (judge, observations) = SightingLink::new(self.keepers.clone());
         tokio::spawn(run_sightings(self.keepers.clone(), observations));
@@ -84,7 +85,8 @@
             .data_centre(self.settings.data_centre.clone())
             .build(Arc::clone(&gate), Arc::clone(&directory), link.clone());
         let entry = Arc::new(entry);
-        tokio::spawn(run_reports(Arc::clone(&link), events));
+        tokio::spawn(run_reports(Arc::clone(&link), reports.events));
+        tokio::spawn(run_limit_reports(Arc::clone(&link), reports.limits));
         tokio::spawn(run_return_to_leader(Arc::clone(&link)));
         tokio::spawn(run_following(Following {
             host: self.own.clone(),
--- a/clayplankd/tests/seeded/limited.rs
+++ b/clayplankd/tests/seeded/limited.rs
@@ -8,6 +8,8 @@
 use rstest::rstest;
 use serde_json::{Value, json};
 
+use crate::answer::Answer;
+use crate::failover::leader;
 use crate::host::Host;
 use crate::promises::plan_with_engines;
 use crate::system::{Shape, System, wait_for};
@@ -110,11 +112,15 @@
     }
 
     fn is_served(&self, entry: usize, attempt: &str) -> bool {
-        let headers = [("x-clayplank-tokens", "2000,90")];
-        let answer = self.system.send(entry, attempt, self.served.path(), &headers);
+        let answer = self.ask(entry, attempt);
         answer.status == 200 && answer.is_whole
     }
 
+    fn ask(&self, entry: usize, attempt: &str) -> Answer {
+        let headers = [("x-clayplank-tokens", "2000,90")];
+        self.system.send(entry, attempt, self.served.path(), &headers)
+    }
+
     /// What the hosts told of requests that went to upstreams with a limit: how many, and how many of them
     /// were first tries.
     fn told_sends(&self) -> String {
@@ -156,7 +162,7 @@
     limits.iter().max_by_key(|limit| limit.arrivals().len()).unwrap()
 }
 
-/// Callers saw nothing; an upstream that had named one request a second got 26 in four seconds.
+/// One that had named one request a second got 26 within four.
 #[rstest]
 #[case::engines(Served::ByEngines)]
 #[case::service(Served::ByService)]
@@ -176,3 +182,78 @@
     assert!(most <= most_allowed(LIMIT_PER_S), "{most} in a span of {WINDOW:?}");
     assert!(served * 100 >= sent * 98, "{served} of {sent} were served, beside upstreams at rest");
 }
+
+/// The leader is lost while an upstream names a limit: the next one knows of it.
+#[rstest]
+#[case::engines(Served::ByEngines)]
+#[case::service(Served::ByService)]
+fn a_limit_is_kept_also_when_the_leader_changes(#[case] served: Served) {
+    let mut limited = Limited::start(served);
+    let first = leader(&limited.system);
+    let mut most = 0;
+    let (served, sent) = limited.beside_callers(|| {
+        std::thread::sleep(WARM_UP);
+        let limit = busiest(&limited.limits);
+        limit.set(Some(LIMIT_PER_S));
+        let since = Instant::now() + CONTACT;
+        std::thread::sleep(CONTACT);
+        limited.system.keepers[first].signal("-KILL");
+        std::thread::sleep(RUN);
+        most = most_in_window(limit, since);
+    });
+    println!("{most} in a span, {} allowed; {served} of {sent} served", most_allowed(LIMIT_PER_S));
+    limited.system.keepers[first].kill();
+    assert!(most <= most_allowed(LIMIT_PER_S), "{most} in a span of {WINDOW:?}");
+    assert!(served * 10 >= sent * 9, "{served} of {sent} were served");
+}
+
+/// All upstreams name a limit, far below what callers ask for: what they take is used, and the others are
+/// refused at once with a time to come back.
+#[rstest]
+#[case::engines(Served::ByEngines)]
+#[case::service(Served::ByService)]
+fn what_upstreams_with_a_limit_take_is_used(#[case] served: Served) {
+    const EACH_PER_S: f64 = 2.0;
+    let limited = Limited::start(served);
+    let mut most = Vec::new();
+    let mut refused = Answer::default();
+    let (served, sent) = limited.beside_callers(|| {
+        std::thread::sleep(WARM_UP);
+        limited.limits.iter().for_each(|limit| limit.set(Some(EACH_PER_S)));
+        let since = Instant::now() + CONTACT;
+        std::thread::sleep(CONTACT);
+        let mut number = 0;
+        wait_for("a refusal", || {
+            number += 1;
+            refused = limited.ask(0, &format!("refused-{number}"));
+            refused.status != 200
+        });
+        std::thread::sleep(RUN);
+        most = limited.limits.iter().map(|limit| most_in_window(limit, since)).collect();
+    });
+    let run_s = (CONTACT + RUN).as_secs_f64();
+    let taken = EACH_PER_S * limited.limits.len() as f64 * run_s;
+    println!("{most:?} in a span; {served} of {sent} served, {taken} could be");
+    assert!(most.iter().all(|most| *most <= most_allowed(EACH_PER_S)), "{most:?} in a span");
+    assert!(served as f64 > taken / 2.0, "{served} of {taken} that could be were served");
+    assert_eq!(refused.status, 503, "{}", refused.text());
+    assert!(refused.header("retry-after").is_some());
+}
+
+#[rstest]
+#[case::engines(Served::ByEngines)]
+#[case::service(Served::ByService)]
+fn a_limit_that_is_lifted_holds_no_longer(#[case] served: Served) {
+    const IN_A_ROW: usize = 40;
+    let limited = Limited::start(served);
+    limited.limits.iter().for_each(|limit| limit.set(Some(LIMIT_PER_S)));
+    limited.beside_callers(|| std::thread::sleep(CONTACT));
+    limited.limits.iter().for_each(|limit| limit.set(None));
+    let (mut number, mut row) = (0, 0);
+    wait_for("requests that are all served", || {
+        number += 1;
+        let is_served = limited.is_served(number % ENTRIES, &format!("after-{number}"));
+        row = if is_served { row + 1 } else { 0 };
+        row >= IN_A_ROW
+    });
+}
