Engines that name a limit read parts of prompts beside it

Hypothesis: a part that an engine reads for another one's answer is no request, and while many engines name a limit, long prompts need them all; counted as requests, parts use turns up that short prompts need, and long prompts wait for engines.

Change: a turn is needed for the request itself alone. Memory is no longer set aside at engines that name a limit for other engines' prompts: it is renewed once a second, a call each time.

--- a/bench/src/placement.rs
+++ b/bench/src/placement.rs
@@ -19,6 +19,15 @@
 /// Loads of the whole account, as factors of all rates.
 const LOADS: [f64; 4] = [0.7, 1.0, 1.2, 1.4];
 
+/// What is wrong with the small fleet of 18 engines, beside runs without trouble.
+const TROUBLES: [(&str, Trouble); 5] = [
+    ("three are slow, learned from answers alone", Trouble::Slow),
+    ("three are slow, and are asked as well", Trouble::SlowAndAsked),
+    ("three are limited", Trouble::Limited(3)),
+    ("nine are limited", Trouble::Limited(9)),
+    ("15 are limited", Trouble::Limited(15)),
+];
+
 /// Prints the share of worth that is earned, by kind, over seeds.
 pub(crate) fn run(first_seed: u64, seeds: u64, only: Option<&str>) {
     let seeds = first_seed..first_seed + seeds;
@@ -32,11 +41,9 @@
             Tally::of(mix, seeds.clone(), load, Trouble::None).print(load);
         }
     }
-    if only.is_some() {
-        return;
-    }
-    println!("three slow engines of 18, learned from answers alone, then asked as well:");
-    for trouble in [Trouble::Slow, Trouble::SlowAndAsked] {
+    let is_asked = |name: &str| only.is_none_or(|part| name.contains(part));
+    for (name, trouble) in TROUBLES.into_iter().filter(|(name, _)| is_asked(name)) {
+        println!("{name}:");
         Tally::of(&SMALL, seeds.clone(), 1.0, trouble).print(1.0);
     }
 }
--- a/bench/src/placement_world.rs
+++ b/bench/src/placement_world.rs
@@ -17,6 +17,10 @@
 const SLOW_PACE: f64 = 5.0;
 const SLOW_MS: std::ops::Range<f64> = 4_000.0..14_000.0;
 
+/// Requests a second that an engine takes which names a limit, and from when on it does, in ms.
+const LIMIT_PER_S: f64 = 1.5;
+const LIMITED_FROM_MS: f64 = 4_000.0;
+
 /// Between two looks at which engines are late, and until one has told its pace, in ms.
 const LOOK_MS: f64 = 100.0;
 const TELL_MS: f64 = 5.0;
@@ -35,6 +39,8 @@
     /// Late engines are asked for their pace.
     Look,
     Told(usize),
+    /// Some engines begin to name a limit.
+    Limit,
 }
 
 /// What is wrong with the engines, and what is known of it.
@@ -45,12 +51,17 @@
     Slow,
     /// Some are slow, and tell so when they are asked.
     SlowAndAsked,
+    /// So many name a limit.
+    Limited(usize),
 }
 
 impl Trouble {
     /// How many times longer an engine's work takes.
     fn pace(self, engine: usize, now_ms: f64) -> f64 {
-        let is_slow = self != Self::None && engine < SLOW_ENGINES && SLOW_MS.contains(&now_ms);
+        let is_slow = match self {
+            Self::None | Self::Limited(_) => false,
+            Self::Slow | Self::SlowAndAsked => engine < SLOW_ENGINES && SLOW_MS.contains(&now_ms),
+        };
         if is_slow { SLOW_PACE } else { 1.0 }
     }
 }
@@ -127,8 +138,10 @@
         for request in 0..world.requests.len() {
             world.plan(world.requests[request].arrives_ms, Happening::Arrival(request));
         }
-        if trouble == Trouble::SlowAndAsked {
-            world.plan(0.0, Happening::Look);
+        match trouble {
+            Trouble::SlowAndAsked => world.plan(0.0, Happening::Look),
+            Trouble::Limited(_) => world.plan(LIMITED_FROM_MS, Happening::Limit),
+            Trouble::None | Trouble::Slow => {}
         }
         world
     }
@@ -153,10 +166,20 @@
                     let pace = self.trouble.pace(engine, next.at_ms - REPORT_LAG_MS);
                     self.fleet.note_pace(next.at_ms, &engine_name(engine), pace);
                 }
+                Happening::Limit => self.limit(),
             }
         }
     }
 
+    fn limit(&mut self) {
+        let Trouble::Limited(engines) = self.trouble else {
+            return;
+        };
+        for engine in 0..engines {
+            self.fleet.set_named_limit(&engine_name(engine), Some(LIMIT_PER_S));
+        }
+    }
+
     fn look(&mut self, now_ms: f64) {
         let suspects = self.fleet.take_suspects(now_ms);
         for engine in
--- a/clayplank-placement/src/candidate.rs
+++ b/clayplank-placement/src/candidate.rs
@@ -30,12 +30,15 @@
     pub(crate) engine: &'a Engine,
     /// What chance adds to its cost.
     pub(crate) noise: f64,
+    /// Whether it takes a request now, and not only parts of prompts: its limit, if it named one, is not
+    /// used up.
+    pub(crate) has_turn: bool,
 }
 
 impl Open<'_> {
     /// Whether it can write one more answer.
     pub(crate) fn has_slot(&self) -> bool {
-        self.engine.primaries() < self.engine.spec.model.slots as usize
+        self.has_turn && self.engine.primaries() < self.engine.spec.model.slots as usize
     }
 }
 
@@ -43,8 +46,13 @@
 /// reached is none of them, so that it stands in no count of places either.
 pub(crate) fn open_engines<'a>(fleet: &'a Fleet, now_ms: f64, ask: &Ask) -> Vec<Open<'a>> {
     usable_engines(fleet, ask)
-        .filter(|(id, engine)| engine.rate_limit.wait_ms(now_ms, id, &fleet.sender) == 0.0)
-        .map(|(id, engine)| Open { id, engine, noise: fleet.draw_noise() * ask.weight() })
+        .filter(|(id, engine)| engine.rate_limit.work_wait_ms(now_ms, id, &fleet.sender) == 0.0)
+        .map(|(id, engine)| Open {
+            id,
+            engine,
+            noise: fleet.draw_noise() * ask.weight(),
+            has_turn: engine.rate_limit.wait_ms(now_ms, id, &fleet.sender) == 0.0,
+        })
         .collect()
 }
 
@@ -96,6 +104,12 @@
         self.memory_free.saturating_sub(self.engine.memory_margin())
     }
 
+    /// Whether memory may be set aside here for another engine's prompt: it is renewed all the time, and an
+    /// engine that names a limit is spared that.
+    pub(crate) fn may_hold(&self) -> bool {
+        !self.engine.rate_limit.is_named()
+    }
+
     pub(crate) fn fits(&self, ask: &Ask) -> bool {
         self.memory_usable() >= ask.memory_tokens()
     }
--- a/clayplank-placement/src/choose.rs
+++ b/clayplank-placement/src/choose.rs
@@ -32,7 +32,7 @@
 /// Chooses engines for a prompt; changes nothing.
 pub(crate) fn choose(fleet: &Fleet, now_ms: f64, ask: &Ask) -> Placed {
     let open = open_engines(fleet, now_ms, ask);
-    if open.is_empty()
+    if !open.iter().any(|one| one.has_turn)
         && let Some(wait_ms) = limited_wait_ms(fleet, now_ms, ask)
     {
         return wait_for_turn(fleet, ask, wait_ms);
--- a/clayplank-placement/src/fleet.rs
+++ b/clayplank-placement/src/fleet.rs
@@ -197,13 +197,14 @@
         placed
     }
 
-    /// Counts what is sent to engines that bear only so much: a part that is read for another engine
-    /// is work as well.
+    /// Counts what is sent to engines that take only so much.
     fn note_sent(&mut self, now_ms: f64, assignment: &Assignment) {
-        let helpers = assignment.helpers.iter().map(|part| &part.engine);
-        for id in std::iter::once(&assignment.engine).chain(helpers) {
-            if let Some(engine) = self.engines.get_mut(id) {
-                engine.rate_limit.note_sent(now_ms, &self.sender);
+        if let Some(engine) = self.engines.get_mut(&assignment.engine) {
+            engine.rate_limit.note_sent(now_ms, &self.sender);
+        }
+        for part in &assignment.helpers {
+            if let Some(engine) = self.engines.get_mut(&part.engine) {
+                engine.rate_limit.note_part(now_ms, &self.sender);
             }
         }
     }
--- a/clayplank-placement/src/parts.rs
+++ b/clayplank-placement/src/parts.rs
@@ -71,7 +71,7 @@
     let own_tokens = spread.max(ask.output_tokens).min(primary.memory_usable());
     let mut missing = ask.memory_tokens().saturating_sub(own_tokens);
     // Most memory first among those that cost about the same.
-    candidates.retain(|one| one.engine.helped() < one.max_helped());
+    candidates.retain(|one| one.may_hold() && one.engine.helped() < one.max_helped());
     let mut chosen = Vec::new();
     let mut helpers = Vec::new();
     let share = missing.div_ceil(parts as u64 - 1);
--- a/clayplank-placement/src/rate_limit.rs
+++ b/clayplank-placement/src/rate_limit.rs
@@ -84,7 +84,9 @@
     /// What it says that it takes.
     named_per_s: Option<f64>,
     /// When a keeper sent the last request, or will send it.
-    last_ms: Option<f64>,
+    last_request_ms: Option<f64>,
+    /// When a keeper last sent work, a part of a prompt that another engine answers perhaps.
+    last_work_ms: Option<f64>,
     /// Requests of a host that decides alone, in this second.
     second: u64,
     sent: u64,
@@ -143,19 +145,21 @@
         self.sent += 1;
     }
 
-    /// When a keeper may send the next request, in ms from now; 0 for at once.
+    /// When the next turn at its named limit comes, in ms from now; 0 for at once.
     fn next_turn_ms(&self, now_ms: f64) -> f64 {
-        let Some(last_ms) = self.last_ms else {
-            return 0.0;
-        };
-        let after_last = |per_s: f64| last_ms + SECOND_MS / per_s;
-        let cold_ms = if self.is_cold(now_ms) {
-            after_last(COLD_SHARE * self.cold_per_s).min(self.cold_until_ms)
-        } else {
-            now_ms
-        };
-        let named_ms = self.named_per_s().map_or(now_ms, |per_s| after_last(NAMED_SHARE * per_s));
-        (cold_ms.max(named_ms) - now_ms).max(0.0)
+        let turn = self.last_request_ms.zip(self.named_per_s());
+        turn.map_or(0.0, |(last_ms, per_s)| wait_after(last_ms, NAMED_SHARE * per_s, now_ms))
+    }
+
+    /// When a keeper may send work to it as far as it is cold, in ms from now; 0 for at once.
+    fn cold_wait_ms(&self, now_ms: f64) -> f64 {
+        match self.last_work_ms.filter(|_| self.is_cold(now_ms)) {
+            Some(last_ms) => {
+                let wait_ms = wait_after(last_ms, COLD_SHARE * self.cold_per_s, now_ms);
+                wait_ms.min(self.cold_until_ms - now_ms)
+            }
+            None => 0.0,
+        }
     }
 
     /// Takes the next turn, as a keeper, for a request that waits no longer than `patience_ms`. `Ok` with the
@@ -168,14 +172,28 @@
         if wait_ms > patience_ms {
             return Err(wait_ms);
         }
-        self.last_ms = Some(now_ms + wait_ms);
+        self.last_request_ms = Some(now_ms + wait_ms);
         Ok(wait_ms)
     }
 
+    /// Whether it names a limit.
+    pub(crate) fn is_named(&self) -> bool {
+        self.named_per_s.is_some()
+    }
+
+    /// When it may get any work, in ms from now; 0 for at once.
+    pub(crate) fn work_wait_ms(&self, now_ms: f64, id: &UpstreamId, sender: &Sender) -> f64 {
+        match sender {
+            Sender::Keeper => self.cold_wait_ms(now_ms),
+            Sender::Host(_) if !self.is_cold(now_ms) => 0.0,
+            Sender::Host(_) => self.wait_ms(now_ms, id, sender),
+        }
+    }
+
     /// When the next request may be sent, in ms from now; 0 for at once.
     pub(crate) fn wait_ms(&self, now_ms: f64, id: &UpstreamId, sender: &Sender) -> f64 {
         match sender {
-            Sender::Keeper => self.next_turn_ms(now_ms),
+            Sender::Keeper => self.cold_wait_ms(now_ms).max(self.next_turn_ms(now_ms)),
             Sender::Host(share) if self.may_send_alone(now_ms, id, share) => 0.0,
             Sender::Host(_) => SECOND_MS - now_ms % SECOND_MS,
         }
@@ -183,13 +201,24 @@
 
     /// Counts a request that is sent now.
     pub(crate) fn note_sent(&mut self, now_ms: f64, sender: &Sender) {
-        match sender {
-            Sender::Keeper => self.last_ms = Some(now_ms),
-            Sender::Host(_) => self.note_sent_alone(now_ms),
+        self.last_request_ms = Some(now_ms);
+        self.note_part(now_ms, sender);
+    }
+
+    /// Counts a part of a prompt that it reads for another engine: no request, but work.
+    pub(crate) fn note_part(&mut self, now_ms: f64, sender: &Sender) {
+        self.last_work_ms = Some(now_ms);
+        if matches!(sender, Sender::Host(_)) {
+            self.note_sent_alone(now_ms);
         }
     }
 }
 
+/// Time from now until the next of so many a second after the last one, in ms.
+fn wait_after(last_ms: f64, per_s: f64, now_ms: f64) -> f64 {
+    (last_ms + SECOND_MS / per_s - now_ms).max(0.0)
+}
+
 fn second_of(now_ms: f64) -> u64 {
     (now_ms / SECOND_MS) as u64
 }
--- a/clayplank-placement/tests/limits.rs
+++ b/clayplank-placement/tests/limits.rs
@@ -161,3 +161,28 @@
     assert!(matches!(fleet.place(0.0, &ask(1, 1)), Placed::At(_)));
     assert!(matches!(fleet.place(100.0, &ask(1, 2)), Placed::Full { .. }));
 }
+
+/// A part of a prompt that it reads for another engine is no request, but memory would be renewed all the time.
+#[test]
+fn an_engine_without_a_turn_reads_parts_for_others_and_holds_no_memory_for_them() {
+    let mut fleet = with_engines(Fleet::default(), 2);
+    fleet.set_named_limit(&id(0), Some(0.5));
+    let long = |number: u64, prompt_tokens: u64| {
+        let mut ask = ask(1, number);
+        (ask.prompt_tokens, ask.goal_ms, ask.limit_ms) = (prompt_tokens, 3_000.0, 15_000.0);
+        ask
+    };
+    // Its turn is taken once it has a request.
+    let gets_one = |number: &u64| match fleet.place(*number as f64, &ask(1, *number)) {
+        Placed::At(assignment) => assignment.engine == id(0),
+        Placed::Soon { .. } | Placed::Full { .. } => false,
+    };
+    let number = (1..30).find(gets_one).unwrap();
+    let placed = fleet.place(number as f64, &long(100, 200_000));
+    let Placed::At(assignment) = placed else { panic!("{placed:?}") };
+    assert_eq!(assignment.engine, id(1));
+    assert_eq!(assignment.helpers.len(), 1, "both read it");
+    let beyond_one = EngineModel::default().memory_tokens + 50_000;
+    let placed = fleet.place(60_000.0, &long(101, beyond_one));
+    assert!(matches!(placed, Placed::Full { .. }), "{placed:?}");
+}
