Connections at rest are probed, and end once their peer's machine is silent

Cause: TCP_USER_TIMEOUT counts bytes that were sent alone. While a prompt is read nothing is on its way, and a machine that loses power closes nothing.

Hypothesis: probes of the kernel end such a connection, and no connection to an engine that reads slowly, since its machine answers them. Change: probes each second; after 2.5 s without any acknowledgement, or two probes without an answer, a connection to an upstream ends; one to a caller after 4 s.

--- a/clayplank-forward/src/exchange.rs
+++ b/clayplank-forward/src/exchange.rs
@@ -10,14 +10,25 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use socket2::TcpKeepalive;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 
 /// Time to open a connection: many times the way to the farthest data centre of a region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Bytes that the peer does not acknowledge for this long end the connection.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(4);
+/// A connection ends once its peer has acknowledged nothing for this long: neither bytes that were sent nor
+/// probes. Engines cut what depends on a lost one after 1.5 s.
+const UPSTREAM_SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// The same for callers, who may be far away.
+const CALLER_SILENCE_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// A connection at rest is probed after this time, and again each time it passes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// So many probes without an answer end a connection where the limit on silence counts for sent bytes alone.
+const UNANSWERED_PROBES: u32 = 2;
 
 /// The largest head of an answer.
 const MAX_HEAD_BYTES: usize = 64 << 10;
@@ -66,7 +77,7 @@
     let stream = clayplank_clock::timeout(CONNECT_TIMEOUT, socket.connect(address))
         .await
         .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
-    limit_silence(&stream);
+    limit_silence(&stream, UPSTREAM_SILENCE_TIMEOUT);
     Ok(stream)
 }
 
@@ -76,13 +87,25 @@
     refused.is_some_and(|error| error.kind() == ErrorKind::ConnectionRefused)
 }
 
-/// A peer that says nothing any more must not hold a socket for good.
-pub(crate) fn limit_silence(stream: &TcpStream) {
+/// Ends a caller's connection once its machine is silent.
+pub(crate) fn limit_caller_silence(stream: &TcpStream) {
+    limit_silence(stream, CALLER_SILENCE_TIMEOUT);
+}
+
+/// Ends a connection whose peer's machine is silent, also while nothing is sent: a peer that lives answers
+/// probes however long its program takes.
+fn limit_silence(stream: &TcpStream, timeout: Duration) {
     let socket = socket2::SockRef::from(stream);
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(target: "forward", "A socket keeps its delay: {error}.");
     }
-    if let Err(error) = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT)) {
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_INTERVAL)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(UNANSWERED_PROBES);
+    let limited =
+        socket.set_tcp_user_timeout(Some(timeout)).and_then(|()| socket.set_tcp_keepalive(&probes));
+    if let Err(error) = limited {
         log::debug!(target: "forward", "A socket has no limit on silence: {error}.");
     }
 }
