News that another life stands in an upstream's place ends what waits there

Hypothesis: a host that is told by the keepers that an engine is a new life goes on waiting for the former one, until its connection tells so, or to its caller's limit; the two mechanisms cover different cases, since probes see machines and news sees lives.

Change: the directory notes who was replaced, under its name or at its address, and tries, streams and answers of plain services that wait there end at once, all by one mechanism; what may be tried elsewhere is. An upstream that only left goes on with what it has, and a record that comes late of a former life ends nothing.

The four tests failed before.

--- a/clayplank-forward/src/attempt.rs
+++ b/clayplank-forward/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt: sends a request to an upstream, and judges the head of its answer.
 
+use std::future::Future;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -63,7 +64,11 @@
         self.log_limited(&upstream);
         let sent_ms = now_ms();
         let sent = exchange(record.heartbeat.address, request);
-        match clayplank_clock::timeout(patience, sent).await {
+        let sent = self.unless_replaced(&upstream, clayplank_clock::timeout(patience, sent)).await;
+        let Some(sent) = sent else {
+            return self.note_lost(&upstream, load, "replaced", "another life stands in its place");
+        };
+        match sent {
             Ok(Ok((response, connection))) => {
                 let answer = Answer { response, connection, sent_ms };
                 self.take_head(&upstream, load, answer, could_have_run)
@@ -82,6 +87,19 @@
         }
     }
 
+    /// What comes of a wait on an upstream; `None` once another life stands in its place.
+    pub(crate) async fn unless_replaced<T>(
+        &self,
+        upstream: &UpstreamId,
+        wait: impl Future<Output = T>,
+    ) -> Option<T> {
+        tokio::select! {
+            biased;
+            done = wait => Some(done),
+            () = self.entry.directory.wait_until_replaced(upstream) => None,
+        }
+    }
+
     /// Judges the head of an answer.
     fn take_head(
         &mut self,
--- a/clayplank-forward/src/directory.rs
+++ b/clayplank-forward/src/directory.rs
@@ -1,6 +1,6 @@
 //! Upstreams as this host knows them, and the choice among those of a plain service.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -10,6 +10,7 @@
 };
 use clayplank_routes::ServingPlan;
 use clayplank_types::{DataCentre, UpstreamId};
+use tokio::sync::watch;
 
 use crate::clock::now_ms;
 use crate::seen::Seen;
@@ -45,6 +46,9 @@
     records: BTreeMap<UpstreamId, Record>,
     /// When it was learned of those that left.
     gone_at_ms: HashMap<UpstreamId, u64>,
+    /// Those in whose place another life stands, under their name or at their address: they run nothing
+    /// any more. One that only left may go on with what it has.
+    replaced: HashSet<UpstreamId>,
     seen: HashMap<UpstreamId, Seen>,
     /// Data centres whose upstreams get nothing.
     cordoned: BTreeSet<DataCentre>,
@@ -61,6 +65,7 @@
         Self {
             records: BTreeMap::new(),
             gone_at_ms: HashMap::new(),
+            replaced: HashSet::new(),
             seen: HashMap::new(),
             cordoned: BTreeSet::new(),
             cold_starts: HashMap::new(),
@@ -99,6 +104,7 @@
                 .note_cold(now_ms() as f64, cold_left_ms);
         }
         self.records.insert(id, record.clone());
+        self.note_successors(&record.heartbeat);
         changed.push(record);
     }
 
@@ -128,6 +134,7 @@
         let mut ended = Vec::new();
         for id in former {
             self.gone_at_ms.insert(id.clone(), now_ms());
+            self.replaced.insert(id.clone());
             if let Some(record) = self.records.get_mut(&id) {
                 record.heartbeat.standing = Standing::Gone;
                 ended.push(record.clone());
@@ -136,6 +143,26 @@
         ended
     }
 
+    /// Notes who was replaced, now that a record has changed: one that has left, where another one that takes
+    /// work has its address. A record that comes late of a former life replaces nobody.
+    fn note_successors(&mut self, changed: &Heartbeat) {
+        let records = self.records.values().map(|record| &record.heartbeat);
+        let mut others =
+            records.filter(|one| one.address == changed.address && one.id != changed.id);
+        match changed.standing {
+            Standing::Gone => {
+                if others.any(|one| one.standing == Standing::Ready) {
+                    self.replaced.insert(changed.id.clone());
+                }
+            }
+            Standing::Ready => {
+                let former = others.filter(|one| one.standing == Standing::Gone);
+                self.replaced.extend(former.map(|one| one.id.clone()));
+            }
+            Standing::Draining => {}
+        }
+    }
+
     /// How many requests an upstream takes, as long as it is cold or names a limit.
     fn rate_limit(&self, heartbeat: &Heartbeat) -> RateLimit {
         let seen = self.seen.get(&heartbeat.id);
@@ -177,11 +204,12 @@
 
     /// Forgets upstreams that left long ago, and what was seen of them.
     fn forget_gone(&mut self, now_ms: u64) {
-        let Self { records, gone_at_ms, seen, limits, .. } = self;
+        let Self { records, gone_at_ms, replaced, seen, limits, .. } = self;
         gone_at_ms.retain(|id, gone_at_ms| {
             let is_kept = now_ms < *gone_at_ms + TOMBSTONE_MS;
             if !is_kept {
                 records.remove(id);
+                replaced.remove(id);
                 seen.remove(id);
             }
             is_kept
@@ -194,6 +222,8 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     inner: Mutex<Inner>,
+    /// Raised whenever an upstream was replaced.
+    replaced: watch::Sender<()>,
 }
 
 impl Directory {
@@ -206,11 +236,28 @@
     pub fn apply(&self, records: Vec<Record>) -> Vec<Record> {
         let mut inner = self.lock();
         let mut changed = Vec::new();
+        let known_replaced = inner.replaced.len();
         records.into_iter().for_each(|record| inner.take_in(record, &mut changed));
+        let is_one_replaced = inner.replaced.len() > known_replaced;
         inner.forget_gone(now_ms());
+        drop(inner);
+        if is_one_replaced {
+            self.replaced.send_replace(());
+        }
         changed
     }
 
+    /// Waits until another life stands in an upstream's place: nothing more comes of what it ran.
+    pub async fn wait_until_replaced(&self, id: &UpstreamId) {
+        let mut changes = self.replaced.subscribe();
+        while !self.lock().replaced.contains(id) {
+            // The sender lives as long as the directory.
+            if changes.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+
     /// What is known, in a few numbers.
     pub fn digest(&self) -> Digest {
         Digest::of(self.lock().records.values())
@@ -229,7 +276,10 @@
         if let Some(record) = inner.records.get_mut(id) {
             record.heartbeat.standing = Standing::Gone;
             inner.gone_at_ms.insert(id.clone(), now_ms());
+            inner.replaced.insert(id.clone());
         }
+        drop(inner);
+        self.replaced.send_replace(());
     }
 
     /// Whether a life of an upstream has ended and another one of its service stands in its place:
--- a/clayplank-forward/src/load.rs
+++ b/clayplank-forward/src/load.rs
@@ -6,6 +6,7 @@
 use clayplank_placement::{Event, PlacementId};
 use clayplank_types::UpstreamId;
 
+use crate::directory::Directory;
 use crate::entry::Entry;
 use crate::reserve::Reservation;
 
@@ -70,6 +71,11 @@
         }
     }
 
+    /// Where it is told whether the upstream was replaced.
+    pub(crate) fn directory(&self) -> Arc<Directory> {
+        Arc::clone(&self.entry.directory)
+    }
+
     /// Keeps memory of other engines reserved for as long as the attempt.
     pub(crate) fn hold(&mut self, reservation: Reservation) {
         self.reservation = Some(reservation);
--- a/clayplank-forward/src/source.rs
+++ b/clayplank-forward/src/source.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use clayplank_clock::Instant;
+use clayplank_types::UpstreamId;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -48,6 +49,15 @@
 
     /// The next event, or why there is none.
     pub(crate) async fn next(&mut self, patience: Duration) -> Next {
+        let (directory, id) = (self.load.directory(), UpstreamId::new(&self.upstream));
+        tokio::select! {
+            biased;
+            next = self.read_next(patience) => next,
+            () = directory.wait_until_replaced(&id) => Next::Broken("replaced"),
+        }
+    }
+
+    async fn read_next(&mut self, patience: Duration) -> Next {
         let until = Instant::now() + patience;
         loop {
             if let Some(event) = self.splitter.next_event() {
--- a/clayplank-forward/tests/entry/main.rs
+++ b/clayplank-forward/tests/entry/main.rs
@@ -8,5 +8,6 @@
 mod held_back;
 mod late_orders;
 mod limits;
+mod replaced;
 mod slow_readers;
 mod suspended;
--- /dev/null
+++ b/clayplank-forward/tests/entry/replaced.rs
@@ -0,0 +1,144 @@
+//! Requests that wait at an upstream in whose place another life stands.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use clayplank_forward::{Directory, EntryBuilder};
+use clayplank_registry::{Heartbeat, Record, Standing};
+use clayplank_routes::{RequestKind, Route};
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+
+use crate::harness::{Host, NoPlacer, plain_service, record, route};
+
+const ANSWER: &str = "HTTP/1.1 200 OK\r\nx-clayplank-attempt-id: a\r\nx-clayplank-seal: s\r\n\
+    content-length: 15\r\n\r\nid: 1\ndata: x\n\n";
+
+/// An upstream that answers its requests once it is told to, or never.
+async fn upstream(answers: Option<oneshot::Receiver<()>>) -> (SocketAddr, oneshot::Receiver<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (got, has_one) = oneshot::channel();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut bytes = vec![0; 4_096];
+        assert!(stream.read(&mut bytes).await.unwrap() > 0);
+        // Nobody waits for it at one that answers at once.
+        got.send(()).ok();
+        match answers {
+            Some(answers) => answers.await.unwrap(),
+            None => std::future::pending().await,
+        }
+        stream.write_all(ANSWER.as_bytes()).await.unwrap();
+    });
+    (address, has_one)
+}
+
+/// An upstream that answers at once.
+async fn quick_upstream() -> SocketAddr {
+    let (now, answers) = oneshot::channel();
+    now.send(()).unwrap();
+    upstream(Some(answers)).await.0
+}
+
+/// The life of an upstream that began at a time.
+fn life(name: &str, born_ms: u64, address: SocketAddr) -> Record {
+    let Record { heartbeat, .. } = record(name, address);
+    let heartbeat = Heartbeat { sequence: 1, born_ms, ..heartbeat }.named(name);
+    Record { heartbeat, is_silent: false }
+}
+
+fn gone(record: &Record) -> Record {
+    let mut record = record.clone();
+    record.heartbeat.standing = Standing::Gone;
+    record.heartbeat.sequence += 1;
+    record
+}
+
+/// A request on its way to the one upstream that is known.
+struct Waiting {
+    directory: Arc<Directory>,
+    caller: TcpStream,
+    _host: Host,
+}
+
+impl Waiting {
+    async fn start(kind: RequestKind, at: &Record, arrived: oneshot::Receiver<()>) -> Self {
+        let directory = Arc::new(Directory::default());
+        directory.apply(vec![at.clone()]);
+        // No upstream is given up for its silence before the limit.
+        let route = Route { time_limit_ms: 3_000, goal_ms: 3_000, ..route(kind) };
+        let placer = Arc::new(NoPlacer);
+        let host =
+            Host::start(EntryBuilder::default(), route, plain_service(), directory.clone(), placer)
+                .await;
+        let mut caller = host.connect().await;
+        let request = "POST /x HTTP/1.1\r\nhost: dala.example\r\nx-clayplank-attempt-id: a\r\n\
+            connection: close\r\ncontent-length: 0\r\n\r\n";
+        caller.write_all(request.as_bytes()).await.unwrap();
+        arrived.await.unwrap();
+        Self { directory, caller, _host: host }
+    }
+
+    /// The status line of the answer.
+    async fn status(mut self) -> String {
+        let mut answer = String::new();
+        self.caller.read_to_string(&mut answer).await.unwrap();
+        answer.lines().next().unwrap_or_default().to_owned()
+    }
+}
+
+#[rstest]
+#[case::repeatable(RequestKind::Repeatable, "HTTP/1.1 200 OK")]
+#[case::unrepeatable(RequestKind::Unrepeatable, "HTTP/1.1 502 Bad Gateway")]
+#[case::stream(RequestKind::ResumableStream, "HTTP/1.1 200 OK")]
+#[tokio::test]
+async fn a_request_does_not_wait_for_a_life_that_has_ended(
+    #[case] kind: RequestKind,
+    #[case] status: &str,
+) {
+    let (address, arrived) = upstream(None).await;
+    let former = life("u", 1, address);
+    let waiting = Waiting::start(kind, &former, arrived).await;
+    waiting.directory.apply(vec![life("u", 2, quick_upstream().await)]);
+    assert_eq!(waiting.status().await, status);
+}
+
+/// An address alone tells lives apart where an upstream does not say when it started.
+#[tokio::test]
+async fn a_request_does_not_wait_where_another_upstream_has_the_address() {
+    let (address, arrived) = upstream(None).await;
+    let former = life("u", 1, address);
+    let waiting = Waiting::start(RequestKind::Unrepeatable, &former, arrived).await;
+    waiting.directory.apply(vec![life("v", 2, address), gone(&former)]);
+    assert_eq!(waiting.status().await, "HTTP/1.1 502 Bad Gateway");
+}
+
+/// It goes on with what it has.
+#[tokio::test]
+async fn a_request_at_an_upstream_that_leaves_is_answered() {
+    let (answer, answers) = oneshot::channel();
+    let (address, arrived) = upstream(Some(answers)).await;
+    let former = life("u", 1, address);
+    let waiting = Waiting::start(RequestKind::Unrepeatable, &former, arrived).await;
+    waiting.directory.apply(vec![gone(&former), life("v", 2, quick_upstream().await)]);
+    tokio::task::yield_now().await;
+    answer.send(()).unwrap();
+    assert_eq!(waiting.status().await, "HTTP/1.1 200 OK");
+}
+
+#[tokio::test]
+async fn a_late_record_of_a_former_life_ends_nothing() {
+    let (answer, answers) = oneshot::channel();
+    let (address, arrived) = upstream(Some(answers)).await;
+    let current = life("v", 2, address);
+    let waiting = Waiting::start(RequestKind::Unrepeatable, &current, arrived).await;
+    let late = life("u", 1, address);
+    waiting.directory.apply(vec![late.clone()]);
+    waiting.directory.apply(vec![gone(&late)]);
+    tokio::task::yield_now().await;
+    answer.send(()).unwrap();
+    assert_eq!(waiting.status().await, "HTTP/1.1 200 OK");
+}
