--- a/clayplank-forward/src/attempt.rs
+++ b/clayplank-forward/src/attempt.rs
@@ -66,7 +66,7 @@
         let sent = exchange(record.heartbeat.address, request);
         let sent = self.unless_replaced(&upstream, clayplank_clock::timeout(patience, sent)).await;
         let Some(sent) = sent else {
-            return self.note_lost(&upstream, load, "replaced", "another life stands in its place");
+            return self.note_lost(&upstream, load, "lost", "another life stands in its place");
         };
         match sent {
             Ok(Ok((response, connection))) => {
--- a/clayplank-forward/src/load.rs
+++ b/clayplank-forward/src/load.rs
@@ -6,7 +6,6 @@
 use clayplank_placement::{Event, PlacementId};
 use clayplank_types::UpstreamId;
 
-use crate::directory::Directory;
 use crate::entry::Entry;
 use crate::reserve::Reservation;
 
@@ -71,9 +70,9 @@
         }
     }
 
-    /// Where it is told whether the upstream was replaced.
-    pub(crate) fn directory(&self) -> Arc<Directory> {
-        Arc::clone(&self.entry.directory)
+    /// Waits until another life stands in the upstream's place.
+    pub(crate) async fn wait_until_replaced(&self) {
+        self.entry.directory.wait_until_replaced(&self.upstream).await;
     }
 
     /// Keeps memory of other engines reserved for as long as the attempt.
--- a/clayplank-forward/src/source.rs
+++ b/clayplank-forward/src/source.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use clayplank_clock::Instant;
-use clayplank_types::UpstreamId;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -49,36 +48,11 @@
 
     /// The next event, or why there is none.
     pub(crate) async fn next(&mut self, patience: Duration) -> Next {
-        let (directory, id) = (self.load.directory(), UpstreamId::new(&self.upstream));
+        let Self { load, body, splitter, .. } = self;
         tokio::select! {
             biased;
-            next = self.read_next(patience) => next,
-            () = directory.wait_until_replaced(&id) => Next::Broken("replaced"),
-        }
-    }
-
-    async fn read_next(&mut self, patience: Duration) -> Next {
-        let until = Instant::now() + patience;
-        loop {
-            if let Some(event) = self.splitter.next_event() {
-                return Next::Event(event);
-            }
-            match clayplank_clock::timeout_at(until, self.body.frame()).await {
-                Ok(Some(Ok(frame))) => {
-                    if let Some(bytes) = frame.data_ref() {
-                        self.splitter.push(bytes);
-                        if self.splitter.held_bytes() > MAX_EVENT_BYTES {
-                            return Next::Broken("an event is too large");
-                        }
-                    }
-                }
-                Ok(None) if self.splitter.is_mid_event() => {
-                    return Next::Broken("ended inside an event");
-                }
-                Ok(None) => return Next::End,
-                Ok(Some(Err(_))) => return Next::Broken("the connection failed"),
-                Err(_) => return Next::Silent,
-            }
+            next = read_next(body, splitter, patience) => next,
+            () = load.wait_until_replaced() => Next::Broken("replaced"),
         }
     }
 
@@ -88,3 +62,28 @@
         self.load.end();
     }
 }
+
+async fn read_next(body: &mut Incoming, splitter: &mut EventSplitter, patience: Duration) -> Next {
+    let until = Instant::now() + patience;
+    loop {
+        if let Some(event) = splitter.next_event() {
+            return Next::Event(event);
+        }
+        match clayplank_clock::timeout_at(until, body.frame()).await {
+            Ok(Some(Ok(frame))) => {
+                if let Some(bytes) = frame.data_ref() {
+                    splitter.push(bytes);
+                    if splitter.held_bytes() > MAX_EVENT_BYTES {
+                        return Next::Broken("an event is too large");
+                    }
+                }
+            }
+            Ok(None) if splitter.is_mid_event() => {
+                return Next::Broken("ended inside an event");
+            }
+            Ok(None) => return Next::End,
+            Ok(Some(Err(_))) => return Next::Broken("the connection failed"),
+            Err(_) => return Next::Silent,
+        }
+    }
+}
