A test: memory is given back once the engine that was to use it is replaced

With the wait for replaced lives taken out it fails: the memory is renewed, and given back only when the host stops waiting for a first event.

--- a/clayplank-forward/tests/entry/broken_stream.rs
+++ b/clayplank-forward/tests/entry/broken_stream.rs
@@ -1,4 +1,4 @@
-//! What a stream holds that broke off, while no upstream goes on with it.
+//! What a prompt holds whose engine broke off or has gone, while no other goes on with it.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -6,11 +6,11 @@
 
 use clayplank_forward::{BoxFuture, Directory, EntryBuilder, Placer, Turn};
 use clayplank_placement::{Ask, Assignment, EngineModel, Event, Part, Placed, PlacementId};
-use clayplank_registry::ObservedLimit;
+use clayplank_registry::{Heartbeat, ObservedLimit, Record};
 use clayplank_routes::{RequestKind, Route, ServiceGroup};
 use clayplank_types::{DataCentre, UpstreamId};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 use crate::harness::{Host, Orders, plain_service, read_some, record, route};
 
@@ -73,34 +73,83 @@
     }
 }
 
+/// A prompt on its way to a writer, with memory at a helper.
+struct Prompt {
+    directory: Arc<Directory>,
+    caller: TcpStream,
+    story: Story,
+    _host: Host,
+}
+
+impl Prompt {
+    /// Sends one; a writer without an answer is silent.
+    async fn send(answer: Option<&'static str>) -> Self {
+        let story = Story::default();
+        let listen = || TcpListener::bind("127.0.0.1:0");
+        let (writer, helper) = (listen().await.unwrap(), listen().await.unwrap());
+        let directory = Arc::new(Directory::default());
+        directory.apply(vec![
+            record("writer", writer.local_addr().unwrap()),
+            record("helper", helper.local_addr().unwrap()),
+        ]);
+        let empty = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+        match answer {
+            Some(answer) => tokio::spawn(serve(writer, answer, None)),
+            None => tokio::spawn(be_silent(writer, Arc::clone(&story))),
+        };
+        tokio::spawn(serve(helper, empty, Some(Arc::clone(&story))));
+        let placer = Arc::new(PlacesOnce { asked: AtomicU64::new(0), story: Arc::clone(&story) });
+        let builder =
+            EntryBuilder::default().orders(Arc::new(Orders)).data_centre(DataCentre::new("a"));
+        let route = Route { pause_goal_ms: Some(250), ..route(RequestKind::ResumableStream) };
+        let service = ServiceGroup { engine: Some(EngineModel::default()), ..plain_service() };
+        let host = Host::start(builder, route, service, Arc::clone(&directory), placer).await;
+        let mut caller = host.connect().await;
+        let request = "POST /x HTTP/1.1\r\nhost: dala.example\r\nx-clayplank-attempt-id: a1\r\n\
+            x-clayplank-tokens: 90000,100\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+        caller.write_all(request.as_bytes()).await.unwrap();
+        Self { directory, caller, story, _host: host }
+    }
+
+    async fn answer(&mut self) -> String {
+        let mut answer = Vec::new();
+        self.caller.read_to_end(&mut answer).await.ok();
+        String::from_utf8_lossy(&answer).into_owned()
+    }
+}
+
+/// Holds each connection, and says nothing.
+async fn be_silent(listener: TcpListener, story: Story) {
+    let mut held = Vec::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        held.push(stream);
+        story.lock().unwrap().push("sent");
+    }
+}
+
 #[tokio::test]
 async fn memory_of_a_stream_that_broke_off_is_given_back_before_another_engine_goes_on() {
-    let story = Story::default();
-    let listen = || TcpListener::bind("127.0.0.1:0");
-    let (writer, helper) = (listen().await.unwrap(), listen().await.unwrap());
-    let directory = Arc::new(Directory::default());
-    directory.apply(vec![
-        record("writer", writer.local_addr().unwrap()),
-        record("helper", helper.local_addr().unwrap()),
-    ]);
-    let empty = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
-    tokio::spawn(serve(writer, BROKEN_ANSWER, None));
-    tokio::spawn(serve(helper, empty, Some(Arc::clone(&story))));
-    let placer = Arc::new(PlacesOnce { asked: AtomicU64::new(0), story: Arc::clone(&story) });
-    let builder =
-        EntryBuilder::default().orders(Arc::new(Orders)).data_centre(DataCentre::new("a"));
-    let route = Route { pause_goal_ms: Some(250), ..route(RequestKind::ResumableStream) };
-    let service = ServiceGroup { engine: Some(EngineModel::default()), ..plain_service() };
-    let host = Host::start(builder, route, service, directory, placer).await;
-
-    let mut caller = host.connect().await;
-    let request = "POST /x HTTP/1.1\r\nhost: dala.example\r\nx-clayplank-attempt-id: a1\r\n\
-        x-clayplank-tokens: 90000,100\r\ncontent-length: 0\r\n\r\n";
-    caller.write_all(request.as_bytes()).await.unwrap();
-    let mut answer = Vec::new();
-    caller.read_to_end(&mut answer).await.ok();
-    let answer = String::from_utf8_lossy(&answer).into_owned();
+    let mut prompt = Prompt::send(Some(BROKEN_ANSWER)).await;
+    let answer = prompt.answer().await;
     assert!(answer.contains("id: 1\ndata: x"), "{answer}");
     // Its caller waits for two seconds for the stream to go on; the placer is asked all the while.
-    assert_eq!(*story.lock().unwrap(), ["reserved", "released", "still waits"]);
+    assert_eq!(*prompt.story.lock().unwrap(), ["reserved", "released", "still waits"]);
+}
+
+#[tokio::test]
+async fn memory_is_given_back_once_the_engine_that_was_to_use_it_is_replaced() {
+    let mut prompt = Prompt::send(None).await;
+    while !prompt.story.lock().unwrap().contains(&"sent") {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let Record { heartbeat, is_silent } =
+        prompt.directory.record(&UpstreamId::new("writer")).unwrap();
+    let later = Heartbeat { born_ms: 1, ..heartbeat }.named("writer");
+    prompt.directory.apply(vec![Record { heartbeat: later, is_silent }]);
+    let answer = prompt.answer().await;
+    assert!(answer.starts_with("HTTP/1.1 502"), "its time is not over: {answer}");
+    while prompt.story.lock().unwrap().len() < 3 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(*prompt.story.lock().unwrap(), ["reserved", "sent", "released"]);
 }
