Soak: upstreams that name a limit, beside all other faults

Two upstreams name 2 requests a second each all the time, three entry hosts send 10 a second each; what each of them gets in any 4 s is checked from outside.

--- a/clayplankd/tests/seeded/limited.rs
+++ b/clayplankd/tests/seeded/limited.rs
@@ -12,14 +12,11 @@
 use crate::failover::leader;
 use crate::host::Host;
 use crate::promises::plan_with_engines;
-use crate::system::{Shape, System, wait_for};
+use crate::system::{LIMITED, Shape, System, wait_for};
 
 /// Entry hosts.
 const ENTRIES: usize = 4;
 
-/// The service without engines.
-const SERVICE: &str = "limited";
-
 /// Requests a second that an upstream in need takes.
 const LIMIT_PER_S: f64 = 1.0;
 
@@ -40,13 +37,14 @@
 const PAUSE: Duration = Duration::from_millis(330);
 
 /// What an upstream with a limit may get within the span, over all hosts.
-fn most_allowed(limit_per_s: f64) -> usize {
+pub fn most_allowed(limit_per_s: f64) -> usize {
     (1.5 * limit_per_s * WINDOW.as_secs_f64() + 5.0) as usize
 }
 
 /// The most arrivals within the span, among those after a time.
-fn most_in_window(limit: &SharedLimit, since: Instant) -> usize {
-    let arrivals: Vec<_> = limit.arrivals().into_iter().filter(|at| *at >= since).collect();
+pub fn most_in_window(limit: &SharedLimit, since: Option<Instant>) -> usize {
+    let mut arrivals = limit.arrivals();
+    arrivals.retain(|at| since.is_none_or(|since| *at >= since));
     let within = |(first, from): (usize, &Instant)| {
         arrivals[first..].iter().take_while(|at| **at < *from + WINDOW).count()
     };
@@ -71,8 +69,7 @@
 
 fn limited_plan() -> Value {
     let mut plan = plan_with_engines(2, &EngineModel::default());
-    plan["services"].as_array_mut().unwrap().push(json!({ "name": SERVICE }));
-    plan["routes"][0]["targets"] = json!([{ "service": SERVICE, "weight": 1 }]);
+    plan["routes"][0]["targets"] = json!([{ "service": LIMITED, "weight": 1 }]);
     plan
 }
 
@@ -95,7 +92,7 @@
                     system.start_limited_engine(&id, last, model, limit.clone());
                 }
                 Served::ByService => {
-                    system.start_limited_service(SERVICE, &id, last, limit.clone());
+                    system.start_limited_service(LIMITED, &id, last, limit.clone());
                 }
             }
         }
@@ -175,7 +172,7 @@
         limit.set(Some(LIMIT_PER_S));
         let since = Instant::now() + CONTACT;
         std::thread::sleep(CONTACT + RUN);
-        most = most_in_window(limit, since);
+        most = most_in_window(limit, Some(since));
     });
     println!("{}", limited.told_sends());
     println!("{most} in a span, {} allowed; {served} of {sent} served", most_allowed(LIMIT_PER_S));
@@ -199,7 +196,7 @@
         std::thread::sleep(CONTACT);
         limited.system.keepers[first].signal("-KILL");
         std::thread::sleep(RUN);
-        most = most_in_window(limit, since);
+        most = most_in_window(limit, Some(since));
     });
     println!("{most} in a span, {} allowed; {served} of {sent} served", most_allowed(LIMIT_PER_S));
     limited.system.keepers[first].kill();
@@ -229,7 +226,7 @@
             refused.status != 200
         });
         std::thread::sleep(RUN);
-        most = limited.limits.iter().map(|limit| most_in_window(limit, since)).collect();
+        most = limited.limits.iter().map(|limit| most_in_window(limit, Some(since))).collect();
     });
     let run_s = (CONTACT + RUN).as_secs_f64();
     let taken = EACH_PER_S * limited.limits.len() as f64 * run_s;
--- a/clayplankd/tests/seeded/soak/mod.rs
+++ b/clayplankd/tests/seeded/soak/mod.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod checks;
 mod crashing;
+mod limited;
 mod operators;
 mod play;
 mod record;
--- a/clayplankd/tests/seeded/soak/run.rs
+++ b/clayplankd/tests/seeded/soak/run.rs
@@ -10,6 +10,7 @@
 use super::callers::run_caller;
 use super::checks::{check_cut_off, check_plan, wait_until_served};
 use super::crashing::{Refused, UPSTREAMS, check_held_back, run_crashing};
+use super::limited::{check_limits, run_limited, start_limited};
 use super::operators::{run_heartbeats, run_operator};
 use super::play::{play, play_closing};
 use super::record::{Record, check_seen};
@@ -55,6 +56,7 @@
     // A keeper with an empty disk joins the others from now on.
     system.write_settings(false);
     let fleet = Fleet::start(&system, UPSTREAMS);
+    let limits = start_limited(&system);
     let refused = Refused::default();
     let runs = system.runs.clone();
     let callers: Vec<_> = system.entries.iter().map(Host::callers).collect();
@@ -75,6 +77,10 @@
                 });
             }
         }
+        for entry in 0..ENTRIES {
+            let shared = &shared;
+            scope.spawn(move || run_limited(shared, entry, seed));
+        }
         scope.spawn(|| run_heartbeats(&shared));
         scope.spawn(|| run_operator(&shared, 0));
         scope.spawn(|| run_operator(&shared, 1));
@@ -94,13 +100,15 @@
     broken.extend(seen.iter().filter_map(|seen| check_seen(seen, count(&seen.attempt))));
     broken.extend(check_cut_off(&seen, &schedule, began, count));
     broken.extend(not_held_back);
+    broken.extend(check_limits(&limits));
     let served = seen.iter().filter(|seen| seen.answer.as_ref().is_some_and(|a| a.status == 200));
     let summary = format!(
-        "{} of {} requests served, plan {}, {} upstreams ended under one, {} steps",
+        "{} of {} requests served, plan {}, {} upstreams ended under one, {:?} requests where a limit is named, {} steps",
         served.count(),
         seen.len(),
         shared.acknowledged.load(Ordering::SeqCst),
         fleet.story().ended.len(),
+        limits.each_ref().map(|limit| limit.arrivals().len()),
         schedule.len()
     );
     if broken.is_empty() { Ok(summary) } else { Err(report(&schedule, &broken, &shared.system)) }
--- a/clayplankd/tests/seeded/system.rs
+++ b/clayplankd/tests/seeded/system.rs
@@ -16,6 +16,9 @@
 use crate::host::{CONTROL, Host, INNER, Part, UPSTREAM};
 use crate::proxy::Proxy;
 
+/// A service whose upstreams name limits.
+pub const LIMITED: &str = "limited";
+
 pub const KEY: &str = "timekeeper-key";
 
 /// What a wait may take before the test counts as failed; nothing is timed by it.
@@ -295,14 +298,17 @@
     };
     let mut crashing = route("crashing", "repeatable");
     crashing["targets"] = json!([{ "service": FLEET, "weight": 1 }]);
+    let mut limited = route("limited", "repeatable");
+    limited["targets"] = json!([{ "service": LIMITED, "weight": 1 }]);
     json!({
         "version": version,
-        "services": [{ "name": "app" }, { "name": FLEET }],
+        "services": [{ "name": "app" }, { "name": FLEET }, { "name": LIMITED }],
         "routes": [
             route("repeatable", "repeatable"),
             route("once", "unrepeatable"),
             route("stream", "resumable_stream"),
             crashing,
+            limited,
         ],
         "accounts": [{ "name": "timekeepers", "keys": [KEY] }],
     })
