A request that waited for its turn goes to no upstream that leaves meanwhile

Found by reading: a request that is given a turn some time ahead kept the upstream that was chosen before the wait; with goals beyond the time that upstreams that drain, or data centres under a cordon, may still get something, it would have reached one too late.

--- a/clayplank-forward/tests/entry/limits.rs
+++ b/clayplank-forward/tests/entry/limits.rs
@@ -1,10 +1,14 @@
 //! What a host takes from answers that name a limit.
 
-use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
-use clayplank_forward::{Directory, EntryBuilder};
-use clayplank_routes::RequestKind;
-use clayplank_types::UpstreamId;
+use clayplank_forward::{BoxFuture, Directory, EntryBuilder, Placer, Turn, now_ms};
+use clayplank_placement::{Ask, Event, Placed, PlacementId};
+use clayplank_registry::{Heartbeat, ObservedLimit, Record};
+use clayplank_routes::{RequestKind, Route};
+use clayplank_types::{DataCentre, UpstreamId};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 
@@ -84,3 +88,84 @@
     assert_eq!(limit_after(&[replaced]).await, None);
     assert_eq!(limit_after(&[foreign]).await, None);
 }
+
+/// The time until a turn, for each request that waits for one: no upstream has one at once.
+struct Turns {
+    waits: Mutex<Vec<Duration>>,
+}
+
+impl Placer for Turns {
+    fn place<'a>(&'a self, _: &'a Ask) -> BoxFuture<'a, Placed> {
+        Box::pin(std::future::ready(Placed::Full { retry_after_ms: 100 }))
+    }
+
+    fn note(&self, _: PlacementId, _: Event) {}
+
+    fn note_limit(&self, _: &ObservedLimit) {}
+
+    fn take_turn<'a>(&'a self, _: &'a ObservedLimit, patience: Duration) -> BoxFuture<'a, Turn> {
+        let turn = if patience.is_zero() {
+            Turn::NotBefore(Duration::from_millis(50))
+        } else {
+            Turn::After(self.waits.lock().unwrap().remove(0))
+        };
+        Box::pin(std::future::ready(turn))
+    }
+
+    fn next_id(&self) -> PlacementId {
+        PlacementId::default()
+    }
+}
+
+/// An upstream in a data centre; counts the connections that it gets, and answers.
+async fn upstream(name: &str, data_centre: &str) -> (Record, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let Record { heartbeat, .. } = record(name, listener.local_addr().unwrap());
+    let heartbeat = Heartbeat { data_centre: DataCentre::new(data_centre), ..heartbeat };
+    let requests = Arc::<AtomicUsize>::default();
+    let count = Arc::clone(&requests);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            count.fetch_add(1, Ordering::SeqCst);
+            read_some(&mut stream).await;
+            let answer = format!("{OWN}content-length: 2\r\n\r\nok");
+            stream.write_all(answer.as_bytes()).await.unwrap();
+        }
+    });
+    (Record { heartbeat: heartbeat.named(name), is_silent: false }, requests)
+}
+
+#[tokio::test]
+async fn a_request_that_waited_for_its_turn_goes_to_no_data_centre_that_was_emptied_meanwhile() {
+    let (first, at_first) = upstream("a", "emptied").await;
+    let (second, at_second) = upstream("b", "other").await;
+    let directory = Arc::new(Directory::default());
+    directory.apply(vec![first, second]);
+    for name in ["a", "b"] {
+        directory.note_limit(&ObservedLimit {
+            upstream: UpstreamId::new(name),
+            requests_per_s: Some(1.0),
+            at_ms: now_ms(),
+        });
+    }
+    let waits = Mutex::new(vec![Duration::from_millis(300), Duration::ZERO]);
+    let route = Route { goal_ms: 2_000, ..route(RequestKind::Unrepeatable) };
+    let host = Host::start(
+        EntryBuilder::default(),
+        route,
+        plain_service(),
+        Arc::clone(&directory),
+        Arc::new(Turns { waits }),
+    )
+    .await;
+    let mut caller = host.connect().await;
+    let request = "POST /x HTTP/1.1\r\nhost: dala.example\r\nx-clayplank-attempt-id: a\r\n\
+        connection: close\r\ncontent-length: 0\r\n\r\n";
+    caller.write_all(request.as_bytes()).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    directory.set_cordoned([DataCentre::new("emptied")].into());
+    let answer = read_some(&mut caller).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert_eq!(at_first.load(Ordering::SeqCst), 0);
+    assert_eq!(at_second.load(Ordering::SeqCst), 1);
+}
