A keeper remembers that a limit was lifted which it never knew

Found by a random series of answers, lost reports and changes of the leader (all_know_what_the_upstream_names_once_nothing_is_lost, new, 2,000 series): one host's answer names a limit and the leader learns it; the next leader does not know it, is told that it was lifted, and forgets that at once, since it knows no limit. The former leader goes on to name the limit to whoever follows it, and paces the upstream when it leads again, until an answer there tells otherwise.

What is told by others is now remembered also if it says that there is no limit. What a host observes itself is not, or each upstream would have an entry.

--- a/clayplank-forward/src/directory.rs
+++ b/clayplank-forward/src/directory.rs
@@ -456,11 +456,16 @@
         inner.seen.entry(id.clone()).or_default().note_load(now_ms(), running + waiting);
     }
 
-    /// Takes in what was observed of an upstream's limit, here or at another host.
+    /// Takes in what this host observed of an upstream's limit.
     pub fn note_limit(&self, observed: &ObservedLimit) -> Noted {
         self.lock().limits.note(observed)
     }
 
+    /// Takes in what another host observed of an upstream's limit.
+    pub fn learn_limit(&self, observed: &ObservedLimit) -> Noted {
+        self.lock().limits.learn(observed)
+    }
+
     /// The limit of an upstream, if it named one.
     pub fn limit(&self, id: &UpstreamId) -> Option<ObservedLimit> {
         self.lock().limits.observed_of(id)
--- a/clayplank-registry/src/limits.rs
+++ b/clayplank-registry/src/limits.rs
@@ -105,7 +105,18 @@
         Self { cursor: Cursor { life, change: 0 }, held: BTreeMap::new() }
     }
 
-    /// Takes an observation in.
+    /// Takes in what another host observed. That there is no limit is remembered also where none is known:
+    /// others may still know one.
+    pub fn learn(&mut self, observed: &ObservedLimit) -> Noted {
+        let ObservedLimit { upstream, requests_per_s, at_ms } = observed;
+        if requests_per_s.is_none() && !self.held.contains_key(upstream) {
+            self.put(upstream, None, *at_ms);
+            return Noted::Unchanged;
+        }
+        self.note(observed)
+    }
+
+    /// Takes in an observation of this host.
     pub fn note(&mut self, observed: &ObservedLimit) -> Noted {
         let ObservedLimit { upstream, requests_per_s, at_ms } = observed;
         let (requests_per_s, at_ms) = (*requests_per_s, *at_ms);
--- a/clayplankd/src/fleet/fleet_keeper.rs
+++ b/clayplankd/src/fleet/fleet_keeper.rs
@@ -301,7 +301,7 @@
         let now_ms = now_ms();
         let told: Vec<_> = told.into_iter().map(|limit| limit.into_observed(now_ms)).collect();
         for observed in &told {
-            if lock(&self.limits).note(observed) == Noted::Changed {
+            if lock(&self.limits).learn(observed) == Noted::Changed {
                 log_limit(observed);
                 lock(&self.fleet).set_named_limit(&observed.upstream, observed.requests_per_s);
             }
--- a/clayplankd/src/follow/following.rs
+++ b/clayplankd/src/follow/following.rs
@@ -222,7 +222,7 @@
         let now_ms = now_ms();
         for limit in changes.limits {
             let observed = limit.into_observed(now_ms);
-            match self.directory.note_limit(&observed) {
+            match self.directory.learn_limit(&observed) {
                 Noted::Changed => self.link.set_named_limit(&observed),
                 Noted::Unchanged => {}
                 Noted::Outdated(own) => self.link.tell_limit(own),
