One wait that ends with its upstream, on the load guard

The load guard knows the upstream and the directory, so one method serves all three. The limit of an answer is read where it is used.

--- a/clayplank-forward/src/attempt.rs
+++ b/clayplank-forward/src/attempt.rs
@@ -1,6 +1,5 @@
 //! One attempt: sends a request to an upstream, and judges the head of its answer.
 
-use std::future::Future;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -64,7 +63,7 @@
         self.log_limited(&upstream);
         let sent_ms = now_ms();
         let sent = exchange(record.heartbeat.address, request);
-        let sent = self.unless_replaced(&upstream, clayplank_clock::timeout(patience, sent)).await;
+        let sent = load.unless_replaced(clayplank_clock::timeout(patience, sent)).await;
         let Some(sent) = sent else {
             return self.note_lost(&upstream, load, "lost", "another life stands in its place");
         };
@@ -87,19 +86,6 @@
         }
     }
 
-    /// What comes of a wait on an upstream; `None` once another life stands in its place.
-    pub(crate) async fn unless_replaced<T>(
-        &self,
-        upstream: &UpstreamId,
-        wait: impl Future<Output = T>,
-    ) -> Option<T> {
-        tokio::select! {
-            biased;
-            done = wait => Some(done),
-            () = self.entry.directory.wait_until_replaced(upstream) => None,
-        }
-    }
-
     /// Judges the head of an answer.
     fn take_head(
         &mut self,
@@ -114,11 +100,10 @@
         if let Some((running, waiting)) = scan_load(&head.headers, names) {
             self.entry.directory.note_load(upstream, running, waiting);
         }
-        let limit = scan_limit(&head.headers, names);
         let verdict = judge(&head, names, &self.facts.attempt_id);
         // Any other answer may be another upstream's.
         if matches!(verdict, Verdict::Own | Verdict::NotRun) {
-            self.note_limit(upstream, limit, sent_ms);
+            self.note_limit(upstream, scan_limit(&head.headers, names), sent_ms);
         }
         match verdict {
             Verdict::Own => {
--- a/clayplank-forward/src/load.rs
+++ b/clayplank-forward/src/load.rs
@@ -1,5 +1,6 @@
 //! What an attempt takes of an upstream, until it ends.
 
+use std::future::Future;
 use std::sync::Arc;
 
 use clayplank_clock::Instant;
@@ -70,9 +71,13 @@
         }
     }
 
-    /// Waits until another life stands in the upstream's place.
-    pub(crate) async fn wait_until_replaced(&self) {
-        self.entry.directory.wait_until_replaced(&self.upstream).await;
+    /// What comes of a wait on the upstream; `None` once another life stands in its place.
+    pub(crate) async fn unless_replaced<T>(&self, wait: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            done = wait => Some(done),
+            () = self.entry.directory.wait_until_replaced(&self.upstream) => None,
+        }
     }
 
     /// Keeps memory of other engines reserved for as long as the attempt.
--- a/clayplank-forward/src/plain.rs
+++ b/clayplank-forward/src/plain.rs
@@ -104,7 +104,7 @@
     let (head, body) = response.into_parts();
     let read = clayplank_clock::timeout(patience, read_whole(body, &call.entry.held_bytes));
     // What broke off counts as what was not whole.
-    let read = call.unless_replaced(&upstream, read).await.unwrap_or(Ok(None));
+    let read = load.unless_replaced(read).await.unwrap_or(Ok(None));
     drop(connection);
     let is_good = matches!(read, Ok(Some(_))) && !head.status.is_server_error();
     load.note_outcome(match &read {
--- a/clayplank-forward/src/source.rs
+++ b/clayplank-forward/src/source.rs
@@ -49,11 +49,8 @@
     /// The next event, or why there is none.
     pub(crate) async fn next(&mut self, patience: Duration) -> Next {
         let Self { load, body, splitter, .. } = self;
-        tokio::select! {
-            biased;
-            next = read_next(body, splitter, patience) => next,
-            () = load.wait_until_replaced() => Next::Broken("replaced"),
-        }
+        let next = load.unless_replaced(read_next(body, splitter, patience)).await;
+        next.unwrap_or(Next::Broken("replaced"))
     }
 
     /// Notes that the upstream did not end its stream, and gives back what it took.
