Newcomers are compared with upstreams that left alone

Each record that a host learned was compared with all that it knew, to find whom it replaces: at a start that is the square of the list. Only one that left can be replaced, and those are kept by themselves.

--- a/clayplank-forward/src/directory.rs
+++ b/clayplank-forward/src/directory.rs
@@ -146,18 +146,20 @@
     /// Notes who was replaced, now that a record has changed: one that has left, where another one that takes
     /// work has its address. A record that comes late of a former life replaces nobody.
     fn note_successors(&mut self, changed: &Heartbeat) {
-        let records = self.records.values().map(|record| &record.heartbeat);
-        let mut others =
-            records.filter(|one| one.address == changed.address && one.id != changed.id);
+        let is_in_place = |one: &Heartbeat| one.address == changed.address && one.id != changed.id;
         match changed.standing {
             Standing::Gone => {
-                if others.any(|one| one.standing == Standing::Ready) {
+                let mut others = self.records.values().map(|record| &record.heartbeat);
+                if others.any(|one| one.standing == Standing::Ready && is_in_place(one)) {
                     self.replaced.insert(changed.id.clone());
                 }
             }
             Standing::Ready => {
-                let former = others.filter(|one| one.standing == Standing::Gone);
-                self.replaced.extend(former.map(|one| one.id.clone()));
+                // Those that left are few, where all upstreams are heard of at once.
+                let gone = self.gone_at_ms.keys().filter_map(|id| self.records.get(id));
+                let gone = gone.map(|record| &record.heartbeat);
+                let former = gone.filter(|one| is_in_place(one)).map(|one| one.id.clone());
+                self.replaced.extend(former);
             }
             Standing::Draining => {}
         }
