Log and figures of how well hosts follow the keepers

For the incident of late changes, to tell its hypotheses apart: how long a host was without a confirmation, and which rounds to the leader ran while a keeper's follower waited for one.

--- a/clayplankd/src/follow/following.rs
+++ b/clayplankd/src/follow/following.rs
@@ -16,6 +16,7 @@
 
 use crate::doors::contract::SharedContract;
 use crate::fleet::fleet_link::FleetLink;
+use crate::follow::follow_log::{Exchange, FollowFigures, FollowLog};
 use crate::keepers::keeper_client::KeeperClient;
 use crate::process::clock::{millis, now_ms};
 use crate::process::logging::part;
@@ -41,6 +42,7 @@
     pub(crate) gate: Arc<Gate>,
     pub(crate) directory: Arc<Directory>,
     pub(crate) entry: Arc<Entry>,
+    pub(crate) figures: Arc<FollowFigures>,
 }
 
 /// Up to where a host follows the keepers.
@@ -52,8 +54,6 @@
     plan: PlanDocument,
     /// Whom it followed last.
     keeper: Option<HostId>,
-    /// Who led when that one answered last.
-    leader: Option<HostId>,
     /// When the answer was asked for, in ms.
     confirmed_ms: u64,
     /// Whether the keeper asked what this host knows.
@@ -70,29 +70,36 @@
     /// It lives, and did not hear from a leader in time.
     Unconfirmed,
     /// It did not answer.
-    Failed,
+    Failed(String),
 }
 
 /// Follows one keeper after the other until the task is dropped.
 pub(crate) async fn run_following(following: Following) {
     let mut position = Position::default();
     let mut choice = KeeperChoice::new(following.host.clone());
+    let mut log = FollowLog::new(Arc::clone(&following.figures));
     loop {
         let keepers = following.keepers.hosts();
         let Some(keeper) = choice.choose(now_ms(), &keepers) else {
             clayplank_clock::sleep(millis(FOLLOW_PAUSE_MS)).await;
             continue;
         };
+        let asked_ms = now_ms();
         match following.ask(&keeper, &position).await {
             Asked::Followed { followed, asked_ms } => {
                 choice.note_answered(&keeper);
                 position.keeper = Some(keeper);
-                following.apply(&mut position, &followed, asked_ms);
+                following.apply(&mut position, &mut log, &followed, asked_ms);
                 continue;
             }
-            Asked::Unconfirmed if now_ms() < position.confirmed_ms + UNCONFIRMED_MS => {}
-            Asked::Unconfirmed => choice.note_failed(now_ms(), keeper),
-            Asked::Failed => {
+            Asked::Unconfirmed => {
+                log.note_failed(Exchange::Unconfirmed, &keeper, asked_ms, "it hears no leader");
+                if now_ms() >= position.confirmed_ms + UNCONFIRMED_MS {
+                    choice.note_failed(now_ms(), keeper);
+                }
+            }
+            Asked::Failed(cause) => {
+                log.note_failed(Exchange::Failed, &keeper, asked_ms, &cause);
                 following.doubt(&keeper);
                 choice.note_failed(now_ms(), keeper);
             }
@@ -105,26 +112,20 @@
 impl Following {
     async fn ask(&self, keeper: &HostId, position: &Position) -> Asked {
         let Some(request) = self.request(keeper, position) else {
-            return Asked::Failed;
+            return Asked::Failed("the question cannot be encoded".to_owned());
         };
         let asked_ms = now_ms();
         let peers = self.keepers.peers();
         let call = peers.call(keeper, FOLLOW_PATIENCE, |mut client| async move {
             client.follow(request).await
         });
-        let (asked, cause) = match call.await.map(|reply| reply.result) {
+        match call.await.map(|reply| reply.result) {
             Ok(Some(follow_reply::Result::Followed(followed))) => {
-                return Asked::Followed { followed, asked_ms };
+                Asked::Followed { followed, asked_ms }
             }
-            Ok(Some(follow_reply::Result::NotLeaderHint(_)) | None) => {
-                (Asked::Unconfirmed, "it hears no leader".to_owned())
-            }
-            Err(error) => (Asked::Failed, error.to_string()),
-        };
-        log::warn!(target: part::SETTINGS,
-            keeper = keeper.as_str(), cause = cause;
-            "The plan is not confirmed");
-        asked
+            Ok(Some(follow_reply::Result::NotLeaderHint(_)) | None) => Asked::Unconfirmed,
+            Err(error) => Asked::Failed(error.to_string()),
+        }
     }
 
     /// If a keeper that does not answer leads, the next one is looked for.
@@ -158,7 +159,13 @@
     }
 
     /// Takes an answer in; one that cannot be used changes nothing but what is asked next.
-    fn apply(&self, position: &mut Position, followed: &Followed, asked_ms: u64) {
+    fn apply(
+        &self,
+        position: &mut Position,
+        log: &mut FollowLog,
+        followed: &Followed,
+        asked_ms: u64,
+    ) {
         let (Ok(delta), Ok(changes)) =
             (decode::<Delta>(&followed.delta), unpack::<Changes>(&followed.changes))
         else {
@@ -200,7 +207,12 @@
         self.keepers.learn(followed.keepers.iter().map(HostId::new));
         let deputy = Some(&followed.deputy).filter(|host| !host.is_empty());
         self.keepers.set_deputy(deputy.map(HostId::new));
-        self.note_leader(position, &followed.leader, asked_ms);
+        let leader = HostId::new(&followed.leader);
+        if let Some(keeper) = &position.keeper {
+            log.note_confirmed(position.plan.version, keeper, &leader, asked_ms);
+        }
+        self.keepers.note_answer(leader);
+        position.confirmed_ms = asked_ms;
         position.revision = delta.revision;
         position.cursor = changes.cursor;
         position.tells_digest = followed.asks_digest;
@@ -231,21 +243,6 @@
         position.limits_cursor = changes.cursor;
     }
 
-    /// Takes in who leads.
-    fn note_leader(&self, position: &mut Position, leader: &str, asked_ms: u64) {
-        let leader = HostId::new(leader);
-        let former = position.leader.replace(leader.clone());
-        let lost_ms = asked_ms.saturating_sub(position.confirmed_ms);
-        position.confirmed_ms = asked_ms;
-        let is_other = former.as_ref().is_some_and(|former| *former != leader);
-        if is_other || (former.is_some() && lost_ms >= UNCONFIRMED_MS) {
-            log::info!(target: part::SETTINGS,
-                version = position.plan.version, leader = leader.as_str(), lost_ms = lost_ms;
-                "The plan is confirmed again");
-        }
-        self.keepers.note_answer(leader);
-    }
-
     /// Puts a plan in force; whether it could be read.
     fn put_in_force(&self, document: &PlanDocument) -> bool {
         let version = document.version;
--- a/clayplankd/src/follow/relay.rs
+++ b/clayplankd/src/follow/relay.rs
@@ -6,6 +6,7 @@
 //! processor up on them, be late with its own heartbeats, and be replaced before it has answered all.
 
 use std::collections::{HashMap, HashSet};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -37,6 +38,9 @@
 /// How long a follower's question waits for a confirmation: an election is over within this time.
 const CONFIRM_PATIENCE: Duration = Duration::from_millis(600);
 
+/// Between two lines on followers that are not confirmed, in ms.
+const UNCONFIRMED_LINE_EVERY_MS: u64 = 1_000;
+
 /// Placements by the lives of the hosts that run them.
 pub(crate) type Renewals = HashMap<u64, Vec<Renewed>>;
 
@@ -84,9 +88,25 @@
     applied: watch::Receiver<Applied>,
     wanted: Notify,
     confirmed: watch::Sender<Confirmed>,
+    rounds: RoundCounts,
+    /// When a follower that was not confirmed was last told of in the log.
+    told_ms: AtomicU64,
     renewals: Mutex<PendingRenewals>,
 }
 
+/// Rounds that have ended.
+#[derive(Debug, Default)]
+struct RoundCounts {
+    confirmed: AtomicU64,
+    failed: AtomicU64,
+}
+
+impl RoundCounts {
+    fn read(&self) -> (u64, u64) {
+        (self.confirmed.load(Ordering::SeqCst), self.failed.load(Ordering::SeqCst))
+    }
+}
+
 /// What hosts told of their placements since the last round.
 #[derive(Debug, Default)]
 struct PendingRenewals {
@@ -111,6 +131,8 @@
             applied,
             wanted: Notify::new(),
             confirmed: watch::Sender::new(Confirmed::default()),
+            rounds: RoundCounts::default(),
+            told_ms: AtomicU64::new(0),
             renewals: Mutex::default(),
         }
     }
@@ -159,10 +181,32 @@
     /// if that is not known in time.
     pub(crate) async fn confirm_after(&self, time_ms: u64) -> Option<HostId> {
         let mut confirmed = self.confirmed.subscribe();
+        let before = self.rounds.read();
         self.wanted.notify_one();
         let is_later = confirmed.wait_for(|confirmed| confirmed.asked_ms > time_ms);
-        let confirmed = clayplank_clock::timeout(CONFIRM_PATIENCE, is_later).await.ok()?.ok()?;
-        confirmed.leader.clone()
+        match clayplank_clock::timeout(CONFIRM_PATIENCE, is_later).await {
+            Ok(confirmed) => confirmed.ok()?.leader.clone(),
+            Err(_) => {
+                self.log_unconfirmed(before);
+                None
+            }
+        }
+    }
+
+    /// Tells, now and then, that a follower was not confirmed, and which rounds ran while it waited.
+    fn log_unconfirmed(&self, before: (u64, u64)) {
+        let now_ms = now_ms();
+        let told_ms = self.told_ms.load(Ordering::SeqCst);
+        if told_ms > 0 && now_ms < told_ms + UNCONFIRMED_LINE_EVERY_MS {
+            return;
+        }
+        self.told_ms.store(now_ms, Ordering::SeqCst);
+        let (confirmed, failed) = self.rounds.read();
+        let leader = self.applied.borrow().leader.clone();
+        log::warn!(target: part::KEEPER,
+            leader = leader.as_ref().map_or("", HostId::as_str),
+            rounds_confirmed = confirmed - before.0, rounds_failed = failed - before.1;
+            "A follower is not confirmed");
     }
 
     /// One question to the leader, or to the own keeper if it leads.
@@ -278,9 +322,11 @@
         let asked_ms = now_ms();
         match relay.run_round(&mut position).await {
             Ok(leader) => {
+                relay.rounds.confirmed.fetch_add(1, Ordering::SeqCst);
                 relay.confirmed.send_replace(Confirmed { asked_ms, leader: Some(leader) });
             }
             Err(cause) => {
+                relay.rounds.failed.fetch_add(1, Ordering::SeqCst);
                 log::debug!(target: part::KEEPER, "Followers are not confirmed: {cause}.");
                 // Who waits still does.
                 relay.wanted.notify_one();
--- a/clayplankd/src/process/seeded.rs
+++ b/clayplankd/src/process/seeded.rs
@@ -87,7 +87,8 @@
             Role::Entry => Some(parts.start_entry(closing_receiver).await?),
             Role::Keeper => None,
         };
-        let counting = entry.as_ref().map(|host| Arc::clone(&host.entry));
+        let counting =
+            entry.as_ref().map(|host| (Arc::clone(&host.entry), Arc::clone(&host.following)));
         let fleet = settings.is_keeper().then(|| parts.new_fleet());
         if let Some(fleet) = &fleet {
             tokio::spawn(run_keeper_start(parts, Arc::clone(fleet), failed_sender));
@@ -96,7 +97,10 @@
             parts.start_door(bind(control).await?, Registered::Followed, spread);
         }
         serve_metrics(metrics, move || {
-            let of_entry = counting.as_ref().map(|entry| entry.to_text()).unwrap_or_default();
+            let of_entry = counting
+                .as_ref()
+                .map(|(entry, following)| entry.to_text() + &following.to_text())
+                .unwrap_or_default();
             let of_keeper = fleet.as_deref().map(FleetKeeper::to_text).unwrap_or_default();
             of_entry + &of_keeper + &suspension_figures()
         });
--- a/clayplankd/src/process/seeded_entry.rs
+++ b/clayplankd/src/process/seeded_entry.rs
@@ -16,6 +16,7 @@
 use crate::fleet::fleet_link::{FleetLink, run_reports, run_return_to_leader};
 use crate::fleet::limit_reports::run_limit_reports;
 use crate::fleet::sightings::{SightingLink, run_sightings};
+use crate::follow::follow_log::FollowFigures;
 use crate::follow::following::{Following, run_following};
 use crate::process::daemon::{StartError, bind, serve_inner};
 use crate::process::inner::InnerService;
@@ -30,6 +31,8 @@
     /// Whether it takes requests.
     pub(crate) gate: Arc<Gate>,
     pub(crate) entry: Arc<Entry>,
+    /// How well it follows the keepers.
+    pub(crate) following: Arc<FollowFigures>,
 }
 
 impl EntryHost {
@@ -88,6 +91,7 @@
         tokio::spawn(run_reports(Arc::clone(&link), reports.events));
         tokio::spawn(run_limit_reports(Arc::clone(&link), reports.limits));
         tokio::spawn(run_return_to_leader(Arc::clone(&link)));
+        let figures = Arc::new(FollowFigures::default());
         tokio::spawn(run_following(Following {
             host: self.own.clone(),
             contract: Arc::clone(&self.contract),
@@ -96,10 +100,11 @@
             gate: Arc::clone(&gate),
             directory,
             entry: Arc::clone(&entry),
+            figures: Arc::clone(&figures),
         }));
         tokio::spawn(serve_callers(callers, Arc::clone(&entry), closing));
         serve_readiness(readiness, Arc::clone(&self.contract), Arc::clone(&gate));
-        Ok(EntryHost { gate, entry })
+        Ok(EntryHost { gate, entry, following: figures })
     }
 }
 
