A keeper counts the round that answers a follower also within one millisecond

What callers saw: requests were run, or refused, as only an older version of the plan allows, more than 2 s after a newer one had been acknowledged (CONFIG), at one host, in calm times as well.

Cause: a keeper confirms a follower once a round of questions to the leader began after the follower asked, and both times were readings in whole milliseconds. A round that begins in the millisecond in which the question came was confirmed and not counted; nothing asked for a further one unless another follower came, so a keeper's only follower was told after 0.6 s that no leader is heard, came again, and after 1.5 s went to another keeper, from which it returned a second later to go through the same.

Rounds have numbers now, and a follower is confirmed by one that began after the newest at its arrival.

--- a/clayplankd/src/follow/fleet_followers.rs
+++ b/clayplankd/src/follow/fleet_followers.rs
@@ -14,7 +14,6 @@
 use crate::follow::relay::{Relay, Renewals};
 use crate::keepers::keeper::Keeper;
 use crate::keepers::keeper_messages::{DeltaAfter, Watch, Watched};
-use crate::process::clock::now_ms;
 use crate::process::inner::malformed;
 
 /// A follower without news is confirmed after this time. A host whose keeper has died finds the
@@ -68,10 +67,10 @@
     /// Answers an entry host when there is news, and after a while that there is none. What it is told
     /// holds all that was acknowledged before it asked.
     async fn answer_host(self, asked: &Asked) -> Result<follow_reply::Result, Status> {
-        let asked_ms = now_ms();
+        let newest_round = self.relay.newest_round();
         self.fleet.note_entry_host(asked.host.clone());
         self.relay.wait_for_news(asked.revision, asked.cursor, FOLLOW_WAIT).await;
-        let Some(leader) = self.relay.confirm_after(asked_ms).await else {
+        let Some(leader) = self.relay.confirm_after(newest_round).await else {
             return Ok(follow_reply::Result::NotLeaderHint(String::new()));
         };
         let delta = self.keeper.send(DeltaAfter(asked.revision)).await;
--- a/clayplankd/src/follow/relay.rs
+++ b/clayplankd/src/follow/relay.rs
@@ -44,11 +44,16 @@
 /// Placements by the lives of the hosts that run them.
 pub(crate) type Renewals = HashMap<u64, Vec<Renewed>>;
 
+/// The number of a round of questions to the leader. Clocks tell too little: a question of a follower
+/// and the round that answers it may fall into one millisecond.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Round(u64);
+
 /// What was confirmed last.
 #[derive(Clone, Debug, Default)]
 struct Confirmed {
-    /// All that was acknowledged before this time is held here.
-    asked_ms: u64,
+    /// All that was acknowledged before this round began is held here.
+    round: Round,
     leader: Option<HostId>,
 }
 
@@ -94,15 +99,20 @@
     renewals: Mutex<PendingRenewals>,
 }
 
-/// Rounds that have ended.
+/// How many rounds there were.
 #[derive(Debug, Default)]
 struct RoundCounts {
+    begun: AtomicU64,
     confirmed: AtomicU64,
     failed: AtomicU64,
 }
 
 impl RoundCounts {
-    fn read(&self) -> (u64, u64) {
+    fn begin(&self) -> Round {
+        Round(self.begun.fetch_add(1, Ordering::SeqCst) + 1)
+    }
+
+    fn ended(&self) -> (u64, u64) {
         (self.confirmed.load(Ordering::SeqCst), self.failed.load(Ordering::SeqCst))
     }
 }
@@ -177,13 +187,18 @@
         clayplank_clock::timeout(patience, news).await.ok();
     }
 
-    /// Waits until all that was acknowledged before a time is held here; returns who leads, or `None`
-    /// if that is not known in time.
-    pub(crate) async fn confirm_after(&self, time_ms: u64) -> Option<HostId> {
+    /// The newest round that has begun.
+    pub(crate) fn newest_round(&self) -> Round {
+        Round(self.rounds.begun.load(Ordering::SeqCst))
+    }
+
+    /// Waits until a round is confirmed that began after another one; returns who leads, or `None` if that is
+    /// not known in time.
+    pub(crate) async fn confirm_after(&self, round: Round) -> Option<HostId> {
         let mut confirmed = self.confirmed.subscribe();
-        let before = self.rounds.read();
+        let before = self.rounds.ended();
         self.wanted.notify_one();
-        let is_later = confirmed.wait_for(|confirmed| confirmed.asked_ms > time_ms);
+        let is_later = confirmed.wait_for(|confirmed| confirmed.round > round);
         match clayplank_clock::timeout(CONFIRM_PATIENCE, is_later).await {
             Ok(confirmed) => confirmed.ok()?.leader.clone(),
             Err(_) => {
@@ -201,7 +216,7 @@
             return;
         }
         self.told_ms.store(now_ms, Ordering::SeqCst);
-        let (confirmed, failed) = self.rounds.read();
+        let (confirmed, failed) = self.rounds.ended();
         let leader = self.applied.borrow().leader.clone();
         log::warn!(target: part::KEEPER,
             leader = leader.as_ref().map_or("", HostId::as_str),
@@ -319,11 +334,11 @@
                 }
             }
         }
-        let asked_ms = now_ms();
+        let round = relay.rounds.begin();
         match relay.run_round(&mut position).await {
             Ok(leader) => {
                 relay.rounds.confirmed.fetch_add(1, Ordering::SeqCst);
-                relay.confirmed.send_replace(Confirmed { asked_ms, leader: Some(leader) });
+                relay.confirmed.send_replace(Confirmed { round, leader: Some(leader) });
             }
             Err(cause) => {
                 relay.rounds.failed.fetch_add(1, Ordering::SeqCst);
