A host that knows no keeper asks those that it was told of

Hosts without a disk were told of three others, none of which held a replica, and got "Operation is not implemented" from each, without end.

Cause: what a host was told of was taken for keepers. It asked them to be followed and never who the keepers are: that question was asked only when a known leader was doubted. Those three knew the keepers, which make themselves known to whom they are told of; nobody else did. Class: a place that others are sent to does not know what they come for, again.

Keepers and hosts that may know keepers are kept apart now (clayplank-members, keeper_search). A host without a leader searches: keepers first, then whom it was told of, then whom it heard of; 24 questions in a search at most, and pauses that grow to a second. Whoever is asked names those that it knows, remembers who asked, and is told the keepers by those that it sent on. Two ways were weighed: a refusal to be followed that names keepers would spare a question, but helps only where one hop is enough. A host whose keepers all fail pauses for longer each time and looks for others.

--- a/clayplank-members/src/lib.rs
+++ b/clayplank-members/src/lib.rs
@@ -1,4 +1,4 @@
-//! Liveness among hosts, leaving, ownership of pools, and which keeper a host follows.
+//! Liveness among hosts, leaving, ownership of pools, and how a host finds and chooses a keeper.
 //!
 //! The failure detector is SWIM's (Das, Gupta and Motivala, DSN 2002): each
 //! host probes one other at a time, asks a few others to try before it
@@ -16,10 +16,12 @@
 //! ```
 
 mod keeper_choice;
+mod keeper_search;
 mod members;
 mod owner;
 mod rumour;
 
 pub use keeper_choice::KeeperChoice;
+pub use keeper_search::KnownKeepers;
 pub use members::{Effect, Members, Timing};
 pub use rumour::{Rumour, Status};
--- a/clayplankd/src/follow/following.rs
+++ b/clayplankd/src/follow/following.rs
@@ -13,6 +13,7 @@
 };
 use clayplank_types::{DataCentre, HostId};
 use clayplank_wire::{FollowRequest, Followed, follow_reply};
+use tokio::sync::watch;
 
 use crate::doors::contract::SharedContract;
 use crate::fleet::fleet_link::FleetLink;
@@ -29,6 +30,9 @@
 /// come to others at the same moment.
 const FOLLOW_PAUSE_MS: u64 = 100;
 
+/// The pause doubles this often at most, each time all known keepers have failed.
+const MAX_PAUSE_DOUBLINGS: usize = 3;
+
 /// A keeper that lives and hears no leader is left after this time, in ms: elections are over by then,
 /// and it may be cut off. The plan of a host holds for several seconds without it.
 const UNCONFIRMED_MS: u64 = 1_500;
@@ -78,15 +82,19 @@
     let mut position = Position::default();
     let mut choice = KeeperChoice::new(following.host.clone());
     let mut log = FollowLog::new(Arc::clone(&following.figures));
+    let mut found = following.keepers.subscribe();
+    let mut failed = 0;
     loop {
         let keepers = following.keepers.hosts();
         let Some(keeper) = choice.choose(now_ms(), &keepers) else {
-            clayplank_clock::sleep(millis(FOLLOW_PAUSE_MS)).await;
+            following.keepers.doubt_leader();
+            wait_for_leader(FOLLOW_PAUSE_MS, &mut found, &mut choice).await;
             continue;
         };
         let asked_ms = now_ms();
         match following.ask(&keeper, &position).await {
             Asked::Followed { followed, asked_ms } => {
+                failed = 0;
                 choice.note_answered(&keeper);
                 position.keeper = Some(keeper);
                 following.apply(&mut position, &mut log, &followed, asked_ms);
@@ -104,8 +112,31 @@
                 choice.note_failed(now_ms(), keeper);
             }
         }
-        let pause_ms = rand::random_range(0..FOLLOW_PAUSE_MS);
-        clayplank_clock::sleep(millis(pause_ms)).await;
+        failed += 1;
+        if failed >= keepers.len() {
+            // Whoever is known does not help: others may lead by now.
+            following.keepers.doubt_leader();
+        }
+        let doublings = (failed / keepers.len()).min(MAX_PAUSE_DOUBLINGS);
+        wait_for_leader(FOLLOW_PAUSE_MS << doublings, &mut found, &mut choice).await;
+    }
+}
+
+/// Waits for a time drawn up to `pause_ms`, or until another leader is found, which is asked at once.
+async fn wait_for_leader(
+    pause_ms: u64,
+    found: &mut watch::Receiver<Option<HostId>>,
+    choice: &mut KeeperChoice,
+) {
+    let pause = clayplank_clock::sleep(millis(rand::random_range(0..pause_ms)));
+    tokio::select! {
+        () = pause => {}
+        // The sender lives as long as the host.
+        _ = found.changed() => {
+            if let Some(leader) = &*found.borrow_and_update() {
+                choice.note_answered(leader);
+            }
+        }
     }
 }
 
--- a/clayplankd/src/keepers/keeper_client.rs
+++ b/clayplankd/src/keepers/keeper_client.rs
@@ -1,9 +1,11 @@
 //! Finds the leading keeper and asks it.
 
+use std::collections::HashSet;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use clayplank_clock::Instant;
+use clayplank_members::KnownKeepers;
 use clayplank_settings::HostSettings;
 use clayplank_state::{Body, Delta, Reply, decode, encode};
 use clayplank_types::HostId;
@@ -11,7 +13,6 @@
     ExecuteRequest, FindLeaderRequest, InspectRequest, StoppingRequest, WatchRequest,
     execute_reply, inspect_reply, stopping_reply, watch_reply,
 };
-use rand::seq::SliceRandom;
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 
@@ -33,6 +34,14 @@
 /// Most elections are over by then, so that each host asks one or two keepers.
 const NEXT_KEEPER_AFTER: Duration = Duration::from_millis(250);
 
+/// Pause after a search that found no leader, drawn up to this time, in ms; after each further one twice
+/// as long.
+const SEARCH_PAUSE_MS: u64 = 100;
+
+/// The longest such pause: all of a region may have lost power, and no host is served before it
+/// has found a keeper.
+const MAX_SEARCH_PAUSE_MS: u64 = 1_000;
+
 /// A keeper that does not answer this long after its answer was due may be dead: whether another
 /// one leads is found out meanwhile. Most commands take a few milliseconds, plans of megabytes
 /// longer.
@@ -55,31 +64,24 @@
 /// The keepers that are known, and who led last.
 #[derive(Debug, Default)]
 struct Known {
-    hosts: Vec<HostId>,
-    leader: Option<HostId>,
+    keepers: KnownKeepers,
     /// The keeper that the leader named last to place while it is silent itself.
     deputy: Option<HostId>,
     /// When the leader last answered.
     answered_ms: u64,
 }
 
-impl Known {
-    /// All keepers in an order of chance, the one that led last at the end.
-    fn to_ask_for_leader(&self) -> Vec<HostId> {
-        let mut hosts = self.hosts.clone();
-        hosts.shuffle(&mut rand::rng());
-        hosts.sort_by_key(|host| Some(host) == self.leader.as_ref());
-        hosts
-    }
-}
-
 /// A client of the keepers; commands are safe to send again.
 #[derive(Clone, Debug)]
 pub(crate) struct KeeperClient {
     peers: Peers,
+    /// The host that asks; `None` where the settings name all keepers.
+    own: Option<HostId>,
     known: Arc<Mutex<Known>>,
     /// Told that the leader may be gone.
     doubted: Arc<Notify>,
+    /// Told of a keeper that was not known.
+    learned: Arc<Notify>,
     /// The leader that was found last.
     found: watch::Sender<Option<HostId>>,
 }
@@ -112,38 +114,68 @@
 impl KeeperClient {
     pub(crate) fn new(settings: &HostSettings, peers: Peers) -> Self {
         let keepers = settings.hosts.iter().filter(|entry| entry.keeper);
-        Self::of_hosts(keepers.map(|entry| entry.host.clone()), peers)
+        let keepers = KnownKeepers::of_keepers(keepers.map(|entry| entry.host.clone()));
+        Self::of_known(None, keepers, peers)
     }
 
-    /// Starts from keepers that are known; more may be learned.
-    pub(crate) fn of_hosts(hosts: impl IntoIterator<Item = HostId>, peers: Peers) -> Self {
-        let known = Known { hosts: hosts.into_iter().collect(), ..Known::default() };
+    /// Starts from hosts that may know keepers, or be some.
+    pub(crate) fn of_seeds(
+        own: HostId,
+        seeds: impl IntoIterator<Item = HostId>,
+        peers: Peers,
+    ) -> Self {
+        let keepers = KnownKeepers::of_seeds(own.clone(), seeds);
+        Self::of_known(Some(own), keepers, peers)
+    }
+
+    fn of_known(own: Option<HostId>, keepers: KnownKeepers, peers: Peers) -> Self {
         Self {
             peers,
-            known: Arc::new(Mutex::new(known)),
+            own,
+            known: Arc::new(Mutex::new(Known { keepers, ..Known::default() })),
             doubted: Arc::default(),
+            learned: Arc::default(),
             found: watch::Sender::new(None),
         }
     }
 
+    /// Takes in whom the settings name now.
+    pub(crate) fn set_seeds(&self, seeds: impl IntoIterator<Item = HostId>) {
+        lock(&self.known).keepers.set_seeds(seeds);
+        self.learned.notify_one();
+    }
+
     /// Learns of keepers; none is forgotten, since the newest list may come from one that is cut off.
-    pub(crate) fn learn(&self, hosts: impl IntoIterator<Item = HostId>) {
-        let mut known = lock(&self.known);
-        for host in hosts {
-            if !known.hosts.contains(&host) {
-                known.hosts.push(host);
-            }
+    pub(crate) fn learn(&self, keepers: impl IntoIterator<Item = HostId>) {
+        if lock(&self.known).keepers.learn_keepers(keepers) {
+            self.learned.notify_one();
         }
     }
 
+    /// Learns of hosts that may know keepers.
+    pub(crate) fn learn_contacts(&self, hosts: impl IntoIterator<Item = HostId>) {
+        let mut known = lock(&self.known);
+        hosts.into_iter().for_each(|host| known.keepers.learn_contact(host));
+    }
+
     /// All keepers that are known.
     pub(crate) fn hosts(&self) -> Vec<HostId> {
-        lock(&self.known).hosts.clone()
+        lock(&self.known).keepers.keepers().to_vec()
+    }
+
+    /// Hosts that may know keepers, beside those that are known.
+    pub(crate) fn contacts(&self) -> Vec<HostId> {
+        lock(&self.known).keepers.contacts().cloned().collect()
+    }
+
+    /// The same, as they are named to another host: a few, and only where no keeper is known.
+    pub(crate) fn named_contacts(&self) -> Vec<HostId> {
+        lock(&self.known).keepers.named_contacts(&mut rand::rng())
     }
 
     /// Who led when it was last heard.
     pub(crate) fn leader(&self) -> Option<HostId> {
-        lock(&self.known).leader.clone()
+        lock(&self.known).keepers.leader().cloned()
     }
 
     /// The keeper that places while the leader is silent: the one that the leader named. Counted off
@@ -151,7 +183,7 @@
     /// chose engines alone until another keeper led.
     pub(crate) fn deputy(&self) -> Option<HostId> {
         let known = lock(&self.known);
-        known.deputy.clone().filter(|deputy| Some(deputy) != known.leader.as_ref())
+        known.deputy.clone().filter(|deputy| Some(deputy) != known.keepers.leader())
     }
 
     /// Takes in whom the leader names.
@@ -162,7 +194,8 @@
     /// Who led when it was last heard, if that was within this time, in ms.
     pub(crate) fn leader_heard_within(&self, within_ms: u64) -> Option<HostId> {
         let known = lock(&self.known);
-        known.leader.clone().filter(|_| now_ms() <= known.answered_ms + within_ms)
+        let is_heard = now_ms() <= known.answered_ms + within_ms;
+        known.keepers.leader().filter(|_| is_heard).cloned()
     }
 
     /// Notes that the leader gave no answer where one was due: [`run_leader_search`] looks for
@@ -176,25 +209,38 @@
         self.found.subscribe()
     }
 
-    /// Asks one keeper after the other who leads, until one of them hears a leader; `None` if
-    /// none does for a while.
+    /// Asks one host after the other who leads, until one of them hears a leader; `None` if none
+    /// does for a while.
     async fn find_leader(&self) -> Option<HostId> {
-        let keepers = lock(&self.known).to_ask_for_leader();
+        let mut asked = HashSet::new();
         let mut questions = JoinSet::new();
-        for keeper in keepers {
+        while let Some(host) = self.next_to_ask(&asked) {
+            asked.insert(host.clone());
             let client = self.clone();
-            questions.spawn(async move { client.ask_for_leader(&keeper).await });
-            let found = first_found_within(NEXT_KEEPER_AFTER, &mut questions).await;
-            if found.is_some() {
-                return found;
+            questions.spawn(async move { client.ask_for_leader(&host).await });
+            let answered = next_answer(NEXT_KEEPER_AFTER, &mut questions).await;
+            if let Some(Some(leader)) = answered {
+                return Some(leader);
+            }
+        }
+        let deadline = Instant::now() + LEADER_WAIT;
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            match next_answer(left, &mut questions).await {
+                Some(Some(leader)) => return Some(leader),
+                Some(None) => {}
+                None => return None,
             }
         }
-        first_found_within(LEADER_WAIT, &mut questions).await
     }
 
-    /// Asks one keeper for the leader that it hears next.
+    fn next_to_ask(&self, asked: &HashSet<HostId>) -> Option<HostId> {
+        lock(&self.known).keepers.next_to_ask(asked, &mut rand::rng())
+    }
+
+    /// Asks a host for the leader that it hears next, and for the keepers that it knows.
     async fn ask_for_leader(&self, keeper: &HostId) -> Option<HostId> {
-        let request = FindLeaderRequest { wait_ms: LEADER_WAIT.as_millis() as u64 };
+        let request = self.find_request(LEADER_WAIT);
         let patience = LEADER_WAIT + NEXT_KEEPER_AFTER;
         let answer = self
             .peers
@@ -203,6 +249,7 @@
         match answer {
             Ok(reply) => {
                 self.learn(reply.keepers.into_iter().map(HostId::new));
+                self.learn_contacts(reply.contacts.into_iter().map(HostId::new));
                 Some(reply.leader_host).filter(|host| !host.is_empty()).map(HostId::new)
             }
             Err(error) => {
@@ -212,12 +259,34 @@
         }
     }
 
+    fn find_request(&self, wait: Duration) -> FindLeaderRequest {
+        FindLeaderRequest {
+            wait_ms: wait.as_millis() as u64,
+            from_host: self.own.as_ref().map(ToString::to_string).unwrap_or_default(),
+            keepers: self.hosts().iter().map(ToString::to_string).collect(),
+        }
+    }
+
+    /// Makes the keepers known to the hosts that this one was told of: others may be told of the same.
+    async fn tell_seeds(self) {
+        let request = self.find_request(Duration::ZERO);
+        let seeds = lock(&self.known).keepers.seeds().to_vec();
+        let calls = seeds.iter().map(|seed| {
+            let request = request.clone();
+            self.peers.call(seed, LEADER_WAIT, |mut client| async move {
+                client.find_leader(request).await
+            })
+        });
+        for told in futures_util::future::join_all(calls).await {
+            if let Err(error) = told {
+                log::debug!(target: part::KEEPER, "The keepers were not made known: {error}.");
+            }
+        }
+    }
+
     fn note_found(&self, leader: HostId) {
         let mut known = lock(&self.known);
-        if !known.hosts.contains(&leader) {
-            known.hosts.push(leader.clone());
-        }
-        let former = known.leader.replace(leader.clone());
+        let former = known.keepers.set_leader(leader.clone());
         let heard_ms = known.answered_ms;
         drop(known);
         if former.as_ref() != Some(&leader) {
@@ -414,9 +483,10 @@
 
     fn after(&self, host: Option<&HostId>) -> Option<HostId> {
         let known = lock(&self.known);
-        let position = known.hosts.iter().position(|one| Some(one) == host);
-        let next = position.map_or(0, |position| position + 1) % known.hosts.len().max(1);
-        known.hosts.get(next).cloned()
+        let keepers = known.keepers.keepers();
+        let position = keepers.iter().position(|one| Some(one) == host);
+        let next = position.map_or(0, |position| position + 1) % keepers.len().max(1);
+        keepers.get(next).cloned()
     }
 
     /// Time in which a change of leader is over, for short exchanges.
@@ -425,32 +495,35 @@
     }
 }
 
-/// The first leader that one of the keepers names that were asked.
-async fn first_found_within(
+/// What the next of the hosts answered that were asked; `None` if no answer came in time, or none is due.
+async fn next_answer(
     patience: Duration,
     questions: &mut JoinSet<Option<HostId>>,
-) -> Option<HostId> {
-    let first = async {
-        while let Some(answered) = questions.join_next().await {
-            if let Ok(Some(leader)) = answered {
-                return leader;
-            }
-        }
-        // All have answered that they hear none, or not at all: the next question waits its time.
-        std::future::pending().await
-    };
-    clayplank_clock::timeout(patience, first).await.ok()
+) -> Option<Option<HostId>> {
+    let answered = clayplank_clock::timeout(patience, questions.join_next()).await.ok()??;
+    // A question that panicked found nobody.
+    Some(answered.ok().flatten())
 }
 
 /// Looks for the leader whenever it is doubted.
 pub(crate) async fn run_leader_search(keepers: KeeperClient) {
     loop {
         keepers.doubted.notified().await;
+        let is_first = keepers.leader().is_none();
+        let mut pause_ms = SEARCH_PAUSE_MS;
         let leader = loop {
             if let Some(leader) = keepers.find_leader().await {
                 break leader;
             }
+            let pause = clayplank_clock::sleep(millis(rand::random_range(0..=pause_ms)));
+            tokio::select! {
+                () = pause => pause_ms = (2 * pause_ms).min(MAX_SEARCH_PAUSE_MS),
+                () = keepers.learned.notified() => {}
+            }
         };
         keepers.note_found(leader);
+        if is_first {
+            tokio::spawn(keepers.clone().tell_seeds());
+        }
     }
 }
--- a/clayplankd/src/keepers/keeper_join.rs
+++ b/clayplankd/src/keepers/keeper_join.rs
@@ -91,9 +91,12 @@
 
 impl Joining {
     fn others(&self, own: &ReplicaId) -> Vec<HostId> {
-        let known = self.keepers.as_ref().map(KeeperClient::hosts).unwrap_or_default();
         let mut others = self.seeds.clone();
-        others.extend(known.into_iter().filter(|host| host.as_str() != own.host));
+        if let Some(keepers) = &self.keepers {
+            others.extend(keepers.hosts());
+            others.extend(keepers.contacts());
+        }
+        others.retain(|host| host.as_str() != own.host);
         others.sort();
         others.dedup();
         others
@@ -113,6 +116,7 @@
         };
         keepers.learn(stand.members.iter().cloned());
         keepers.learn(told.keepers);
+        keepers.learn_contacts(told.contacts);
         for answer in told.answers.values() {
             if let Introduction::Member { members, .. } = answer {
                 keepers.learn(members.members().map(|id| HostId::new(id.host.clone())));
@@ -164,6 +168,7 @@
     let mut told = Told::default();
     for (other, reply) in futures_util::future::join_all(calls).await.into_iter().flatten() {
         told.keepers.extend(reply.keepers.into_iter().map(HostId::new));
+        told.contacts.extend(reply.contacts.into_iter().map(HostId::new));
         match decode::<Introduction>(&reply.introduction) {
             Ok(answer) => {
                 told.answers.insert(other, answer);
@@ -186,8 +191,10 @@
     answers: BTreeMap<String, Introduction>,
     /// Hosts that answered that they are no keepers: a log does not wait for them.
     no_keepers: BTreeSet<String>,
-    /// Keepers that they know, and hosts that may know some.
+    /// Keepers that they know.
     keepers: Vec<HostId>,
+    /// Hosts that may know keepers.
+    contacts: Vec<HostId>,
 }
 
 async fn begin_if_planned(
--- a/clayplankd/src/process/inner.rs
+++ b/clayplankd/src/process/inner.rs
@@ -73,8 +73,11 @@
     }
 
     fn known_keepers(&self) -> Vec<String> {
-        let hosts = self.keepers.as_ref().map(KeeperClient::hosts).unwrap_or_default();
-        hosts.iter().map(ToString::to_string).collect()
+        names(&self.keepers.as_ref().map(KeeperClient::hosts).unwrap_or_default())
+    }
+
+    fn known_contacts(&self) -> Vec<String> {
+        names(&self.keepers.as_ref().map(KeeperClient::named_contacts).unwrap_or_default())
     }
 
     fn keeper(&self) -> Result<&Address<Keeper>, Status> {
@@ -82,6 +85,10 @@
     }
 }
 
+fn names(hosts: &[HostId]) -> Vec<String> {
+    hosts.iter().map(ToString::to_string).collect()
+}
+
 fn gone<E>(_: E) -> Status {
     Status::unavailable("the host is stopping")
 }
@@ -193,7 +200,11 @@
             }
             None => Vec::new(),
         };
-        Ok(Response::new(IntroduceReply { introduction, keepers: self.known_keepers() }))
+        Ok(Response::new(IntroduceReply {
+            introduction,
+            keepers: self.known_keepers(),
+            contacts: self.known_contacts(),
+        }))
     }
 
     async fn stopping(&self, request: Request<StoppingRequest>) -> Answer<StoppingReply> {
@@ -235,13 +246,22 @@
     }
 
     async fn find_leader(&self, request: Request<FindLeaderRequest>) -> Answer<FindLeaderReply> {
-        let find = FindLeader { wait_ms: request.into_inner().wait_ms };
+        let request = request.into_inner();
+        if let Some(keepers) = self.keepers.as_ref().filter(|_| !request.from_host.is_empty()) {
+            keepers.learn_contacts([HostId::new(request.from_host)]);
+            keepers.learn(request.keepers.into_iter().map(HostId::new));
+        }
+        let find = FindLeader { wait_ms: request.wait_ms };
         let leader = match &self.keeper {
             Some(keeper) => keeper.send(find).await.map_err(gone)?.await.map_err(gone)?,
             None => None,
         };
         let leader_host = hint_text(leader);
-        Ok(Response::new(FindLeaderReply { leader_host, keepers: self.known_keepers() }))
+        Ok(Response::new(FindLeaderReply {
+            leader_host,
+            keepers: self.known_keepers(),
+            contacts: self.known_contacts(),
+        }))
     }
 
     async fn place(&self, request: Request<PlaceRequest>) -> Answer<PlaceReply> {
--- a/clayplankd/src/process/seeded.rs
+++ b/clayplankd/src/process/seeded.rs
@@ -70,12 +70,13 @@
         contract: SharedContract,
     ) -> Result<Self, StartError> {
         let peers = Peers::by_address(settings.listen.inner.port());
-        let keepers = KeeperClient::of_hosts(seed_hosts(&settings), peers.clone());
+        let own = HostId::new(settings.ip.to_string());
+        let keepers = KeeperClient::of_seeds(own.clone(), seed_hosts(&settings), peers.clone());
         let (failed_sender, failed) = mpsc::channel(1);
         let (closing, closing_receiver) = watch::channel(false);
         let parts = Parts {
             settings: Arc::new(settings.clone()),
-            own: HostId::new(settings.ip.to_string()),
+            own,
             contract,
             peers,
             keepers: keepers.clone(),
@@ -123,7 +124,7 @@
     /// Takes in changed settings: seeds, bounds and the level of logs. What else has
     /// changed is named in the log, and counts from the next start on.
     pub fn reload(&mut self, settings: SeededSettings) {
-        self.keepers.learn(seed_hosts(&settings));
+        self.keepers.set_seeds(seed_hosts(&settings));
         set_log_level(settings.log.level);
         if let Some(entry) = &self.entry {
             entry.set_bounds(&settings.bounds);
