A host asks another keeper beside one that is silent

Cause: a host asked one keeper after the other, and gave each 1.3 s. Two silent ones and a third that needs an election's time are 3.2 s and more. A keeper that had failed was followed again as soon as its doubt ended, so that a host of a keeper that is gone was without news again and again while it waited for it. Nothing tied these times to the bound.

The test, on real processes with two of five keepers stopped, failed before (a host waited 1,301 ms for a stopped keeper and then took the plan) and passes.

A keeper in doubt is asked beside the one that is followed, and followed again once it hears a leader. Weighed: a shorter time-out alone, which would give up keepers that are held up by an election, and hosts with them.

--- a/clayplank-members/src/lib.rs
+++ b/clayplank-members/src/lib.rs
@@ -15,12 +15,14 @@
 //! assert!(members.owner_of(&PoolId::new("p"), &DataCentre::new("hall-1")).is_some());
 //! ```
 
+mod follow_times;
 mod keeper_choice;
 mod keeper_search;
 mod members;
 mod owner;
 mod rumour;
 
+pub use follow_times::FollowTimes;
 pub use keeper_choice::KeeperChoice;
 pub use keeper_search::KnownKeepers;
 pub use members::{Effect, Members, Timing};
--- a/clayplank-settings/src/bounds.rs
+++ b/clayplank-settings/src/bounds.rs
@@ -22,6 +22,8 @@
 pub struct Bounds {
     /// Between two heartbeats of an upstream.
     pub heartbeat_ms: u64,
+    /// A change that was acknowledged must be in force everywhere after this time.
+    pub apply_ms: u64,
     /// A key that was taken away must be without effect everywhere after this time.
     pub revoke_ms: u64,
     /// Upstreams of a data centre under a cordon must get nothing after this time.
@@ -40,6 +42,7 @@
     fn default() -> Self {
         Self {
             heartbeat_ms: 1_000,
+            apply_ms: 2_000,
             revoke_ms: 5_000,
             cordon_ms: 5_000,
             grace_s: 8.0,
@@ -58,6 +61,10 @@
     /// taken for silent too soon.
     #[schemars(range(min = 1, max = DAY_MS))]
     heartbeat_ms: Option<f64>,
+    /// A change that was acknowledged must be in force everywhere after this time. A fraction is rounded
+    /// down.
+    #[schemars(range(min = 100, max = DAY_MS))]
+    apply_ms: Option<f64>,
     /// A key that was taken away must be without effect everywhere after this time. A fraction
     /// is rounded down: no host serves the key for longer.
     #[schemars(range(min = 100, max = DAY_MS))]
@@ -85,6 +92,7 @@
         let usual = Self::default();
         Self {
             heartbeat_ms: written.heartbeat_ms.map_or(usual.heartbeat_ms, |ms| ms.ceil() as u64),
+            apply_ms: written.apply_ms.map_or(usual.apply_ms, |ms| ms.floor() as u64),
             revoke_ms: written.revoke_ms.map_or(usual.revoke_ms, |ms| ms.floor() as u64),
             cordon_ms: written.cordon_ms.map_or(usual.cordon_ms, |ms| ms.floor() as u64),
             grace_s: written.grace_s.unwrap_or(usual.grace_s),
--- a/clayplank-settings/tests/seeded.rs
+++ b/clayplank-settings/tests/seeded.rs
@@ -46,6 +46,7 @@
 /// A fraction, zero, a large value, nothing, and what is no number or out of range.
 #[rstest]
 #[case::heartbeat_ms("heartbeat_ms")]
+#[case::apply_ms("apply_ms")]
 #[case::revoke_ms("revoke_ms")]
 #[case::grace_s("grace_s")]
 #[case::retry_ratio("retry_ratio")]
--- a/clayplankd/src/follow.rs
+++ b/clayplankd/src/follow.rs
@@ -1,5 +1,6 @@
 //! Following: how plans, settings and news of upstreams reach the hosts.
 
+pub(crate) mod exchange;
 pub(crate) mod fleet_followers;
 pub(crate) mod follow_log;
 pub(crate) mod following;
--- a/clayplankd/src/follow/fleet_followers.rs
+++ b/clayplankd/src/follow/fleet_followers.rs
@@ -1,7 +1,5 @@
 //! Answers those that follow a keeper: entry hosts, and other keepers on behalf of theirs.
 
-use std::time::Duration;
-
 use clayplank_placement::Renewed;
 use clayplank_registry::{Cursor, Digest, Heartbeat};
 use clayplank_state::{Delta, decode, encode};
@@ -16,10 +14,6 @@
 use crate::keepers::keeper_messages::{DeltaAfter, Watch, Watched};
 use crate::process::inner::malformed;
 
-/// A follower without news is confirmed after this time. A host whose keeper has died finds the
-/// next one after about as long.
-const FOLLOW_WAIT: Duration = Duration::from_millis(500);
-
 /// What a keeper answers its followers from.
 #[derive(Clone, Copy)]
 pub(crate) struct Followers<'a> {
@@ -69,7 +63,7 @@
     async fn answer_host(self, asked: &Asked) -> Result<follow_reply::Result, Status> {
         let newest_round = self.relay.newest_round();
         self.fleet.note_entry_host(asked.host.clone());
-        self.relay.wait_for_news(asked.revision, asked.cursor, FOLLOW_WAIT).await;
+        self.relay.wait_for_news(asked.revision, asked.cursor).await;
         let Some(leader) = self.relay.confirm_after(newest_round).await else {
             return Ok(follow_reply::Result::NotLeaderHint(String::new()));
         };
--- a/clayplankd/src/follow/following.rs
+++ b/clayplankd/src/follow/following.rs
@@ -2,40 +2,33 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use clayplank_forward::{Directory, Entry, Gate};
-use clayplank_members::KeeperChoice;
+use clayplank_members::{FollowTimes, KeeperChoice};
 use clayplank_registry::{Buckets, Changes, Cursor, LimitChanges, Noted, Record};
 use clayplank_routes::PlanIndex;
 use clayplank_state::{
     Delta, EditError, PackError, PlanDocument, PlanEdit, decode, encode, unpack,
 };
 use clayplank_types::{DataCentre, HostId};
-use clayplank_wire::{FollowRequest, Followed, follow_reply};
+use clayplank_wire::{FollowRequest, Followed};
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 use crate::doors::contract::SharedContract;
 use crate::fleet::fleet_link::FleetLink;
+use crate::follow::exchange::Failure;
 use crate::follow::follow_log::{Exchange, FollowFigures, FollowLog};
 use crate::keepers::keeper_client::KeeperClient;
 use crate::process::clock::{millis, now_ms};
 use crate::process::logging::part;
 
-/// Time for one exchange with a keeper, which answers within half a second, news or not, and waits for
-/// the leader's word as long as an election takes.
-const FOLLOW_PATIENCE: Duration = Duration::from_millis(1_300);
-
-/// Pause after an exchange that failed, drawn up to this time, in ms: all hosts of a keeper that is lost
-/// come to others at the same moment.
+/// Pause after an exchange in which no keeper confirmed the plan, drawn up to this time, in ms.
 const FOLLOW_PAUSE_MS: u64 = 100;
 
-/// The pause doubles this often at most, each time all known keepers have failed.
-const MAX_PAUSE_DOUBLINGS: usize = 3;
-
-/// A keeper that lives and hears no leader is left after this time, in ms: elections are over by then,
-/// and it may be cut off. The plan of a host holds for several seconds without it.
-const UNCONFIRMED_MS: u64 = 1_500;
+/// The pause doubles this often at most, after each further exchange of that kind.
+const MAX_PAUSE_DOUBLINGS: u32 = 3;
 
 /// What an entry host follows.
 pub(crate) struct Following {
@@ -47,19 +40,19 @@
     pub(crate) directory: Arc<Directory>,
     pub(crate) entry: Arc<Entry>,
     pub(crate) figures: Arc<FollowFigures>,
+    /// A change must be in force after this time, in ms.
+    pub(crate) apply_ms: Arc<AtomicU64>,
 }
 
 /// Up to where a host follows the keepers.
 #[derive(Clone, Debug, Default)]
-struct Position {
+pub(crate) struct Position {
     revision: u64,
     cursor: Cursor,
     /// The plan in force here; version 0 before the first.
     plan: PlanDocument,
     /// Whom it followed last.
     keeper: Option<HostId>,
-    /// When the answer was asked for, in ms.
-    confirmed_ms: u64,
     /// Whether the keeper asked what this host knows.
     tells_digest: bool,
     /// Upstreams of which the keeper may lack what this host knows.
@@ -67,58 +60,45 @@
     limits_cursor: Cursor,
 }
 
-/// What an exchange with a keeper came to.
-enum Asked {
-    /// It answered. The lease counts from when it was asked.
-    Followed { followed: Followed, asked_ms: u64 },
-    /// It lives, and did not hear from a leader in time.
-    Unconfirmed,
-    /// It did not answer.
-    Failed(String),
-}
-
-/// Follows one keeper after the other until the task is dropped.
+/// Follows the keepers until the task is dropped.
 pub(crate) async fn run_following(following: Following) {
     let mut position = Position::default();
     let mut choice = KeeperChoice::new(following.host.clone());
     let mut log = FollowLog::new(Arc::clone(&following.figures));
     let mut found = following.keepers.subscribe();
+    let mut probes = JoinSet::new();
     let mut failed = 0;
     loop {
+        note_probes(&mut probes, &mut choice);
         let keepers = following.keepers.hosts();
-        let Some(keeper) = choice.choose(now_ms(), &keepers) else {
-            following.keepers.doubt_leader();
-            wait_for_leader(FOLLOW_PAUSE_MS, &mut found, &mut choice).await;
+        following.start_probes(&mut probes, choice.take_due(now_ms(), &keepers));
+        let outcome = following.exchange(&choice.order(&keepers), &position).await;
+        for failure in &outcome.failures {
+            following.note_failure(failure, outcome.answer.is_some(), &mut choice, &mut log);
+        }
+        if let Some(answer) = outcome.answer {
+            failed = 0;
+            choice.note_answered(&answer.keeper);
+            position.keeper = Some(answer.keeper);
+            following.apply(&mut position, &mut log, &answer.followed, answer.asked_ms);
             continue;
-        };
-        let asked_ms = now_ms();
-        match following.ask(&keeper, &position).await {
-            Asked::Followed { followed, asked_ms } => {
-                failed = 0;
-                choice.note_answered(&keeper);
-                position.keeper = Some(keeper);
-                following.apply(&mut position, &mut log, &followed, asked_ms);
-                continue;
-            }
-            Asked::Unconfirmed => {
-                log.note_failed(Exchange::Unconfirmed, &keeper, asked_ms, "it hears no leader");
-                if now_ms() >= position.confirmed_ms + UNCONFIRMED_MS {
-                    choice.note_failed(now_ms(), keeper);
-                }
-            }
-            Asked::Failed(cause) => {
-                log.note_failed(Exchange::Failed, &keeper, asked_ms, &cause);
-                following.doubt(&keeper);
-                choice.note_failed(now_ms(), keeper);
-            }
         }
+        following.keepers.doubt_leader();
+        let pause_ms = FOLLOW_PAUSE_MS << failed.min(MAX_PAUSE_DOUBLINGS);
         failed += 1;
-        if failed >= keepers.len() {
-            // Whoever is known does not help: others may lead by now.
-            following.keepers.doubt_leader();
+        wait_for_leader(pause_ms, &mut found, &mut choice).await;
+    }
+}
+
+/// Takes in which keepers in doubt hear a leader.
+fn note_probes(probes: &mut JoinSet<(HostId, bool)>, choice: &mut KeeperChoice) {
+    while let Some(probed) = probes.try_join_next() {
+        match probed {
+            Ok((keeper, true)) => choice.note_answered(&keeper),
+            Ok((keeper, false)) => choice.note_failed(now_ms(), keeper),
+            // It stays in doubt, and is asked again.
+            Err(error) => log::error!(target: part::SETTINGS, "A probe ended: {error}."),
         }
-        let doublings = (failed / keepers.len()).min(MAX_PAUSE_DOUBLINGS);
-        wait_for_leader(FOLLOW_PAUSE_MS << doublings, &mut found, &mut choice).await;
     }
 }
 
@@ -141,21 +121,38 @@
 }
 
 impl Following {
-    async fn ask(&self, keeper: &HostId, position: &Position) -> Asked {
-        let Some(request) = self.request(keeper, position) else {
-            return Asked::Failed("the question cannot be encoded".to_owned());
-        };
-        let asked_ms = now_ms();
-        let peers = self.keepers.peers();
-        let call = peers.call(keeper, FOLLOW_PATIENCE, |mut client| async move {
-            client.follow(request).await
-        });
-        match call.await.map(|reply| reply.result) {
-            Ok(Some(follow_reply::Result::Followed(followed))) => {
-                Asked::Followed { followed, asked_ms }
-            }
-            Ok(Some(follow_reply::Result::NotLeaderHint(_)) | None) => Asked::Unconfirmed,
-            Err(error) => Asked::Failed(error.to_string()),
+    /// When keepers are asked.
+    pub(crate) fn times(&self) -> FollowTimes {
+        FollowTimes::of_bound(self.apply_ms.load(Ordering::SeqCst))
+    }
+
+    /// Asks keepers in doubt, beside the one that is followed, whether they hear a leader.
+    fn start_probes(&self, probes: &mut JoinSet<(HostId, bool)>, due: Vec<HostId>) {
+        for keeper in due {
+            let keepers = self.keepers.clone();
+            probes.spawn(async move {
+                let hears_leader = keepers.ask_for_leader(&keeper).await.is_some();
+                (keeper, hears_leader)
+            });
+        }
+    }
+
+    /// Takes in that a keeper confirmed nothing. One that hears no leader is no worse than the others
+    /// unless one of them does.
+    fn note_failure(
+        &self,
+        failure: &Failure,
+        has_answer: bool,
+        choice: &mut KeeperChoice,
+        log: &mut FollowLog,
+    ) {
+        let Failure { keeper, asked_ms, exchange, cause } = failure;
+        log.note_failed(*exchange, keeper, *asked_ms, cause);
+        if *exchange == Exchange::Failed {
+            self.doubt(keeper);
+        }
+        if has_answer || *exchange == Exchange::Failed {
+            choice.note_failed(now_ms(), keeper.clone());
         }
     }
 
@@ -167,7 +164,7 @@
     }
 
     /// The question for what is new after a position, with what this host runs and knows.
-    fn request(&self, keeper: &HostId, position: &Position) -> Option<FollowRequest> {
+    pub(crate) fn request(&self, keeper: &HostId, position: &Position) -> Option<FollowRequest> {
         let is_new = position.keeper.as_ref().is_some_and(|former| former != keeper);
         let digest = if is_new || position.tells_digest {
             encode(&self.directory.digest()).ok()?
@@ -243,7 +240,6 @@
             log.note_confirmed(position.plan.version, keeper, &leader, asked_ms);
         }
         self.keepers.note_answer(leader);
-        position.confirmed_ms = asked_ms;
         position.revision = delta.revision;
         position.cursor = changes.cursor;
         position.tells_digest = followed.asks_digest;
--- a/clayplankd/src/follow/relay.rs
+++ b/clayplankd/src/follow/relay.rs
@@ -10,6 +10,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use clayplank_members::FollowTimes;
 use clayplank_placement::Renewed;
 use clayplank_registry::{Buckets, Changes, Cursor, LimitChanges};
 use clayplank_state::{CodecError, Delta, PackError, decode, encode, unpack};
@@ -21,7 +22,7 @@
 use crate::fleet::fleet_keeper::FleetKeeper;
 use crate::keepers::keeper::{Applied, Keeper};
 use crate::keepers::keeper_messages::{Watch, Watched};
-use crate::process::clock::now_ms;
+use crate::process::clock::{millis, now_ms};
 use crate::process::lock::lock;
 use crate::process::logging::part;
 use crate::process::peers::{PeerError, Peers};
@@ -91,6 +92,7 @@
     fleet: Arc<FleetKeeper>,
     peers: Peers,
     applied: watch::Receiver<Applied>,
+    times: FollowTimes,
     wanted: Notify,
     confirmed: watch::Sender<Confirmed>,
     rounds: RoundCounts,
@@ -132,6 +134,7 @@
         fleet: Arc<FleetKeeper>,
         peers: Peers,
         applied: watch::Receiver<Applied>,
+        times: FollowTimes,
     ) -> Self {
         Self {
             own,
@@ -139,6 +142,7 @@
             fleet,
             peers,
             applied,
+            times,
             wanted: Notify::new(),
             confirmed: watch::Sender::new(Confirmed::default()),
             rounds: RoundCounts::default(),
@@ -167,7 +171,7 @@
 
     /// Waits until there is something new for a follower, for some time at most: a change of the
     /// state, of the registry, or of the leader.
-    pub(crate) async fn wait_for_news(&self, revision: u64, cursor: Cursor, patience: Duration) {
+    pub(crate) async fn wait_for_news(&self, revision: u64, cursor: Cursor) {
         let mut registry = self.fleet.subscribe();
         let mut applied = self.applied.clone();
         let mut confirmed = self.confirmed.subscribe();
@@ -184,7 +188,7 @@
             }
         };
         // Without news the follower is told that there is none.
-        clayplank_clock::timeout(patience, news).await.ok();
+        clayplank_clock::timeout(millis(self.times.hold_ms), news).await.ok();
     }
 
     /// The newest round that has begun.
--- a/clayplankd/src/keepers/keeper_client.rs
+++ b/clayplankd/src/keepers/keeper_client.rs
@@ -239,7 +239,7 @@
     }
 
     /// Asks a host for the leader that it hears next, and for the keepers that it knows.
-    async fn ask_for_leader(&self, keeper: &HostId) -> Option<HostId> {
+    pub(crate) async fn ask_for_leader(&self, keeper: &HostId) -> Option<HostId> {
         let request = self.find_request(LEADER_WAIT);
         let patience = LEADER_WAIT + NEXT_KEEPER_AFTER;
         let answer = self
--- a/clayplankd/src/process/seeded.rs
+++ b/clayplankd/src/process/seeded.rs
@@ -149,6 +149,10 @@
             ("listen", held.listen != changed.listen),
             ("data_dir", held.data_dir != changed.data_dir),
             ("tolerated_losses", held.tolerated_losses != changed.tolerated_losses),
+            (
+                "bounds/apply_ms",
+                held.is_keeper() && held.bounds.apply_ms != changed.bounds.apply_ms,
+            ),
         ];
         fields.into_iter().filter(|(_, is_changed)| *is_changed).map(|(name, _)| name).collect()
     }
--- a/clayplankd/src/process/seeded_entry.rs
+++ b/clayplankd/src/process/seeded_entry.rs
@@ -1,6 +1,7 @@
 //! Starts the parts of an entry host that finds the others from seeds.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use clayplank_forward::{
     BudgetLimits, Directory, Entry, EntryBuilder, Gate, OrderFormat, RetryBudget, serve_callers,
@@ -33,12 +34,14 @@
     pub(crate) entry: Arc<Entry>,
     /// How well it follows the keepers.
     pub(crate) following: Arc<FollowFigures>,
+    apply_ms: Arc<AtomicU64>,
 }
 
 impl EntryHost {
     /// Takes in bounds that were changed.
     pub(crate) fn set_bounds(&self, bounds: &Bounds) {
         self.gate.set_lease_ms(lease_ms(bounds));
+        self.apply_ms.store(bounds.apply_ms, Ordering::SeqCst);
         self.entry.set_budget_limits(budget_limits(bounds));
     }
 }
@@ -92,6 +95,7 @@
         tokio::spawn(run_limit_reports(Arc::clone(&link), reports.limits));
         tokio::spawn(run_return_to_leader(Arc::clone(&link)));
         let figures = Arc::new(FollowFigures::default());
+        let apply_ms = Arc::new(AtomicU64::new(bounds.apply_ms));
         tokio::spawn(run_following(Following {
             host: self.own.clone(),
             contract: Arc::clone(&self.contract),
@@ -101,10 +105,11 @@
             directory,
             entry: Arc::clone(&entry),
             figures: Arc::clone(&figures),
+            apply_ms: Arc::clone(&apply_ms),
         }));
         tokio::spawn(serve_callers(callers, Arc::clone(&entry), closing));
         serve_readiness(readiness, Arc::clone(&self.contract), Arc::clone(&gate));
-        Ok(EntryHost { gate, entry, following: figures })
+        Ok(EntryHost { gate, entry, following: figures, apply_ms })
     }
 }
 
--- a/clayplankd/tests/seeded/failover.rs
+++ b/clayplankd/tests/seeded/failover.rs
@@ -2,10 +2,11 @@
 
 use clayplank_placement::EngineModel;
 
+use crate::client::call;
 use crate::host::Host;
 use crate::promises::plan_with_engines;
 use crate::replacement::CATCH_UP;
-use crate::system::{Shape, System, wait_for};
+use crate::system::{Shape, System, plan, wait_for};
 
 /// The keeper that told last that it leads.
 pub fn leader(system: &System) -> usize {
@@ -112,3 +113,38 @@
     let beside_a_round: Vec<_> = unconfirmed.filter(|line| line["rounds_confirmed"] != 0).collect();
     assert!(beside_a_round.is_empty(), "{beside_a_round:?}");
 }
+
+/// A host may follow a keeper that falls silent, and the next one by its rank may be silent as well.
+#[test]
+fn a_change_is_in_force_before_silent_keepers_are_given_up() {
+    let mut system = System::start_as(Shape { keepers: 5, entries: 10, ..Shape::default() });
+    let leading = leader(&system);
+    let others = (0..system.keepers.len()).filter(|keeper| *keeper != leading);
+    let silent: Vec<_> = others.take(2).collect();
+    silent.iter().for_each(|keeper| system.keepers[*keeper].signal("-STOP"));
+    let text = plan(2).to_string();
+    let answer = call(system.keepers[leading].control(), "PUT", "/v1/plan", &[], &text);
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    let in_force = |host: &Host| {
+        host.lines("A plan is in force").into_iter().find(|line| line["version"] == 2)
+    };
+    wait_for("the plan at all hosts", || {
+        system.entries.iter().all(|host| in_force(host).is_some())
+    });
+    for host in &mut system.entries {
+        let in_force = in_force(host).unwrap();
+        let time = in_force["time"].as_str();
+        let mut failures = host.lines("The plan is not confirmed");
+        let silent = system.keepers.iter().enumerate().filter(|(at, _)| silent.contains(at));
+        let silent: Vec<_> = silent.map(|(_, keeper)| keeper.ip.to_string()).collect();
+        failures.retain(|line| {
+            let cause = line["cause"].as_str().unwrap();
+            let is_of_silent = silent.iter().any(|ip| line["keeper"] == ip.as_str());
+            cause.ends_with("did not answer in time")
+                && is_of_silent
+                && line["time"].as_str() < time
+        });
+        assert!(failures.is_empty(), "{in_force} after {failures:?}");
+    }
+    silent.iter().for_each(|keeper| system.keepers[*keeper].signal("-CONT"));
+}
