Hosts count on keepers that were replaced no more

A host kept the addresses of all keepers that were ever named to it, and those that its settings named, for keepers: it asked each again and again, sent heartbeats of upstreams to them in an order of chance (up to 0.6 s for one that is silent), and passed them on to others.

Cause: lists of keepers were only ever added to, since the newest might come from a keeper that is cut off. An answer that confirms the plan does not: whoever gives it heard the leader after the question. Its list replaces the held one now; former keepers stay contacts, which are asked when no keeper answers. A keeper goes by the members of its log while it hears the leader.

The test on processes (a newcomer, then a planned stop) failed before after 60 s with four known keepers, and passes; the model replaces 490 keepers one after the other.

--- a/clayplank-members/src/keeper_search.rs
+++ b/clayplank-members/src/keeper_search.rs
@@ -13,7 +13,8 @@
 /// Hosts that are remembered beside the keepers and those that this host was told of.
 const MAX_CONTACTS: usize = 16;
 
-/// Keepers that are remembered: far more than vote anywhere.
+/// Keepers that are taken from the word of others, until one of them confirms who they are: far more
+/// than vote anywhere.
 const MAX_KEEPERS: usize = 64;
 
 /// Hosts that are asked in one search.
@@ -66,6 +67,17 @@
         &self.keepers
     }
 
+    /// Takes in all keepers, as one of them confirmed them; those that were replaced stay contacts.
+    pub fn set_keepers(&mut self, keepers: impl IntoIterator<Item = HostId>) {
+        let keepers: Vec<_> = keepers.into_iter().collect();
+        if keepers.is_empty() || keepers == self.keepers {
+            return;
+        }
+        let former = std::mem::replace(&mut self.keepers, keepers);
+        former.into_iter().for_each(|host| self.learn_contact(host));
+        self.contacts.retain(|contact| !self.keepers.contains(contact));
+    }
+
     /// Learns of keepers; returns whether one was new.
     pub fn learn_keepers(&mut self, hosts: impl IntoIterator<Item = HostId>) -> bool {
         let before = self.keepers.len();
--- a/clayplank-members/tests/keeper_search.rs
+++ b/clayplank-members/tests/keeper_search.rs
@@ -179,3 +179,17 @@
     order[..2].sort_unstable();
     assert_eq!(order, [2, 3, 4, 1, 5]);
 }
+
+#[test]
+fn keepers_that_were_replaced_are_known_as_contacts_alone() {
+    let mut known = KnownKeepers::of_seeds(host(0), [host(1)]);
+    for newest in 10..500 {
+        known.learn_keepers([host(newest)]);
+        known.set_keepers([host(newest - 2), host(newest - 1), host(newest)]);
+    }
+    let keepers: Vec<_> = known.keepers().iter().map(number).collect();
+    assert_eq!(keepers, [497, 498, 499]);
+    assert!(known.contacts().count() < 20);
+    known.set_keepers([]);
+    assert_eq!(known.keepers().len(), 3, "an empty list says nothing");
+}
--- a/clayplankd/src/follow/follow_log.rs
+++ b/clayplankd/src/follow/follow_log.rs
@@ -45,6 +45,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct FollowFigures {
     exchanges: [AtomicU64; Exchange::ALL.len()],
+    keepers: AtomicU64,
     plan_version: AtomicU64,
     confirmed_ms: AtomicU64,
     longest_silence_ms: AtomicU64,
@@ -56,6 +57,11 @@
         self.exchanges[exchange as usize].fetch_add(1, Ordering::SeqCst);
     }
 
+    /// Notes how many keepers are known.
+    pub(crate) fn set_keepers(&self, keepers: usize) {
+        self.keepers.store(keepers as u64, Ordering::SeqCst);
+    }
+
     /// Notes that the plan was confirmed, and how long it was not.
     fn note_confirmed(&self, plan_version: u64, silence_ms: u64) {
         self.plan_version.store(plan_version, Ordering::SeqCst);
@@ -67,8 +73,10 @@
     pub(crate) fn to_text(&self) -> String {
         let silence_ms = now_ms().saturating_sub(self.confirmed_ms.load(Ordering::SeqCst));
         let mut text = format!(
-            "clayplank_follow_plan_version {}\nclayplank_follow_silence_ms {silence_ms}\n\
+            "clayplank_follow_keepers {}\nclayplank_follow_plan_version {}\n\
+             clayplank_follow_silence_ms {silence_ms}\n\
              clayplank_follow_longest_silence_ms {}\n",
+            self.keepers.load(Ordering::SeqCst),
             self.plan_version.load(Ordering::SeqCst),
             self.longest_silence_ms.load(Ordering::SeqCst),
         );
--- a/clayplankd/src/follow/following.rs
+++ b/clayplankd/src/follow/following.rs
@@ -71,6 +71,7 @@
     loop {
         note_probes(&mut probes, &mut choice);
         let keepers = following.keepers.hosts();
+        following.figures.set_keepers(keepers.len());
         following.start_probes(&mut probes, choice.take_due(now_ms(), &keepers));
         let outcome = following.exchange(&choice.order(&keepers), &position).await;
         for failure in &outcome.failures {
@@ -232,7 +233,7 @@
         self.entry.set_hosts(followed.entry_hosts);
         self.link.set_hosts(followed.entry_hosts);
         self.directory.set_hosts(followed.entry_hosts);
-        self.keepers.learn(followed.keepers.iter().map(HostId::new));
+        self.keepers.set_keepers(followed.keepers.iter().map(HostId::new));
         let deputy = Some(&followed.deputy).filter(|host| !host.is_empty());
         self.keepers.set_deputy(deputy.map(HostId::new));
         let leader = HostId::new(&followed.leader);
--- a/clayplankd/src/follow/relay.rs
+++ b/clayplankd/src/follow/relay.rs
@@ -310,7 +310,7 @@
         }
         self.fleet.set_told_hosts(followed.entry_hosts);
         let keepers = self.fleet.keepers();
-        keepers.learn(followed.keepers.iter().map(HostId::new));
+        keepers.set_keepers(followed.keepers.iter().map(HostId::new));
         let deputy = Some(&followed.deputy).filter(|host| !host.is_empty());
         keepers.set_deputy(deputy.map(HostId::new));
         position.cursor = changes.cursor;
--- a/clayplankd/src/keepers/keeper_client.rs
+++ b/clayplankd/src/keepers/keeper_client.rs
@@ -145,7 +145,12 @@
         self.learned.notify_one();
     }
 
-    /// Learns of keepers; none is forgotten, since the newest list may come from one that is cut off.
+    /// Takes in all keepers, as one of them that hears the leader knows them.
+    pub(crate) fn set_keepers(&self, keepers: impl IntoIterator<Item = HostId>) {
+        lock(&self.known).keepers.set_keepers(keepers);
+    }
+
+    /// Learns of keepers from others, which may be behind: none is forgotten for it.
     pub(crate) fn learn(&self, keepers: impl IntoIterator<Item = HostId>) {
         if lock(&self.known).keepers.learn_keepers(keepers) {
             self.learned.notify_one();
--- a/clayplankd/src/keepers/keeper_join.rs
+++ b/clayplankd/src/keepers/keeper_join.rs
@@ -114,9 +114,13 @@
         let Some(keepers) = &self.keepers else {
             return;
         };
+        keepers.learn_contacts(told.contacts);
+        if stand.votes {
+            keepers.set_keepers(stand.members.iter().cloned());
+            return;
+        }
         keepers.learn(stand.members.iter().cloned());
         keepers.learn(told.keepers);
-        keepers.learn_contacts(told.contacts);
         for answer in told.answers.values() {
             if let Introduction::Member { members, .. } = answer {
                 keepers.learn(members.members().map(|id| HostId::new(id.host.clone())));
--- a/clayplankd/tests/seeded/replacement.rs
+++ b/clayplankd/tests/seeded/replacement.rs
@@ -197,6 +197,21 @@
     restart_told_of_entry_hosts(&mut system, seeds_of);
 }
 
+/// Addresses of machines that are gone stay silent, or belong to others by now.
+#[test]
+fn hosts_count_on_keepers_that_were_replaced_no_more() {
+    let mut system = System::start_as(Shape { keepers: 3, entries: 2, ..Shape::default() });
+    wait_for("three voters", || system.keepers.iter().all(votes));
+    let newcomer = system.add_keeper();
+    wait_for("a newcomer that votes", || votes(&system.keepers[newcomer]));
+    system.keepers[0].terminate();
+    wait_for("the end of the replaced keeper", || system.keepers[0].has_ended());
+    wait_for("three keepers that are known", || {
+        let knows_three = |host: &Host| host.figures().contains("clayplank_follow_keepers 3\n");
+        system.entries.iter().all(knows_three)
+    });
+}
+
 /// Of those that the hosts are told of at the first start, one is a keeper.
 #[test]
 fn a_first_start_with_entry_hosts_among_the_seeds_begins() {
