Soak: hosts told of any others, all ended at once, and runs with 58 processes

What the soak did not play: hosts were told of all keepers at each start, and entry hosts lived on when all keepers ended. A run now tells its hosts, from their second start on, of all keepers, of any three others, or of entry hosts alone, which have doors for operators then; in half of the runs all hosts end at once at the end; two entry hosts more take part, and 50 in one run of ten. Two checks more: all hosts are ready again after all faults, and none misses more than five changes in a row in calm times, of those that operators had acknowledged. Requests that are under way when all hosts end are no planned work.

--- a/clayplankd/tests/seeded/replacement.rs
+++ b/clayplankd/tests/seeded/replacement.rs
@@ -9,6 +9,7 @@
 //! disks left three. The evidence: `No leader is elected` names three that granted their vote, a
 //! quorum of four, and six voters, one of which had logged `Stopped` 16 s before.
 
+use std::net::{IpAddr, SocketAddr, TcpListener};
 use std::time::Duration;
 
 use rstest::rstest;
@@ -16,7 +17,7 @@
 
 use crate::client::call;
 use crate::failover::leader;
-use crate::host::Host;
+use crate::host::{CONTROL, Host, INNER};
 use crate::system::{Shape, System, plan, publish, wait_for};
 
 /// Time in which the keepers have to have repaired one loss before the next one comes.
@@ -178,9 +179,7 @@
             settings["is_first_start"] = false.into();
         });
     }
-    let mut all: Vec<_> = system.keepers.iter_mut().chain(&mut system.entries).collect();
-    all.iter_mut().for_each(|host| host.kill());
-    all.iter_mut().for_each(|host| host.start());
+    system.restart_all();
     wait_for("a confirmed plan at all hosts", || system.entries.iter().all(Host::is_ready));
 }
 
@@ -197,6 +196,25 @@
     restart_told_of_entry_hosts(&mut system, seeds_of);
 }
 
+/// Of those that a host is told of, one takes connections and says nothing, and one is gone.
+#[test]
+fn hosts_told_of_one_that_is_silent_and_one_that_is_gone_find_the_keepers() {
+    let shape = Shape { keepers: 3, entries: 3, all_serve: true, ..Shape::default() };
+    let mut system = System::start_as(shape);
+    let silent = SocketAddr::new(IpAddr::V4(system.upstream_ip(91)), INNER);
+    let _listener = TcpListener::bind(silent).unwrap();
+    let of = |last| SocketAddr::new(IpAddr::V4(system.upstream_ip(last)), CONTROL).to_string();
+    let seeds = [of(91), of(92), system.entries[0].control().to_string()];
+    for host in system.keepers.iter().chain(&system.entries) {
+        host.change_settings_file(|settings| {
+            settings["seeds"] = seeds.to_vec().into();
+            settings["is_first_start"] = false.into();
+        });
+    }
+    system.restart_all();
+    wait_for("a confirmed plan at all hosts", || system.entries.iter().all(Host::is_ready));
+}
+
 /// Addresses of machines that are gone stay silent, or belong to others by now.
 #[test]
 fn hosts_count_on_keepers_that_were_replaced_no_more() {
--- a/clayplankd/tests/seeded/soak/checks.rs
+++ b/clayplankd/tests/seeded/soak/checks.rs
@@ -1,5 +1,6 @@
 //! Checks at the end of a run: service, the plan, and requests that were cut off.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use super::operators::read_back;
@@ -7,11 +8,16 @@
 use super::run::Shared;
 use super::schedule::{ENTRIES, Step};
 use crate::client::call;
+use crate::host::Host;
 use crate::system::{KEY, wait_for};
 
 /// An unplanned fault may be felt for so long after its end: hosts have to find each other.
 const FELT: Duration = Duration::from_secs(6);
 
+/// Changes that a host may miss one after the other, since a newer one came before it was told: a host that
+/// hears from no keeper for two seconds misses ten.
+const MAX_MISSED: usize = 5;
+
 /// Requests in a row that each entry host must serve once all faults are over.
 const SERVED_IN_A_ROW: u64 = 20;
 
@@ -32,6 +38,29 @@
             row >= SERVED_IN_A_ROW
         });
     }
+    wait_for("readiness of all hosts", || {
+        shared.system.lock().unwrap().bystanders.iter().all(Host::is_ready)
+    });
+}
+
+/// Hosts that missed many changes one after the other, of those after a version, in calm times.
+pub fn check_missed(shared: &Shared, calm_from: u64) -> Vec<String> {
+    let plans = shared.acknowledged_plans.lock().unwrap().clone();
+    let plans: Vec<_> = plans.into_iter().filter(|version| *version > calm_from).collect();
+    let system = shared.system.lock().unwrap();
+    let missed = system.entries.iter().chain(&system.bystanders).map(|host| {
+        let in_force: BTreeSet<_> = host
+            .lines("A plan is in force")
+            .iter()
+            .filter_map(|line| line["version"].as_u64())
+            .collect();
+        let rows = plans.split(|version| in_force.contains(version));
+        (host.ip, rows.map(<[u64]>::len).max().unwrap_or_default())
+    });
+    missed
+        .filter(|(_, missed)| *missed > MAX_MISSED)
+        .map(|(ip, missed)| format!("{ip} missed {missed} changes in a row, of {}", plans.len()))
+        .collect()
 }
 
 /// The keepers agree on a plan that is no older than the newest that was acknowledged.
@@ -46,13 +75,15 @@
 }
 
 /// Requests that planned work cut off: all that ran and got no whole answer, far from any
-/// unplanned fault.
+/// unplanned fault, the end of all hosts among them.
 pub fn check_cut_off(
     seen: &[Seen],
     schedule: &[Step],
     began: Instant,
+    all_ended_at: Option<Instant>,
     count: impl Fn(&str) -> usize,
 ) -> Vec<String> {
+    let closing = all_ended_at.map(|at| (at, at + FELT));
     let spans: Vec<_> = schedule
         .iter()
         .filter(|step| !step.is_planned())
@@ -60,6 +91,7 @@
             let from = began + Duration::from_millis(step.at_ms);
             (from, from + Duration::from_millis(step.for_ms) + FELT)
         })
+        .chain(closing)
         .collect();
     let is_calm = |seen: &&Seen| {
         spans.iter().all(|(from, until)| seen.ended_at < *from || seen.sent_at > *until)
--- a/clayplankd/tests/seeded/soak/mod.rs
+++ b/clayplankd/tests/seeded/soak/mod.rs
@@ -13,11 +13,12 @@
 mod record;
 mod run;
 mod schedule;
+mod told;
 
 use run::run_seed;
 
 /// Seeds of a usual test run, and every seed that once failed, with its cause.
-const SEEDS: [u64; 2] = [1, 2];
+const SEEDS: [u64; 3] = [1, 2, 3];
 
 fn chosen_seeds() -> Vec<u64> {
     let Ok(text) = std::env::var("CLAYPLANK_SOAK_SEEDS") else {
--- a/clayplankd/tests/seeded/soak/operators.rs
+++ b/clayplankd/tests/seeded/soak/operators.rs
@@ -40,7 +40,10 @@
         let control = controls[(version % controls.len() as u64) as usize];
         let text = plan(version).to_string();
         if call(control, "PUT", "/v1/plan", &[], &text).status == 200 {
-            shared.acknowledged.fetch_max(version, Ordering::SeqCst);
+            let former = shared.acknowledged.fetch_max(version, Ordering::SeqCst);
+            if former < version {
+                shared.acknowledged_plans.lock().unwrap().push(version);
+            }
         }
         read_back(shared, control);
         std::thread::sleep(PLAN_EVERY);
--- a/clayplankd/tests/seeded/soak/play.rs
+++ b/clayplankd/tests/seeded/soak/play.rs
@@ -148,13 +148,17 @@
     true
 }
 
-/// All keepers end at once; two of them come back without their disks.
-pub fn play_closing(system: &mut System, lost: [usize; 2]) {
+/// All keepers end at once, or all hosts; two keepers come back without their disks.
+pub fn play_closing(system: &mut System, lost: [usize; 2], ends_all: bool) {
     system.keepers.iter_mut().for_each(Host::kill);
+    if ends_all {
+        system.entries.iter_mut().chain(&mut system.bystanders).for_each(Host::kill);
+    }
     for number in lost {
         std::fs::remove_dir_all(&system.keepers[number].data).unwrap();
     }
     system.keepers.iter_mut().for_each(Host::start);
+    system.entries.iter_mut().chain(&mut system.bystanders).for_each(restart);
 }
 
 /// Starts a process that is down.
--- a/clayplankd/tests/seeded/soak/run.rs
+++ b/clayplankd/tests/seeded/soak/run.rs
@@ -5,20 +5,24 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::callers::run_caller;
-use super::checks::{check_cut_off, check_plan, wait_until_served};
+use super::checks::{check_cut_off, check_missed, check_plan, wait_until_served};
 use super::crashing::{Refused, UPSTREAMS, check_held_back, run_crashing};
 use super::limited::{check_limits, run_limited, start_limited};
 use super::operators::{run_heartbeats, run_operator};
 use super::play::{play, play_closing};
 use super::record::{Record, check_seen};
-use super::schedule::{ENTRIES, KEEPERS, Step, draw_closing, draw_schedule};
+use super::schedule::{ENTRIES, Step, draw_closing, draw_schedule};
+use super::told::draw_setup;
 use crate::crashing_upstreams::Fleet;
 use crate::host::Host;
 use crate::replacement::CATCH_UP;
-use crate::system::{Shape, System};
+use crate::system::System;
+
+/// A time without faults in which changes go on.
+const CALM: Duration = Duration::from_secs(4);
 
 /// Callers of each entry host.
 const CALLERS: u64 = 3;
@@ -30,6 +34,8 @@
     pub is_over: AtomicBool,
     /// The highest version that was acknowledged.
     pub acknowledged: AtomicU64,
+    /// Versions that were the highest when they were acknowledged, in that order.
+    pub acknowledged_plans: Mutex<Vec<u64>>,
 }
 
 impl Shared {
@@ -51,10 +57,10 @@
 /// Plays a seed; `Err` tells the schedule and all broken promises.
 pub fn run_seed(seed: u64) -> Result<String, String> {
     let schedule = draw_schedule(seed);
-    let shape = Shape { keepers: KEEPERS, entries: ENTRIES, has_proxies: true, ..Shape::default() };
-    let system = System::start_as(shape);
+    let setup = draw_setup(seed);
+    let mut system = System::start_as(setup.shape());
     // A keeper with an empty disk joins the others from now on.
-    system.write_settings(false);
+    setup.tell(&mut system, seed);
     let fleet = Fleet::start(&system, UPSTREAMS);
     let limits = start_limited(&system);
     let refused = Refused::default();
@@ -65,7 +71,10 @@
         record: Record::default(),
         is_over: AtomicBool::new(false),
         acknowledged: AtomicU64::new(1),
+        acknowledged_plans: Mutex::default(),
     });
+    let mut missed = Vec::new();
+    let mut all_ended_at = None;
     let began = Instant::now();
     std::thread::scope(|scope| {
         for (entry, &address) in callers.iter().enumerate() {
@@ -89,7 +98,11 @@
         play(&shared, &schedule, began);
         wait_until_served(&shared, seed);
         std::thread::sleep(CATCH_UP);
-        play_closing(&mut shared.system.lock().unwrap(), draw_closing(seed));
+        let calm_from = shared.acknowledged.load(Ordering::SeqCst);
+        std::thread::sleep(CALM);
+        missed = check_missed(&shared, calm_from);
+        all_ended_at = setup.ends_all.then(Instant::now);
+        play_closing(&mut shared.system.lock().unwrap(), draw_closing(seed), setup.ends_all);
         wait_until_served(&shared, seed);
     });
     let shared = Arc::into_inner(shared).unwrap();
@@ -98,12 +111,13 @@
     let (seen, mut broken) = shared.record.take();
     let count = |attempt: &str| runs.count(attempt);
     broken.extend(seen.iter().filter_map(|seen| check_seen(seen, count(&seen.attempt))));
-    broken.extend(check_cut_off(&seen, &schedule, began, count));
+    broken.extend(check_cut_off(&seen, &schedule, began, all_ended_at, count));
     broken.extend(not_held_back);
+    broken.extend(missed);
     broken.extend(check_limits(&limits));
     let served = seen.iter().filter(|seen| seen.answer.as_ref().is_some_and(|a| a.status == 200));
     let summary = format!(
-        "{} of {} requests served, plan {}, {} upstreams ended under one, {:?} requests where a limit is named, {} steps",
+        "{} of {} requests served, plan {}, {} upstreams ended under one, {:?} requests where a limit is named, {} steps, {setup:?}",
         served.count(),
         seen.len(),
         shared.acknowledged.load(Ordering::SeqCst),
@@ -126,7 +140,7 @@
     let words: BTreeSet<_> =
         broken.iter().filter_map(|promise| promise.split(' ').next()).take(5).collect();
     let system = system.lock().unwrap();
-    for host in system.keepers.iter().chain(&system.entries) {
+    for host in system.keepers.iter().chain(&system.entries).chain(&system.bystanders) {
         let log = host.log();
         let lines = log.lines().filter(|line| words.iter().any(|word| line.contains(word)));
         lines.take(20).for_each(|line| writeln!(text, "{line}").unwrap());
--- a/clayplankd/tests/seeded/system.rs
+++ b/clayplankd/tests/seeded/system.rs
@@ -7,6 +7,9 @@
 use std::time::{Duration, Instant};
 
 use clayplank_standin::SharedRuns;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
 use serde_json::{Value, json};
 use tokio::runtime::Runtime;
 
@@ -42,14 +45,29 @@
     pub all_serve: bool,
     /// Whether hosts are told of the first keeper and of entry hosts, in place of all keepers.
     pub names_entries: bool,
+    /// Entry hosts beside the others, without a door for operators.
+    pub bystanders: usize,
 }
 
 impl Default for Shape {
     fn default() -> Self {
-        Self { keepers: 3, entries: 2, has_proxies: false, all_serve: false, names_entries: false }
+        Self {
+            keepers: 3,
+            entries: 2,
+            has_proxies: false,
+            all_serve: false,
+            names_entries: false,
+            bystanders: 0,
+        }
     }
 }
 
+/// The last byte of the address of the first bystander.
+const FIRST_BYSTANDER: usize = 70;
+
+/// Whom a host is told of at most.
+const SEEDS: usize = 3;
+
 /// Where a process listens that is reached at `ip` through a proxy.
 pub fn behind_proxy(ip: Ipv4Addr) -> Ipv4Addr {
     let [first, second, third, last] = ip.octets();
@@ -66,6 +84,9 @@
     /// Keepers that were started after the first ones.
     added: u8,
     pub entries: Vec<Host>,
+    pub bystanders: Vec<Host>,
+    /// Doors of which hosts are told that start from now on, three each; all keepers if there are none.
+    told_of: Vec<SocketAddr>,
     pub runs: SharedRuns,
     pub runtime: Runtime,
     pub net: [u8; 2],
@@ -95,10 +116,15 @@
         let entry = Part::Entry { has_door: shape.all_serve };
         let keepers: Vec<_> = (0..shape.keepers).map(|n| host(keeper, n + 1)).collect();
         let entries: Vec<_> = (0..shape.entries).map(|n| host(entry, n + 11)).collect();
+        let bystanders = (0..shape.bystanders)
+            .map(|n| host(Part::Entry { has_door: false }, n + FIRST_BYSTANDER));
+        let bystanders = bystanders.collect();
         let mut system = Self {
             shape,
             keepers,
             entries,
+            bystanders,
+            told_of: Vec::new(),
             newcomers: BTreeMap::new(),
             added: 0,
             proxies: BTreeMap::new(),
@@ -112,6 +138,7 @@
         system.start_proxies();
         system.keepers.iter_mut().for_each(Host::start);
         system.entries.iter_mut().for_each(Host::start);
+        system.bystanders.iter_mut().for_each(Host::start);
         system.start_upstream("u1", 21);
         system.start_upstream("u2", 22);
         system.wait_for_plan(&plan(1));
@@ -128,11 +155,38 @@
         let keepers = self.keepers.iter().take(keepers);
         let seeds: Vec<_> =
             keepers.chain(self.entries.iter().take(entries)).map(Host::control).collect();
-        for host in self.keepers.iter().chain(&self.entries) {
+        for host in self.keepers.iter().chain(&self.entries).chain(&self.bystanders) {
             host.write_settings(&seeds, is_first_start);
         }
     }
 
+    /// Hosts that start from now on are told of three of these doors.
+    pub fn tell_of(&mut self, doors: Vec<SocketAddr>, rng: &mut SmallRng) {
+        self.told_of = doors;
+        for host in self.keepers.iter().chain(&self.entries).chain(&self.bystanders) {
+            let seeds = self.draw_seeds(rng);
+            host.change_settings_file(|settings| {
+                settings["seeds"] = seeds.iter().map(ToString::to_string).collect();
+                settings["is_first_start"] = false.into();
+            });
+        }
+    }
+
+    fn draw_seeds(&self, rng: &mut SmallRng) -> Vec<SocketAddr> {
+        if self.told_of.is_empty() {
+            return self.keepers.iter().map(Host::control).collect();
+        }
+        self.told_of.iter().copied().sample(rng, SEEDS)
+    }
+
+    /// Ends all hosts at the same moment, and starts them again.
+    pub fn restart_all(&mut self) {
+        let hosts = self.keepers.iter_mut().chain(&mut self.entries).chain(&mut self.bystanders);
+        let mut hosts: Vec<_> = hosts.collect();
+        hosts.iter_mut().for_each(|host| host.kill());
+        hosts.iter_mut().for_each(|host| host.start());
+    }
+
     /// Starts one more keeper, with an empty disk and the seeds of the others; returns its place.
     pub fn add_keeper(&mut self) -> usize {
         let keeper = self.new_keeper();
@@ -154,7 +208,7 @@
     fn new_keeper(&mut self) -> Host {
         self.added += 1;
         let last = (self.shape.keepers as u8) + self.added;
-        let seeds: Vec<_> = self.keepers.iter().map(Host::control).collect();
+        let seeds = self.draw_seeds(&mut SmallRng::seed_from_u64(u64::from(last)));
         let ip = self.upstream_ip(last);
         if self.shape.has_proxies {
             self.start_proxy(ip, &[INNER, CONTROL]);
@@ -168,6 +222,9 @@
             child: None,
         };
         keeper.write_settings(&seeds, false);
+        keeper.change_settings_file(|settings| {
+            settings["tolerated_losses"] = ((self.shape.keepers - 1) / 2).into();
+        });
         keeper.start();
         keeper
     }
@@ -177,7 +234,7 @@
         if !self.shape.has_proxies {
             return;
         }
-        let hosts = self.keepers.iter().chain(&self.entries);
+        let hosts = self.keepers.iter().chain(&self.entries).chain(&self.bystanders);
         let of_hosts = hosts.map(|host| (host.ip, vec![INNER, CONTROL]));
         let upstreams = [21, 22].map(|last| (self.upstream_ip(last), vec![UPSTREAM]));
         for (ip, ports) in of_hosts.chain(upstreams).collect::<Vec<_>>() {
