Each of many keepers is asked in one search or another

A search asks sixteen keepers at most, and took the first of the list, not any: where word of more was old, the others were never asked. The test fails without the change (16 of 60).

--- a/clayplank-members/src/keeper_search.rs
+++ b/clayplank-members/src/keeper_search.rs
@@ -139,8 +139,8 @@
         let was_asked = |host: &&HostId| asked.contains(*host);
         let mut keepers: Vec<_> = self.keepers.iter().filter(|host| !was_asked(host)).collect();
         let asked_keepers = self.keepers.len() - keepers.len();
-        keepers.truncate(MAX_ASKED_KEEPERS.saturating_sub(asked_keepers));
         keepers.shuffle(rng);
+        keepers.truncate(MAX_ASKED_KEEPERS.saturating_sub(asked_keepers));
         keepers.sort_by_key(|host| Some(*host) == self.leader.as_ref());
         let mut seeds: Vec<_> = self.seeds.iter().filter(|host| !was_asked(host)).collect();
         seeds.shuffle(rng);
--- a/clayplank-members/tests/keeper_search.rs
+++ b/clayplank-members/tests/keeper_search.rs
@@ -193,3 +193,21 @@
     known.set_keepers([]);
     assert_eq!(known.keepers().len(), 3, "an empty list says nothing");
 }
+
+/// Word of many keepers may be old: each search asks some of them.
+#[test]
+fn each_of_many_keepers_is_asked_in_one_search_or_another() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut known = KnownKeepers::of_seeds(host(0), []);
+    known.learn_keepers((1..=60).map(host));
+    let mut found = HashSet::new();
+    for _ in 0..40 {
+        let mut asked = HashSet::new();
+        while let Some(next) = known.next_to_ask(&asked, &mut rng) {
+            asked.insert(next);
+        }
+        assert!(asked.len() <= 16, "{}", asked.len());
+        found.extend(asked);
+    }
+    assert_eq!(found.len(), 60);
+}
