--- a/clayplankd/tests/seeded/replacement.rs
+++ b/clayplankd/tests/seeded/replacement.rs
@@ -230,6 +230,33 @@
     });
 }
 
+/// Of those that hosts are told of, only one is there still, and it is no keeper.
+#[test]
+fn hosts_find_the_keepers_after_all_that_they_were_told_of_were_replaced() {
+    let shape = Shape { keepers: 3, entries: 2, all_serve: true, ..Shape::default() };
+    let mut system = System::start_as(shape);
+    wait_for("three voters", || system.keepers.iter().all(votes));
+    let gone = [system.keepers[0].control(), system.keepers[1].control()];
+    for _ in 0..shape.keepers {
+        let newcomer = system.add_keeper();
+        wait_for("a newcomer that votes", || votes(&system.keepers[newcomer]));
+        system.keepers[0].terminate();
+        wait_for("the end of the replaced keeper", || system.keepers[0].has_ended());
+        system.keepers.remove(0);
+    }
+    let seeds = [gone[0], gone[1], system.entries[0].control()];
+    for host in system.keepers.iter().chain(&system.entries) {
+        host.change_settings_file(|settings| {
+            settings["seeds"] = seeds.iter().map(ToString::to_string).collect();
+        });
+    }
+    system.entries[1].kill();
+    system.entries[1].start();
+    wait_for("a confirmed plan at one host", || system.entries[1].is_ready());
+    system.restart_all();
+    wait_for("a confirmed plan at all hosts", || system.entries.iter().all(Host::is_ready));
+}
+
 /// Of those that the hosts are told of at the first start, one is a keeper.
 #[test]
 fn a_first_start_with_entry_hosts_among_the_seeds_begins() {
