--- a/clayplankd/src/follow/exchange.rs
+++ b/clayplankd/src/follow/exchange.rs
@@ -6,7 +6,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 
-use crate::follow::follow_log::Exchange;
+use crate::follow::follow_log::ExchangeOutcome;
 use crate::follow::following::{Following, Position};
 use crate::process::clock::{millis, now_ms};
 
@@ -15,7 +15,7 @@
 const MAX_HEDGES: usize = 2;
 
 /// What an exchange came to.
-pub(crate) struct Outcome {
+pub(crate) struct Exchanged {
     /// `None` if no keeper confirmed what it holds.
     pub(crate) answer: Option<Answer>,
     /// Keepers that were asked before, in the order in which that was known.
@@ -34,7 +34,7 @@
 pub(crate) struct Failure {
     pub(crate) keeper: HostId,
     pub(crate) asked_ms: u64,
-    pub(crate) exchange: Exchange,
+    pub(crate) exchange: ExchangeOutcome,
     pub(crate) cause: String,
 }
 
@@ -43,7 +43,7 @@
 
 impl Following {
     /// Asks one keeper after the other until one confirms what it holds, or none is left.
-    pub(crate) async fn exchange(&self, order: &[HostId], position: &Position) -> Outcome {
+    pub(crate) async fn exchange(&self, order: &[HostId], position: &Position) -> Exchanged {
         let times = self.times();
         let mut waiting = FuturesUnordered::new();
         let mut asked = AskedAt::new();
@@ -58,12 +58,12 @@
                 waiting.push(self.ask(keeper, position, is_hedge));
             }
             if waiting.is_empty() {
-                return Outcome { answer: None, failures };
+                return Exchanged { answer: None, failures };
             }
             match clayplank_clock::timeout(millis(wait_ms), waiting.next()).await {
                 Ok(Some(Ok(answer))) => {
                     failures.extend(silent(&asked, &failures, &answer, times.hedge_ms));
-                    return Outcome { answer: Some(answer), failures };
+                    return Exchanged { answer: Some(answer), failures };
                 }
                 Ok(Some(Err(failure))) => failures.push(failure),
                 Ok(None) => {}
@@ -90,7 +90,7 @@
             cause: cause.to_owned(),
         };
         let Some(request) = self.request(keeper, position, is_hedge) else {
-            return Err(failure(Exchange::Failed, "the question cannot be encoded"));
+            return Err(failure(ExchangeOutcome::Failed, "the question cannot be encoded"));
         };
         let patience = millis(self.times().patience_ms());
         let call = self
@@ -102,9 +102,9 @@
                 Ok(Answer { keeper: keeper.clone(), followed, asked_ms })
             }
             Ok(Some(follow_reply::Result::NotLeaderHint(_)) | None) => {
-                Err(failure(Exchange::Unconfirmed, "it hears no leader"))
+                Err(failure(ExchangeOutcome::Unconfirmed, "it hears no leader"))
             }
-            Err(error) => Err(failure(Exchange::Failed, &error.to_string())),
+            Err(error) => Err(failure(ExchangeOutcome::Failed, &error.to_string())),
         }
     }
 }
@@ -125,7 +125,7 @@
     let failure = |(keeper, asked_ms): &(HostId, u64)| Failure {
         keeper: keeper.clone(),
         asked_ms: *asked_ms,
-        exchange: Exchange::Failed,
+        exchange: ExchangeOutcome::Failed,
         cause: "it is silent, and another keeper answered".to_owned(),
     };
     silent.map(failure).collect()
--- a/clayplankd/src/follow/follow_log.rs
+++ b/clayplankd/src/follow/follow_log.rs
@@ -20,7 +20,7 @@
 
 /// What an exchange with a keeper came to, as it is counted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Exchange {
+pub(crate) enum ExchangeOutcome {
     /// The keeper confirmed the plan.
     Confirmed,
     /// The keeper lives, and could not confirm it.
@@ -29,7 +29,7 @@
     Failed,
 }
 
-impl Exchange {
+impl ExchangeOutcome {
     const ALL: [Self; 3] = [Self::Confirmed, Self::Unconfirmed, Self::Failed];
 
     fn as_str(self) -> &'static str {
@@ -44,7 +44,7 @@
 /// Figures of a host that follows.
 #[derive(Debug, Default)]
 pub(crate) struct FollowFigures {
-    exchanges: [AtomicU64; Exchange::ALL.len()],
+    exchanges: [AtomicU64; ExchangeOutcome::ALL.len()],
     keepers: AtomicU64,
     plan_version: AtomicU64,
     confirmed_ms: AtomicU64,
@@ -53,7 +53,7 @@
 
 impl FollowFigures {
     /// Counts an exchange.
-    pub(crate) fn count(&self, exchange: Exchange) {
+    pub(crate) fn count(&self, exchange: ExchangeOutcome) {
         self.exchanges[exchange as usize].fetch_add(1, Ordering::SeqCst);
     }
 
@@ -80,7 +80,7 @@
             self.plan_version.load(Ordering::SeqCst),
             self.longest_silence_ms.load(Ordering::SeqCst),
         );
-        for exchange in Exchange::ALL {
+        for exchange in ExchangeOutcome::ALL {
             let count = self.exchanges[exchange as usize].load(Ordering::SeqCst);
             let outcome = exchange.as_str();
             // Writing to a string cannot fail.
@@ -113,7 +113,7 @@
     /// Notes an exchange that confirmed nothing.
     pub(crate) fn note_failed(
         &mut self,
-        exchange: Exchange,
+        exchange: ExchangeOutcome,
         keeper: &HostId,
         asked_ms: u64,
         cause: &str,
@@ -142,7 +142,7 @@
         leader: &HostId,
         asked_ms: u64,
     ) {
-        self.figures.count(Exchange::Confirmed);
+        self.figures.count(ExchangeOutcome::Confirmed);
         let lost_ms = asked_ms.saturating_sub(self.confirmed_ms);
         self.figures.note_confirmed(plan_version, lost_ms);
         let former = self.leader.replace(leader.clone());
--- a/clayplankd/src/follow/following.rs
+++ b/clayplankd/src/follow/following.rs
@@ -19,7 +19,7 @@
 use crate::doors::contract::SharedContract;
 use crate::fleet::fleet_link::FleetLink;
 use crate::follow::exchange::Failure;
-use crate::follow::follow_log::{Exchange, FollowFigures, FollowLog};
+use crate::follow::follow_log::{ExchangeOutcome, FollowFigures, FollowLog};
 use crate::keepers::keeper_client::KeeperClient;
 use crate::process::clock::{millis, now_ms};
 use crate::process::logging::part;
@@ -149,10 +149,10 @@
     ) {
         let Failure { keeper, asked_ms, exchange, cause } = failure;
         log.note_failed(*exchange, keeper, *asked_ms, cause);
-        if *exchange == Exchange::Failed {
+        if *exchange == ExchangeOutcome::Failed {
             self.doubt(keeper);
         }
-        if has_answer || *exchange == Exchange::Failed {
+        if has_answer || *exchange == ExchangeOutcome::Failed {
             choice.note_failed(now_ms(), keeper.clone());
         }
     }
--- a/clayplankd/src/keepers.rs
+++ b/clayplankd/src/keepers.rs
@@ -8,3 +8,4 @@
 pub(crate) mod keeper_log;
 pub(crate) mod keeper_messages;
 pub(crate) mod keeper_stop;
+pub(crate) mod leader_search;
--- a/clayplankd/src/keepers/keeper_client.rs
+++ b/clayplankd/src/keepers/keeper_client.rs
@@ -1,6 +1,5 @@
-//! Finds the leading keeper and asks it.
+//! Asks the leading keeper; the search for it stands in `leader_search`.
 
-use std::collections::HashSet;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -10,11 +9,10 @@
 use clayplank_state::{Body, Delta, Reply, decode, encode};
 use clayplank_types::HostId;
 use clayplank_wire::{
-    ExecuteRequest, FindLeaderRequest, InspectRequest, StoppingRequest, WatchRequest,
-    execute_reply, inspect_reply, stopping_reply, watch_reply,
+    ExecuteRequest, InspectRequest, StoppingRequest, WatchRequest, execute_reply, inspect_reply,
+    stopping_reply, watch_reply,
 };
 use tokio::sync::{Notify, watch};
-use tokio::task::JoinSet;
 
 use crate::keepers::keeper_messages::WATCH_WAIT_MS;
 use crate::process::clock::{millis, now_ms};
@@ -25,26 +23,6 @@
 /// Between two tries.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
-/// How long a keeper that is asked who leads waits for a leader to speak: elections are over
-/// within about half a second. One that is asked in time names the next leader with that one's
-/// first heartbeat, so that nobody asks again and again meanwhile.
-const LEADER_WAIT: Duration = Duration::from_millis(600);
-
-/// A keeper that has not named a leader after this time may be cut off: another is asked as well.
-/// Most elections are over by then, so that each host asks one or two keepers.
-const NEXT_KEEPER_AFTER: Duration = Duration::from_millis(250);
-
-/// Pause after a search that found no leader, drawn up to this time, in ms; after each further one twice
-/// as long.
-const SEARCH_PAUSE_MS: u64 = 100;
-
-/// The longest such pause: all of a region may have lost power, and no host is served before it
-/// has found a keeper.
-const MAX_SEARCH_PAUSE_MS: u64 = 1_000;
-
-/// Between two lines of a search that goes on, in ms: most end within a second.
-const SEARCH_LINE_EVERY_MS: u64 = 3_000;
-
 /// A keeper that does not answer this long after its answer was due may be dead: whether another
 /// one leads is found out meanwhile. Most commands take a few milliseconds, plans of megabytes
 /// longer.
@@ -66,8 +44,8 @@
 
 /// The keepers that are known, and who led last.
 #[derive(Debug, Default)]
-struct Known {
-    keepers: KnownKeepers,
+pub(super) struct Known {
+    pub(super) hosts: KnownKeepers,
     /// The keeper that the leader named last to place while it is silent itself.
     deputy: Option<HostId>,
     /// When the leader last answered.
@@ -77,14 +55,14 @@
 /// A client of the keepers; commands are safe to send again.
 #[derive(Clone, Debug)]
 pub(crate) struct KeeperClient {
-    peers: Peers,
+    pub(super) peers: Peers,
     /// The host that asks; `None` where the settings name all keepers.
-    own: Option<HostId>,
-    known: Arc<Mutex<Known>>,
+    pub(super) own: Option<HostId>,
+    pub(super) known: Arc<Mutex<Known>>,
     /// Told that the leader may be gone.
-    doubted: Arc<Notify>,
+    pub(super) doubted: Arc<Notify>,
     /// Told of a keeper that was not known.
-    learned: Arc<Notify>,
+    pub(super) learned: Arc<Notify>,
     /// The leader that was found last.
     found: watch::Sender<Option<HostId>>,
 }
@@ -135,7 +113,7 @@
         Self {
             peers,
             own,
-            known: Arc::new(Mutex::new(Known { keepers, ..Known::default() })),
+            known: Arc::new(Mutex::new(Known { hosts: keepers, ..Known::default() })),
             doubted: Arc::default(),
             learned: Arc::default(),
             found: watch::Sender::new(None),
@@ -144,18 +122,18 @@
 
     /// Takes in whom the settings name now.
     pub(crate) fn set_seeds(&self, seeds: impl IntoIterator<Item = HostId>) {
-        lock(&self.known).keepers.set_seeds(seeds);
+        lock(&self.known).hosts.set_seeds(seeds);
         self.learned.notify_one();
     }
 
     /// Takes in all keepers, as one of them that hears the leader knows them.
     pub(crate) fn set_keepers(&self, keepers: impl IntoIterator<Item = HostId>) {
-        lock(&self.known).keepers.set_keepers(keepers);
+        lock(&self.known).hosts.set_keepers(keepers);
     }
 
     /// Learns of keepers from others, which may be behind: none is forgotten for it.
     pub(crate) fn learn(&self, keepers: impl IntoIterator<Item = HostId>) {
-        if lock(&self.known).keepers.learn_keepers(keepers) {
+        if lock(&self.known).hosts.learn_keepers(keepers) {
             self.learned.notify_one();
         }
     }
@@ -163,27 +141,27 @@
     /// Learns of hosts that may know keepers.
     pub(crate) fn learn_contacts(&self, hosts: impl IntoIterator<Item = HostId>) {
         let mut known = lock(&self.known);
-        hosts.into_iter().for_each(|host| known.keepers.learn_contact(host));
+        hosts.into_iter().for_each(|host| known.hosts.learn_contact(host));
     }
 
     /// All keepers that are known.
     pub(crate) fn hosts(&self) -> Vec<HostId> {
-        lock(&self.known).keepers.keepers().to_vec()
+        lock(&self.known).hosts.keepers().to_vec()
     }
 
     /// Hosts that may know keepers, beside those that are known.
     pub(crate) fn contacts(&self) -> Vec<HostId> {
-        lock(&self.known).keepers.contacts().cloned().collect()
+        lock(&self.known).hosts.contacts().cloned().collect()
     }
 
     /// The same, as they are named to another host: a few, and only where no keeper is known.
     pub(crate) fn named_contacts(&self) -> Vec<HostId> {
-        lock(&self.known).keepers.named_contacts(&mut rand::rng())
+        lock(&self.known).hosts.named_contacts(&mut rand::rng())
     }
 
     /// Who led when it was last heard.
     pub(crate) fn leader(&self) -> Option<HostId> {
-        lock(&self.known).keepers.leader().cloned()
+        lock(&self.known).hosts.leader().cloned()
     }
 
     /// The keeper that places while the leader is silent: the one that the leader named. Counted off
@@ -191,7 +169,7 @@
     /// chose engines alone until another keeper led.
     pub(crate) fn deputy(&self) -> Option<HostId> {
         let known = lock(&self.known);
-        known.deputy.clone().filter(|deputy| Some(deputy) != known.keepers.leader())
+        known.deputy.clone().filter(|deputy| Some(deputy) != known.hosts.leader())
     }
 
     /// Takes in whom the leader names.
@@ -203,10 +181,10 @@
     pub(crate) fn leader_heard_within(&self, within_ms: u64) -> Option<HostId> {
         let known = lock(&self.known);
         let is_heard = now_ms() <= known.answered_ms + within_ms;
-        known.keepers.leader().filter(|_| is_heard).cloned()
+        known.hosts.leader().filter(|_| is_heard).cloned()
     }
 
-    /// Notes that the leader gave no answer where one was due: [`run_leader_search`] looks for
+    /// Notes that the leader gave no answer where one was due: [`run_leader_search`](super::leader_search::run_leader_search) looks for
     /// the next one at once.
     pub(crate) fn doubt_leader(&self) {
         self.doubted.notify_one();
@@ -217,84 +195,9 @@
         self.found.subscribe()
     }
 
-    /// Asks one host after the other who leads, until one of them hears a leader; `None` if none
-    /// does for a while.
-    async fn find_leader(&self) -> Option<HostId> {
-        let mut asked = HashSet::new();
-        let mut questions = JoinSet::new();
-        while let Some(host) = self.next_to_ask(&asked) {
-            asked.insert(host.clone());
-            let client = self.clone();
-            questions.spawn(async move { client.ask_for_leader(&host).await });
-            let answered = next_answer(NEXT_KEEPER_AFTER, &mut questions).await;
-            if let Some(Some(leader)) = answered {
-                return Some(leader);
-            }
-        }
-        let deadline = Instant::now() + LEADER_WAIT;
-        loop {
-            let left = deadline.saturating_duration_since(Instant::now());
-            match next_answer(left, &mut questions).await {
-                Some(Some(leader)) => return Some(leader),
-                Some(None) => {}
-                None => return None,
-            }
-        }
-    }
-
-    fn next_to_ask(&self, asked: &HashSet<HostId>) -> Option<HostId> {
-        lock(&self.known).keepers.next_to_ask(asked, &mut rand::rng())
-    }
-
-    /// Asks a host for the leader that it hears next, and for the keepers that it knows.
-    pub(crate) async fn ask_for_leader(&self, keeper: &HostId) -> Option<HostId> {
-        let request = self.find_request(LEADER_WAIT);
-        let patience = LEADER_WAIT + NEXT_KEEPER_AFTER;
-        let answer = self
-            .peers
-            .call(keeper, patience, |mut client| async move { client.find_leader(request).await })
-            .await;
-        match answer {
-            Ok(reply) => {
-                self.learn(reply.keepers.into_iter().map(HostId::new));
-                self.learn_contacts(reply.contacts.into_iter().map(HostId::new));
-                Some(reply.leader_host).filter(|host| !host.is_empty()).map(HostId::new)
-            }
-            Err(error) => {
-                log::debug!(target: part::KEEPER, "A keeper does not say who leads: {error}.");
-                None
-            }
-        }
-    }
-
-    fn find_request(&self, wait: Duration) -> FindLeaderRequest {
-        FindLeaderRequest {
-            wait_ms: wait.as_millis() as u64,
-            from_host: self.own.as_ref().map(ToString::to_string).unwrap_or_default(),
-            keepers: self.hosts().iter().map(ToString::to_string).collect(),
-        }
-    }
-
-    /// Makes the keepers known to the hosts that this one was told of: others may be told of the same.
-    async fn tell_seeds(self) {
-        let request = self.find_request(Duration::ZERO);
-        let seeds = lock(&self.known).keepers.seeds().to_vec();
-        let calls = seeds.iter().map(|seed| {
-            let request = request.clone();
-            self.peers.call(seed, LEADER_WAIT, |mut client| async move {
-                client.find_leader(request).await
-            })
-        });
-        for told in futures_util::future::join_all(calls).await {
-            if let Err(error) = told {
-                log::debug!(target: part::KEEPER, "The keepers were not made known: {error}.");
-            }
-        }
-    }
-
-    fn note_found(&self, leader: HostId) {
+    pub(super) fn note_found(&self, leader: HostId) {
         let mut known = lock(&self.known);
-        let former = known.keepers.set_leader(leader.clone());
+        let former = known.hosts.set_leader(leader.clone());
         let heard_ms = known.answered_ms;
         drop(known);
         if former.as_ref() != Some(&leader) {
@@ -491,7 +394,7 @@
 
     fn after(&self, host: Option<&HostId>) -> Option<HostId> {
         let known = lock(&self.known);
-        let keepers = known.keepers.keepers();
+        let keepers = known.hosts.keepers();
         let position = keepers.iter().position(|one| Some(one) == host);
         let next = position.map_or(0, |position| position + 1) % keepers.len().max(1);
         keepers.get(next).cloned()
@@ -502,62 +405,3 @@
         millis(election_ms * 8)
     }
 }
-
-/// What the next of the hosts answered that were asked; `None` if no answer came in time, or none is due.
-async fn next_answer(
-    patience: Duration,
-    questions: &mut JoinSet<Option<HostId>>,
-) -> Option<Option<HostId>> {
-    let answered = clayplank_clock::timeout(patience, questions.join_next()).await.ok()??;
-    // A question that panicked found nobody.
-    Some(answered.ok().flatten())
-}
-
-/// Tells, now and then, that a search goes on.
-struct SearchLog {
-    began_ms: u64,
-    told_ms: u64,
-}
-
-impl SearchLog {
-    fn begin(now_ms: u64) -> Self {
-        Self { began_ms: now_ms, told_ms: now_ms }
-    }
-
-    fn note_failed(&mut self, keepers: &KeeperClient) {
-        let now_ms = now_ms();
-        if now_ms < self.told_ms + SEARCH_LINE_EVERY_MS {
-            return;
-        }
-        self.told_ms = now_ms;
-        log::warn!(target: part::KEEPER,
-            waited_ms = now_ms - self.began_ms,
-            keepers = keepers.hosts().len(), contacts = keepers.contacts().len();
-            "No leader is found");
-    }
-}
-
-/// Looks for the leader whenever it is doubted.
-pub(crate) async fn run_leader_search(keepers: KeeperClient) {
-    loop {
-        keepers.doubted.notified().await;
-        let is_first = keepers.leader().is_none();
-        let mut pause_ms = SEARCH_PAUSE_MS;
-        let mut log = SearchLog::begin(now_ms());
-        let leader = loop {
-            if let Some(leader) = keepers.find_leader().await {
-                break leader;
-            }
-            log.note_failed(&keepers);
-            let pause = clayplank_clock::sleep(millis(rand::random_range(0..=pause_ms)));
-            tokio::select! {
-                () = pause => pause_ms = (2 * pause_ms).min(MAX_SEARCH_PAUSE_MS),
-                () = keepers.learned.notified() => {}
-            }
-        };
-        keepers.note_found(leader);
-        if is_first {
-            tokio::spawn(keepers.clone().tell_seeds());
-        }
-    }
-}
