Tests: telling a host of doors, and naming a limit, stand once each

Read once more: writing the seeds for a host's next start stood five times in the tests of seeded hosts, and two tests of limits shared how the busiest upstream comes to name one. Host::tell_of and name_limit serve them now. Assertions are as they were. One test now also says that its entry hosts' next start is no first start, which only keepers read.

--- a/clayplankd/tests/seeded/host.rs
+++ b/clayplankd/tests/seeded/host.rs
@@ -147,6 +147,14 @@
         self.signal("-HUP");
     }
 
+    /// Has it told of these doors when it starts again, which is no first start.
+    pub fn tell_of(&self, doors: &[SocketAddr]) {
+        self.change_settings_file(|settings| {
+            settings["seeds"] = doors.iter().map(ToString::to_string).collect();
+            settings["is_first_start"] = false.into();
+        });
+    }
+
     pub fn change_settings_file(&self, change: impl FnOnce(&mut Value)) {
         let text = std::fs::read_to_string(&self.settings).unwrap();
         let mut settings: Value = serde_json::from_str(&text).unwrap();
--- a/clayplankd/tests/seeded/limited.rs
+++ b/clayplankd/tests/seeded/limited.rs
@@ -159,6 +159,14 @@
     limits.iter().max_by_key(|limit| limit.arrivals().len()).unwrap()
 }
 
+/// Has the busiest upstream name a limit after a while; returns it, and when all hosts have to know.
+fn name_limit(limits: &[SharedLimit]) -> (&SharedLimit, Instant) {
+    std::thread::sleep(WARM_UP);
+    let limit = busiest(limits);
+    limit.set(Some(LIMIT_PER_S));
+    (limit, Instant::now() + CONTACT)
+}
+
 /// One that had named one request a second got 26 within four.
 #[rstest]
 #[case::engines(Served::ByEngines)]
@@ -167,10 +175,7 @@
     let limited = Limited::start(served);
     let mut most = 0;
     let (served, sent) = limited.beside_callers(|| {
-        std::thread::sleep(WARM_UP);
-        let limit = busiest(&limited.limits);
-        limit.set(Some(LIMIT_PER_S));
-        let since = Instant::now() + CONTACT;
+        let (limit, since) = name_limit(&limited.limits);
         std::thread::sleep(CONTACT + RUN);
         most = most_in_window(limit, Some(since));
     });
@@ -189,10 +194,7 @@
     let first = leader(&limited.system);
     let mut most = 0;
     let (served, sent) = limited.beside_callers(|| {
-        std::thread::sleep(WARM_UP);
-        let limit = busiest(&limited.limits);
-        limit.set(Some(LIMIT_PER_S));
-        let since = Instant::now() + CONTACT;
+        let (limit, since) = name_limit(&limited.limits);
         std::thread::sleep(CONTACT);
         limited.system.keepers[first].signal("-KILL");
         std::thread::sleep(RUN);
--- a/clayplankd/tests/seeded/replacement.rs
+++ b/clayplankd/tests/seeded/replacement.rs
@@ -121,10 +121,7 @@
 /// callers alone.
 fn tell_of_entry_hosts_alone(system: &System, keeper: &Host) {
     let doors: Vec<_> = system.entries.iter().map(Host::control).collect();
-    keeper.change_settings_file(|settings| {
-        settings["seeds"] = doors.iter().map(ToString::to_string).collect();
-        settings["is_first_start"] = false.into();
-    });
+    keeper.tell_of(&doors);
 }
 
 fn with_doors() -> System {
@@ -169,15 +166,10 @@
 
 /// Starts all hosts anew, each told of the entry hosts in `seeds` alone, and waits until all serve.
 fn restart_told_of_entry_hosts(system: &mut System, seeds_of: impl Fn(usize) -> Vec<usize>) {
-    let doors: Vec<_> = system.entries.iter().map(|host| host.control().to_string()).collect();
     let all = system.keepers.iter().chain(&system.entries);
     for (number, host) in all.enumerate() {
-        let seeds: Vec<_> =
-            seeds_of(number).into_iter().map(|entry| doors[entry].clone()).collect();
-        host.change_settings_file(|settings| {
-            settings["seeds"] = seeds.into();
-            settings["is_first_start"] = false.into();
-        });
+        let seeds = seeds_of(number).into_iter().map(|entry| system.entries[entry].control());
+        host.tell_of(&seeds.collect::<Vec<_>>());
     }
     system.restart_all();
     wait_for("a confirmed plan at all hosts", || system.entries.iter().all(Host::is_ready));
@@ -203,14 +195,9 @@
     let mut system = System::start_as(shape);
     let silent = SocketAddr::new(IpAddr::V4(system.upstream_ip(91)), INNER);
     let _listener = TcpListener::bind(silent).unwrap();
-    let of = |last| SocketAddr::new(IpAddr::V4(system.upstream_ip(last)), CONTROL).to_string();
-    let seeds = [of(91), of(92), system.entries[0].control().to_string()];
-    for host in system.keepers.iter().chain(&system.entries) {
-        host.change_settings_file(|settings| {
-            settings["seeds"] = seeds.to_vec().into();
-            settings["is_first_start"] = false.into();
-        });
-    }
+    let of = |last| SocketAddr::new(IpAddr::V4(system.upstream_ip(last)), CONTROL);
+    let seeds = [of(91), of(92), system.entries[0].control()];
+    system.keepers.iter().chain(&system.entries).for_each(|host| host.tell_of(&seeds));
     system.restart_all();
     wait_for("a confirmed plan at all hosts", || system.entries.iter().all(Host::is_ready));
 }
@@ -245,11 +232,7 @@
         system.keepers.remove(0);
     }
     let seeds = [gone[0], gone[1], system.entries[0].control()];
-    for host in system.keepers.iter().chain(&system.entries) {
-        host.change_settings_file(|settings| {
-            settings["seeds"] = seeds.iter().map(ToString::to_string).collect();
-        });
-    }
+    system.keepers.iter().chain(&system.entries).for_each(|host| host.tell_of(&seeds));
     system.entries[1].kill();
     system.entries[1].start();
     wait_for("a confirmed plan at one host", || system.entries[1].is_ready());
--- a/clayplankd/tests/seeded/system.rs
+++ b/clayplankd/tests/seeded/system.rs
@@ -164,11 +164,7 @@
     pub fn tell_of(&mut self, doors: Vec<SocketAddr>, rng: &mut SmallRng) {
         self.told_of = doors;
         for host in self.keepers.iter().chain(&self.entries).chain(&self.bystanders) {
-            let seeds = self.draw_seeds(rng);
-            host.change_settings_file(|settings| {
-                settings["seeds"] = seeds.iter().map(ToString::to_string).collect();
-                settings["is_first_start"] = false.into();
-            });
+            host.tell_of(&self.draw_seeds(rng));
         }
     }
 
