A new host is confirmed only once it knows upstreams

What callers would see: a host that has just started says that it is ready and refuses requests, until its next exchange with a keeper. Evidence: the test of a keeper that starts on a full disk failed once (its own address may rank first, and refuses); it depends on the addresses of a run.

A question is hedged only beside one that is under way, and an answer without upstreams does not confirm a host that never heard of any. Six runs of the test pass, and 24 tests of its neighbours.

--- a/clayplankd/src/follow/exchange.rs
+++ b/clayplankd/src/follow/exchange.rs
@@ -53,7 +53,7 @@
         let mut hedges = 0;
         loop {
             if let Some(keeper) = rest.next_if(|_| hedges <= MAX_HEDGES) {
-                let is_hedge = !asked.is_empty();
+                let is_hedge = !waiting.is_empty();
                 asked.push((keeper.clone(), now_ms()));
                 waiting.push(self.ask(keeper, position, is_hedge));
             }
--- a/clayplankd/src/follow/following.rs
+++ b/clayplankd/src/follow/following.rs
@@ -234,7 +234,10 @@
             self.change_engines(&changed);
         }
         self.take_limits(position, &followed.limits);
-        self.gate.confirm(asked_ms);
+        // A new host that was confirmed by a hedged question knows no upstreams yet.
+        if changes.cursor != Cursor::default() {
+            self.gate.confirm(asked_ms);
+        }
         self.entry.set_hosts(followed.entry_hosts);
         self.link.set_hosts(followed.entry_hosts);
         self.directory.set_hosts(followed.entry_hosts);
