Log and count backoffs that upstreams request, and requests sent within them

The logs could not tell whether an answer asked for a pause, for how long, and which requests were sent within it, so the three hypotheses of the incident looked alike. Read now: Retry-After of a 503 that is the upstream's own (seconds, fractions, or a date compared with the Date of the same answer), and the header by which an upstream states that it is leaving. Nothing is decided by them yet.

Lines: 'An upstream requested a backoff', 'Sends to an upstream in a backoff', 'An upstream stated that it is leaving'.

--- a/clayplank-forward/src/answer.rs
+++ b/clayplank-forward/src/answer.rs
@@ -64,6 +64,49 @@
     }
 }
 
+/// Backoff that a response requests from the host that it is sent to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RequestedBackoff {
+    /// No backoff is requested.
+    None,
+    /// Time for which the upstream wants no requests, in ms.
+    ForMs(u64),
+    /// The header's value is neither a number of seconds nor a date.
+    Unreadable,
+}
+
+/// Parses the backoff that a response requests: `Retry-After` of a 503 (RFC 9110, section 10.2.3),
+/// with fractions of seconds allowed.
+pub(crate) fn parse_backoff(head: &Parts) -> RequestedBackoff {
+    if head.status != StatusCode::SERVICE_UNAVAILABLE {
+        return RequestedBackoff::None;
+    }
+    let Some(value) = head.headers.get(header::RETRY_AFTER) else {
+        return RequestedBackoff::None;
+    };
+    let text = value.to_str().unwrap_or_default().trim();
+    let backoff_ms = match text.parse::<f64>() {
+        Ok(seconds) => {
+            (seconds.is_finite() && seconds >= 0.0).then(|| (seconds * 1e3).ceil() as u64)
+        }
+        Err(_) => parse_backoff_date(text, &head.headers),
+    };
+    backoff_ms.map_or(RequestedBackoff::Unreadable, RequestedBackoff::ForMs)
+}
+
+/// Time from the date of a response to a date in it, in ms. The upstream's clock may differ from
+/// that of this host, so only dates of the upstream are compared.
+fn parse_backoff_date(text: &str, headers: &HeaderMap) -> Option<u64> {
+    let until = httpdate::parse_http_date(text).ok()?;
+    let sent = httpdate::parse_http_date(header_text(headers, &header::DATE)?).ok()?;
+    Some(until.duration_since(sent).unwrap_or_default().as_millis() as u64)
+}
+
+/// Whether a response states that its upstream is leaving.
+pub(crate) fn is_leaving(headers: &HeaderMap, names: &HeaderNames) -> bool {
+    header_text(headers, &names.leaving).is_some_and(|value| value.trim() == "1")
+}
+
 /// Parses the numbers of running and waiting requests that a response states.
 pub(crate) fn parse_load(headers: &HeaderMap, names: &HeaderNames) -> Option<(u64, u64)> {
     let mut parts = header_text(headers, &names.load)?.split(',');
--- a/clayplank-forward/src/attempt.rs
+++ b/clayplank-forward/src/attempt.rs
@@ -9,7 +9,10 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 
-use crate::answer::{DeclaredLimit, Verdict, classify_head, parse_limit, parse_load};
+use crate::answer::{
+    DeclaredLimit, RequestedBackoff, Verdict, classify_head, is_leaving, parse_backoff,
+    parse_limit, parse_load,
+};
 use crate::call::Call;
 use crate::choice::Chosen;
 use crate::clock::now_ms;
@@ -62,6 +65,7 @@
         let may_have_run_before = self.may_have_run;
         self.count_sent();
         self.log_limited(&upstream);
+        self.log_in_backoff(&upstream);
         let sent_ms = now_ms();
         let sent = exchange(record.heartbeat.address, request);
         let sent = load.unless_replaced(clayplank_clock::timeout(timeout, sent)).await;
@@ -112,6 +116,10 @@
         // Any other response may come from a different upstream.
         if matches!(verdict, Verdict::Valid | Verdict::NotRun) {
             self.record_limit(upstream, parse_limit(&head.headers, names), sent_ms);
+            self.record_backoff(upstream, parse_backoff(&head));
+            if is_leaving(&head.headers, names) {
+                self.record_leaving(upstream);
+            }
         }
         match verdict {
             Verdict::Valid => {
@@ -170,6 +178,48 @@
         }
     }
 
+    /// Records the backoff that the upstream requested from this host.
+    fn record_backoff(&self, upstream: &UpstreamId, backoff: RequestedBackoff) {
+        match backoff {
+            RequestedBackoff::None => {}
+            RequestedBackoff::ForMs(backoff_ms) => {
+                self.entry.directory.record_backoff(upstream, backoff_ms);
+                log::info!(target: "forward",
+                    upstream = upstream.as_str(), backoff_ms = backoff_ms,
+                    request = self.metadata.attempt_id;
+                    "An upstream requested a backoff");
+            }
+            RequestedBackoff::Unreadable => {
+                log::warn!(target: "forward",
+                    upstream = upstream.as_str();
+                    "Ignored an invalid Retry-After in a response");
+            }
+        }
+    }
+
+    /// Records that the upstream stated that it is leaving.
+    fn record_leaving(&self, upstream: &UpstreamId) {
+        if self.entry.directory.record_leaving(upstream) {
+            log::info!(target: "forward",
+                upstream = upstream.as_str(), request = self.metadata.attempt_id;
+                "An upstream stated that it is leaving");
+        }
+    }
+
+    /// Logs that a request is sent to an upstream in a backoff.
+    fn log_in_backoff(&self, upstream: &UpstreamId) {
+        let left_ms = self.entry.directory.backoff_left(upstream).as_millis() as u64;
+        if left_ms == 0 {
+            return;
+        }
+        self.entry.metrics.count_in_backoff();
+        log::info!(target: "forward",
+            request = self.metadata.attempt_id, upstream = upstream.as_str(), left_ms = left_ms,
+            sent = self.sent_count, has_begun = self.last_event_at.is_some(),
+            waited_ms = self.waited_ms();
+            "Sends to an upstream in a backoff");
+    }
+
     /// Logs that a request is sent to an upstream with a rate limit.
     fn log_limited(&self, upstream: &UpstreamId) {
         let limit = self.entry.directory.limit(upstream);
--- a/clayplank-forward/src/directory.rs
+++ b/clayplank-forward/src/directory.rs
@@ -489,6 +489,34 @@
         inner.stats.entry(id.clone()).or_default().record_load(now_ms(), running + waiting);
     }
 
+    /// Records that an upstream requested a backoff from this host.
+    pub fn record_backoff(&self, id: &UpstreamId, backoff_ms: u64) {
+        let now_ms = now_ms();
+        self.lock().stats.entry(id.clone()).or_default().record_backoff(now_ms, backoff_ms);
+    }
+
+    /// Remaining time of the backoff that an upstream requested from this host; zero without one.
+    pub fn backoff_left(&self, id: &UpstreamId) -> Duration {
+        let inner = self.lock();
+        let left_ms = inner.stats.get(id).map_or(0, |stats| stats.backoff_left_ms(now_ms()));
+        Duration::from_millis(left_ms)
+    }
+
+    /// Number of upstreams in a backoff that they requested from this host.
+    pub fn count_in_backoff(&self) -> usize {
+        let now_ms = now_ms();
+        let inner = self.lock();
+        inner.stats.values().filter(|stats| stats.backoff_left_ms(now_ms) > 0).count()
+    }
+
+    /// Records that an upstream stated in an answer that it is leaving; returns whether this was
+    /// unknown.
+    pub fn record_leaving(&self, id: &UpstreamId) -> bool {
+        let mut inner = self.lock();
+        let stats = inner.stats.entry(id.clone()).or_default();
+        !std::mem::replace(&mut stats.is_leaving, true)
+    }
+
     /// Records the limit of an upstream as observed by this host.
     pub fn record_limit(&self, observed: &LimitObservation) -> LimitUpdateResult {
         self.lock().limits.apply_local(observed)
--- a/clayplank-forward/src/names.rs
+++ b/clayplank-forward/src/names.rs
@@ -27,6 +27,8 @@
     pub load: HeaderName,
     /// Requests per second that the upstream accepts from all hosts together; absent if unlimited.
     pub limit: HeaderName,
+    /// States, with the value 1, that the upstream is leaving.
+    pub leaving: HeaderName,
     /// Engines that prefill the prompt together with the receiver.
     pub helpers: HeaderName,
     /// Priority at the engine.
@@ -47,6 +49,7 @@
             not_run: HeaderName::from_static("x-clayplank-not-run"),
             load: HeaderName::from_static("x-clayplank-load"),
             limit: HeaderName::from_static("x-clayplank-limit"),
+            leaving: HeaderName::from_static("x-clayplank-leaving"),
             helpers: HeaderName::from_static("x-clayplank-helpers"),
             priority: HeaderName::from_static("x-clayplank-priority"),
         }
