Tests that fail: hosts send to upstreams that asked for a backoff or that are leaving

Real hosts, three keepers and four entry hosts before four upstreams, 24 requests a second. Three (or all) of the upstreams refuse each host once and request a backoff of 3 s, or state in their answers that they are leaving while their heartbeats say ready.

The stand-ins' SharedLimit becomes SharedSignals: all that an upstream states about itself, and who sent what.

--- a/clayplank-standin/src/bin/standin-upstream.rs
+++ b/clayplank-standin/src/bin/standin-upstream.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use clayplank_placement::EngineModel;
 use clayplank_standin::{
-    CrashingRequest, Registration, ServeError, SharedLimit, SharedRuns, bind, send_heartbeats,
+    CrashingRequest, Registration, ServeError, SharedRuns, SharedSignals, bind, send_heartbeats,
     serve_pass_engine, serve_upstream,
 };
 
@@ -66,16 +66,16 @@
     };
     let heartbeat_interval = Duration::from_millis(options.heartbeat_ms);
     tokio::spawn(send_heartbeats(registration, options.keepers, heartbeat_interval));
-    let limit = SharedLimit::default();
-    limit.set(options.limit_per_s);
+    let signals = SharedSignals::default();
+    signals.set_limit(options.limit_per_s);
     if options.engine {
-        serve_pass_engine(listener, options.id, model, limit).await;
+        serve_pass_engine(listener, options.id, model, signals).await;
     } else {
         let (started, crashes) = mpsc::unbounded_channel();
         let crashing =
             options.ends_on.map(|text| CrashingRequest { body: Bytes::from(text), started });
         tokio::select! {
-            () = serve_upstream(listener, options.id, SharedRuns::default(), crashing, limit) => {}
+            () = serve_upstream(listener, options.id, SharedRuns::default(), crashing, signals) => {}
             () = wait_for_exit(crashes) => {}
         }
     }
--- a/clayplank-standin/src/lib.rs
+++ b/clayplank-standin/src/lib.rs
@@ -21,7 +21,6 @@
 mod heartbeats;
 mod http_client;
 mod http_server;
-mod limit;
 mod pass;
 mod pass_memory;
 mod pass_response;
@@ -29,6 +28,7 @@
 mod pass_server;
 mod platform;
 mod service;
+mod signals;
 mod upstream;
 
 pub use crate::core::{
@@ -38,9 +38,9 @@
 pub use crate::fault::{Fault, FaultKind};
 pub use crate::heartbeats::{Registration, send_heartbeats};
 pub use crate::http_server::{Body, ServeError, bind};
-pub use crate::limit::SharedLimit;
 pub use crate::pass::{DecodeWork, PassEngine, PassResult, PrefillWork};
 pub use crate::pass_server::serve_pass_engine;
 pub use crate::platform::serve_platform;
 pub use crate::service::{ServiceRecord, serve_service};
+pub use crate::signals::{Received, SharedSignals};
 pub use crate::upstream::{CrashingRequest, Runs, SharedRuns, serve_upstream};
--- a/clayplank-standin/src/pass_server.rs
+++ b/clayplank-standin/src/pass_server.rs
@@ -11,9 +11,9 @@
 use tokio::net::TcpListener;
 
 use crate::http_server::{Body, ServeError, empty, json, read_body, serve};
-use crate::limit::SharedLimit;
 use crate::pass_response::generate;
 use crate::pass_runner::PassRunner;
+use crate::signals::SharedSignals;
 
 /// Path at which an engine asks another one to prefill a part of a prompt.
 pub(crate) const PARTS_PATH: &str = "/engine/parts";
@@ -47,18 +47,18 @@
     listener: TcpListener,
     id: String,
     model: EngineModel,
-    limit: SharedLimit,
+    signals: SharedSignals,
 ) {
     let runner = Arc::new(PassRunner::new(model));
     tokio::spawn(Arc::clone(&runner).run_passes());
-    let answer = move |request| answer(id.clone(), Arc::clone(&runner), limit.clone(), request);
+    let answer = move |request| answer(id.clone(), Arc::clone(&runner), signals.clone(), request);
     serve(listener, answer).await;
 }
 
 async fn answer(
     id: String,
     runner: Arc<PassRunner>,
-    limit: SharedLimit,
+    signals: SharedSignals,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, ServeError> {
     let (head, body) = request.into_parts();
@@ -68,10 +68,10 @@
         (&Method::PUT, RESERVATIONS_PATH) => reserve(&runner, &body),
         (&Method::DELETE, RESERVATIONS_PATH) => release(&runner, &body),
         (&Method::POST, PARTS_PATH) => prefill_part(&runner, &body).await,
-        _ => {
-            limit.record_arrival();
-            limit.with_limit_header(generate(&id, &runner, &head).await)
-        }
+        _ => match signals.receive(&head.headers) {
+            Some(refusal) => refusal,
+            None => signals.with_headers(generate(&id, &runner, &head).await),
+        },
     })
 }
 
--- a/clayplank-standin/src/upstream.rs
+++ b/clayplank-standin/src/upstream.rs
@@ -14,7 +14,7 @@
 use tokio::sync::mpsc;
 
 use crate::http_server::{Body, ServeError, serve};
-use crate::limit::SharedLimit;
+use crate::signals::SharedSignals;
 
 /// Fault to inject for this request.
 const FAULT_HEADER: &str = "x-standin-fault";
@@ -110,14 +110,17 @@
     id: String,
     runs: SharedRuns,
     crashing: Option<CrashingRequest>,
-    limit: SharedLimit,
+    signals: SharedSignals,
 ) {
-    let answer = move |request| {
-        let limit = limit.clone();
+    let answer = move |request: Request<Incoming>| {
+        let signals = signals.clone();
+        let refusal = signals.receive(request.headers());
         let response = answer(id.clone(), runs.clone(), crashing.clone(), request);
         async move {
-            limit.record_arrival();
-            Ok(limit.with_limit_header(response.await?))
+            match refusal {
+                Some(refusal) => Ok(refusal),
+                None => Ok(signals.with_headers(response.await?)),
+            }
         }
     };
     serve(listener, answer).await;
--- a/clayplankd/tests/seeded/crashing_upstreams.rs
+++ b/clayplankd/tests/seeded/crashing_upstreams.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use clayplank_standin::{
-    CrashingRequest, Registration, SharedLimit, SharedRuns, send_heartbeats, serve_upstream,
+    CrashingRequest, Registration, SharedRuns, SharedSignals, send_heartbeats, serve_upstream,
 };
 use tokio::sync::mpsc;
 
@@ -140,7 +140,7 @@
                 id.clone(),
                 self.runs.clone(),
                 Some(crashing),
-                SharedLimit::default(),
+                SharedSignals::default(),
             ));
             let registration = Registration {
                 id,
--- a/clayplankd/tests/seeded/main.rs
+++ b/clayplankd/tests/seeded/main.rs
@@ -6,6 +6,7 @@
 
 #[path = "../harness/answer.rs"]
 mod answer;
+mod backoff;
 mod client;
 mod combined_roles;
 mod cordons;
@@ -17,6 +18,7 @@
 mod limited;
 mod proxy;
 mod replacement;
+mod signals;
 mod soak;
 mod system;
 mod upstream_restarts;
--- a/clayplankd/tests/seeded/soak/limited.rs
+++ b/clayplankd/tests/seeded/soak/limited.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use clayplank_standin::SharedLimit;
+use clayplank_standin::SharedSignals;
 
 use super::run::Shared;
 use super::schedule::ENTRIES;
@@ -18,11 +18,11 @@
 const PAUSE: Duration = Duration::from_millis(100);
 
 /// Starts the upstreams with their limits.
-pub fn start_limited(system: &System) -> [SharedLimit; 2] {
-    let limits = [SharedLimit::default(), SharedLimit::default()];
+pub fn start_limited(system: &System) -> [SharedSignals; 2] {
+    let limits = [SharedSignals::default(), SharedSignals::default()];
     for (number, limit) in (1_u8..).zip(&limits) {
-        limit.set(Some(LIMIT_PER_S));
-        system.start_limited_service(
+        limit.set_limit(Some(LIMIT_PER_S));
+        system.start_service_with(
             LIMITED_SERVICE,
             &format!("l{number}"),
             30 + number,
@@ -47,7 +47,7 @@
 
 /// Checks that each upstream received no more than its limit allows. A host that restarts or
 /// resumes may send one request before it has received the limit.
-pub fn check_limits(limits: &[SharedLimit]) -> Vec<String> {
+pub fn check_limits(limits: &[SharedSignals]) -> Vec<String> {
     let allowed = max_allowed(LIMIT_PER_S) + ENTRIES;
     let max = limits.iter().map(|limit| max_in_window(limit, None));
     max.filter(|max| *max > allowed)
--- a/clayplankd/tests/seeded/upstreams.rs
+++ b/clayplankd/tests/seeded/upstreams.rs
@@ -5,7 +5,7 @@
 
 use clayplank_placement::EngineModel;
 use clayplank_standin::{
-    Registration, SharedLimit, SharedRuns, send_heartbeats, serve_pass_engine, serve_upstream,
+    Registration, SharedRuns, SharedSignals, send_heartbeats, serve_pass_engine, serve_upstream,
 };
 use serde_json::Value;
 
@@ -30,36 +30,36 @@
         let address = SocketAddr::new(IpAddr::V4(bind_ip), UPSTREAM_PORT);
         let (id, runs) = (id.to_owned(), self.runs.clone());
         let listener = self.runtime.block_on(clayplank_standin::bind(address)).unwrap();
-        self.runtime.spawn(serve_upstream(listener, id, runs, None, SharedLimit::default()));
+        self.runtime.spawn(serve_upstream(listener, id, runs, None, SharedSignals::default()));
     }
 
     /// Starts an engine with simulated steps, which registers with all keepers.
     pub fn start_engine(&self, id: &str, last: u8, model: EngineModel) -> SocketAddr {
-        self.start_limited_engine(id, last, model, SharedLimit::default())
+        self.start_engine_with(id, last, model, SharedSignals::default())
     }
 
-    /// Like `start_engine`, with an engine that may set a limit.
-    pub fn start_limited_engine(
+    /// Like `start_engine`, with an engine whose statements a test changes.
+    pub fn start_engine_with(
         &self,
         id: &str,
         last: u8,
         model: EngineModel,
-        limit: SharedLimit,
+        signals: SharedSignals,
     ) -> SocketAddr {
         let address = self.upstream_address(last);
         let listener = self.runtime.block_on(clayplank_standin::bind(address)).unwrap();
-        self.runtime.spawn(serve_pass_engine(listener, id.to_owned(), model, limit));
+        self.runtime.spawn(serve_pass_engine(listener, id.to_owned(), model, signals));
         self.register_engine(id, last);
         address
     }
 
-    /// Starts an upstream of a plain service that may set a limit, which registers with all
-    /// keepers.
-    pub fn start_limited_service(&self, service: &str, id: &str, last: u8, limit: SharedLimit) {
+    /// Starts an upstream of a plain service whose statements a test changes; it registers with
+    /// all keepers.
+    pub fn start_service_with(&self, service: &str, id: &str, last: u8, signals: SharedSignals) {
         let address = self.upstream_address(last);
         let listener = self.runtime.block_on(clayplank_standin::bind(address)).unwrap();
         let runs = SharedRuns::default();
-        self.runtime.spawn(serve_upstream(listener, id.to_owned(), runs, None, limit));
+        self.runtime.spawn(serve_upstream(listener, id.to_owned(), runs, None, signals));
         self.send_heartbeats(self.registration(id, service, last, APP_SLOTS));
     }
 
