Hosts send nothing to an upstream during a backoff that it requested

Cause: no host read Retry-After of an upstream's refusal. Only the backoff after a failure applied, 0.5 s after the first one, doubled with each in a row and ended by a single success; and where all upstreams of a service are avoided, the choice falls on any of them. Class: what an upstream says of itself in an answer, and nobody reads.

Other hosts are not told: the upstream asked one host. The typical time limits of a route are recorded unless the request is a retry; until now any avoided engine prevented it.

--- a/clayplank-forward/src/attempt.rs
+++ b/clayplank-forward/src/attempt.rs
@@ -60,6 +60,10 @@
         }
         let Chosen { record, helpers, mut load, .. } = chosen;
         let upstream = record.heartbeat.id.clone();
+        // It may have requested a backoff while memory was reserved for the request.
+        if !self.entry.directory.backoff_left(&upstream).is_zero() {
+            return Attempt::NotRun;
+        }
         let request = self.request_for(&record.heartbeat.name, &helpers, last_event_id);
         self.tried.push(upstream.clone());
         let may_have_run_before = self.may_have_run;
--- a/clayplank-forward/src/call.rs
+++ b/clayplank-forward/src/call.rs
@@ -19,6 +19,9 @@
 /// Failed connections, beyond the first, before a request is abandoned.
 const MAX_FAILED_CONNECTS: usize = 3;
 
+/// Maximum wait for the end of a backoff, as a share of the remaining time until the goal.
+const MAX_BACKOFF_WAIT_SHARE: f64 = 0.5;
+
 /// Maximum pause between events for routes without a pause goal, in ms.
 const DEFAULT_PAUSE_GOAL_MS: u64 = 1_000;
 
@@ -126,6 +129,21 @@
         millis(timeout_ms as u64).saturating_sub(self.waited()).min(self.remaining())
     }
 
+    /// Time for which a request that has not begun may wait and still be answered in time.
+    pub(crate) fn remaining_goal(&self) -> Duration {
+        millis(self.route.goal_ms).saturating_sub(self.waited()).min(self.remaining())
+    }
+
+    /// Time for which the request may wait for the end of a backoff. A part of the goal is left to
+    /// run the request. A started stream is not rejected, so it waits as long as its caller does.
+    pub(crate) fn max_backoff_wait(&self) -> Duration {
+        if self.last_event_at.is_some() {
+            self.caller_timeout()
+        } else {
+            self.remaining_goal().mul_f64(MAX_BACKOFF_WAIT_SHARE)
+        }
+    }
+
     /// Maximum pause between two events of the stream, in ms.
     pub(crate) fn pause_goal_ms(&self) -> u64 {
         self.route.pause_goal_ms.unwrap_or(DEFAULT_PAUSE_GOAL_MS)
@@ -145,7 +163,7 @@
         } else if let Some(wait) = self.entry.quarantine.time_to_trial(self.fingerprint) {
             Refusal::Quarantined { retry_after_ms: wait.as_millis() as u64 }
         } else {
-            refusal
+            self.with_backoff(refusal)
         };
         log::info!(target: "forward",
             request = self.metadata.attempt_id, route = self.route.name, outcome = reported.as_str(),
@@ -159,6 +177,26 @@
         reported.to_response()
     }
 
+    /// Delays the retry until an upstream of the service accepts requests, if all are in a backoff.
+    fn with_backoff(&self, refusal: Refusal) -> Refusal {
+        match refusal {
+            Refusal::NotRun { retry_after_ms } => {
+                let backoff = self.entry.directory.shortest_backoff(&self.service);
+                let retry_after_ms = retry_after_ms.max(backoff.as_millis() as u64);
+                Refusal::NotRun { retry_after_ms }
+            }
+            Refusal::Malformed
+            | Refusal::NoRoute
+            | Refusal::NoAccount
+            | Refusal::TooLarge
+            | Refusal::TooSlow
+            | Refusal::NoPlan { .. }
+            | Refusal::Quarantined { .. }
+            | Refusal::TimedOut
+            | Refusal::Failed => refusal,
+        }
+    }
+
     /// Records that an upstream answered the request completely and survived it.
     pub(crate) fn record_answered(&self) {
         self.entry.quarantine.record_answered(self.fingerprint, &self.caller);
--- a/clayplank-forward/src/choice.rs
+++ b/clayplank-forward/src/choice.rs
@@ -61,6 +61,7 @@
     async fn choose_engine(&self) -> Result<Chosen, Refusal> {
         let mut deferred_ms = 0;
         loop {
+            deferred_ms += self.wait_for_backoff().await?;
             let request = self.placement_request();
             let placed = self.entry.placer.place(&request).await;
             if deferred_ms > 0
@@ -70,6 +71,10 @@
                 self.log_deferred(deferred_ms, &placed);
             }
             let pause_ms = match placed {
+                PlacementOutcome::At(assignment) if self.has_begun_backoff(&assignment) => {
+                    self.entry.placer.record_event(request.id, Event::Ended);
+                    continue;
+                }
                 PlacementOutcome::At(assignment) => {
                     return self.prepare_assignment(&request, &assignment).await;
                 }
@@ -92,6 +97,29 @@
         }
     }
 
+    /// Waits while all engines are in a backoff, if one of them accepts the request in time
+    /// afterwards; returns the time waited, in ms.
+    async fn wait_for_backoff(&self) -> Result<u64, Refusal> {
+        let backoff = self.entry.directory.shortest_backoff(&self.service);
+        if backoff.is_zero() {
+            return Ok(0);
+        }
+        let backoff_ms = backoff.as_millis() as u64;
+        if backoff > self.max_backoff_wait() {
+            return Err(Refusal::NotRun { retry_after_ms: backoff_ms });
+        }
+        clayplank_clock::sleep(backoff).await;
+        Ok(backoff_ms)
+    }
+
+    /// Whether an engine of the assignment has requested a backoff since the placement was
+    /// requested.
+    fn has_begun_backoff(&self, assignment: &Assignment) -> bool {
+        let helpers = assignment.helpers.iter().map(|part| &part.engine);
+        let mut engines = helpers.chain([&assignment.engine]);
+        engines.any(|engine| !self.entry.directory.backoff_left(engine).is_zero())
+    }
+
     /// Logs, once per request, that it was deferred and whether it was placed.
     fn log_deferred(&self, deferred_ms: u64, placed: &PlacementOutcome) {
         let is_placed = matches!(placed, PlacementOutcome::At(_));
@@ -121,6 +149,7 @@
         request.data_centre = self.entry.data_centre.clone();
         request.avoid = [self.tried.as_slice(), &self.failed_helpers].concat();
         request.is_returning = !request.avoid.is_empty();
+        request.avoid.extend(self.entry.directory.in_backoff(&self.service));
         request.route = self.route.name.clone();
         request.route_limit_ms = self.route.time_limit_ms as f64;
         request.sent_limit_ms =
--- a/clayplank-forward/src/directory.rs
+++ b/clayplank-forward/src/directory.rs
@@ -44,15 +44,15 @@
 
 /// State behind the lock of a [`Directory`].
 #[derive(Debug)]
-struct Inner {
-    records: BTreeMap<UpstreamId, Record>,
+pub(crate) struct Inner {
+    pub(crate) records: BTreeMap<UpstreamId, Record>,
     /// Times at which this host learned that upstreams had departed, in ms.
     departed_at_ms: HashMap<UpstreamId, u64>,
     /// Upstreams replaced by another incarnation with their name, or by another upstream at their
     /// address: they no longer run anything. An upstream that has only departed may finish its
     /// requests.
     replaced: HashSet<UpstreamId>,
-    stats: HashMap<UpstreamId, UpstreamStats>,
+    pub(crate) stats: HashMap<UpstreamId, UpstreamStats>,
     /// Data centres whose upstreams receive no requests.
     cordoned: BTreeSet<DataCentre>,
     /// Limits on requests to cold upstreams (those that have just started), by service.
@@ -113,7 +113,7 @@
     }
 
     /// Whether an upstream accepts new work.
-    fn accepts_work(&self, heartbeat: &Heartbeat) -> bool {
+    pub(crate) fn accepts_work(&self, heartbeat: &Heartbeat) -> bool {
         heartbeat.standing == UpstreamStatus::Ready
             && !self.cordoned.contains(&heartbeat.data_centre)
     }
@@ -198,13 +198,16 @@
     /// Whether a request needs a permit for an upstream: the upstream has declared a limit and is not
     /// cold. The leader grants permits to all hosts; while an upstream is cold, each host uses its
     /// share of the limit instead.
-    fn needs_permit(&self, now_ms: u64, heartbeat: &Heartbeat) -> bool {
+    pub(crate) fn needs_permit(&self, now_ms: u64, heartbeat: &Heartbeat) -> bool {
         let is_limited = self.limits.limit_per_s(&heartbeat.id).is_some();
         is_limited && !self.rate_limit(heartbeat).is_cold(now_ms as f64)
     }
 
     /// Whether an upstream may accept one more request from this host.
     fn may_accept(&self, now_ms: u64, heartbeat: &Heartbeat) -> bool {
+        if self.backoff_left_ms(now_ms, &heartbeat.id) > 0 {
+            return false;
+        }
         if self.needs_permit(now_ms, heartbeat) {
             let stats = self.stats.get(&heartbeat.id);
             stats.is_none_or(|stats| stats.next_permit_ms <= now_ms)
@@ -245,7 +248,7 @@
 }
 
 impl Directory {
-    fn lock(&self) -> MutexGuard<'_, Inner> {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -323,10 +326,14 @@
         self.lock().records.get(id).cloned()
     }
 
-    /// Record of an upstream that accepts new work.
+    /// Record of an upstream that accepts new work from this host now.
     pub fn usable_record(&self, id: &UpstreamId) -> Option<Record> {
+        let now_ms = now_ms();
         let inner = self.lock();
-        inner.records.get(id).filter(|record| inner.accepts_work(&record.heartbeat)).cloned()
+        let is_usable = |record: &&Record| {
+            inner.accepts_work(&record.heartbeat) && inner.backoff_left_ms(now_ms, id) == 0
+        };
+        inner.records.get(id).filter(is_usable).cloned()
     }
 
     /// Whether an upstream is in a cordoned data centre.
@@ -441,29 +448,6 @@
         self.lock().stats.entry(id.clone()).or_default().next_permit_ms = now_ms() + wait_ms;
     }
 
-    /// Upstream of a plain service with the earliest next permit, and the minimum time until then.
-    pub fn earliest_permit(
-        &self,
-        service: &str,
-        excluded: &[UpstreamId],
-    ) -> Option<(Record, Duration)> {
-        let now_ms = now_ms();
-        let inner = self.lock();
-        let limited = inner.records.values().filter(|record| {
-            let heartbeat = &record.heartbeat;
-            heartbeat.service == service
-                && inner.accepts_work(heartbeat)
-                && !excluded.contains(&heartbeat.id)
-                && inner.needs_permit(now_ms, heartbeat)
-        });
-        let next_permit_ms = |record: &&Record| {
-            inner.stats.get(&record.heartbeat.id).map_or(0, |stats| stats.next_permit_ms)
-        };
-        let earliest = limited.min_by_key(next_permit_ms)?;
-        let wait_ms = next_permit_ms(&earliest).saturating_sub(now_ms);
-        Some((earliest.clone(), Duration::from_millis(wait_ms)))
-    }
-
     /// Counts a request if an upstream accepts it from this host without a permit; returns whether
     /// it does.
     pub fn count_without_permit(&self, heartbeat: &Heartbeat) -> bool {
@@ -489,34 +473,6 @@
         inner.stats.entry(id.clone()).or_default().record_load(now_ms(), running + waiting);
     }
 
-    /// Records that an upstream requested a backoff from this host.
-    pub fn record_backoff(&self, id: &UpstreamId, backoff_ms: u64) {
-        let now_ms = now_ms();
-        self.lock().stats.entry(id.clone()).or_default().record_backoff(now_ms, backoff_ms);
-    }
-
-    /// Remaining time of the backoff that an upstream requested from this host; zero without one.
-    pub fn backoff_left(&self, id: &UpstreamId) -> Duration {
-        let inner = self.lock();
-        let left_ms = inner.stats.get(id).map_or(0, |stats| stats.backoff_left_ms(now_ms()));
-        Duration::from_millis(left_ms)
-    }
-
-    /// Number of upstreams in a backoff that they requested from this host.
-    pub fn count_in_backoff(&self) -> usize {
-        let now_ms = now_ms();
-        let inner = self.lock();
-        inner.stats.values().filter(|stats| stats.backoff_left_ms(now_ms) > 0).count()
-    }
-
-    /// Records that an upstream stated in an answer that it is leaving; returns whether this was
-    /// unknown.
-    pub fn record_leaving(&self, id: &UpstreamId) -> bool {
-        let mut inner = self.lock();
-        let stats = inner.stats.entry(id.clone()).or_default();
-        !std::mem::replace(&mut stats.is_leaving, true)
-    }
-
     /// Records the limit of an upstream as observed by this host.
     pub fn record_limit(&self, observed: &LimitObservation) -> LimitUpdateResult {
         self.lock().limits.apply_local(observed)
--- a/clayplank-forward/src/lib.rs
+++ b/clayplank-forward/src/lib.rs
@@ -19,6 +19,7 @@
 mod admit;
 mod answer;
 mod attempt;
+mod availability;
 mod budget;
 mod buffer_quota;
 mod call;
@@ -49,6 +50,7 @@
 mod unary;
 mod upstream_stats;
 
+pub use availability::NextOpening;
 pub use budget::{BudgetLimits, RetryBudget};
 pub use clock::{millis, now_ms};
 pub use directory::{Choice, Directory};
--- a/clayplank-forward/src/permits.rs
+++ b/clayplank-forward/src/permits.rs
@@ -4,9 +4,9 @@
 
 use clayplank_registry::Record;
 
+use crate::availability::NextOpening;
 use crate::call::Call;
 use crate::choice::{Chosen, NO_UPSTREAM_RETRY_MS};
-use crate::clock::millis;
 use crate::directory::Choice;
 use crate::entry::Entry;
 use crate::load::LoadGuard;
@@ -17,6 +17,11 @@
 /// of this length.
 const REDRAW_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Refusal of a request that no upstream accepts before a time.
+fn not_before(wait: Duration) -> Refusal {
+    Refusal::NotRun { retry_after_ms: wait.as_millis() as u64 }
+}
+
 /// Result of waiting for a permit.
 enum PermitWait {
     /// The request may be sent, and has been counted at the upstream.
@@ -29,30 +34,32 @@
 
 impl Call {
     /// Chooses an upstream of a plain service: one that accepts the request at once, or else the
-    /// one with the earliest permit if that is in time. A request that cannot be sent in time is
-    /// rejected at once.
+    /// one with the earliest permit or end of a backoff if that is in time. A request that cannot be
+    /// sent in time is rejected at once.
     pub(crate) async fn choose_service(&self) -> Result<Chosen, Refusal> {
         let directory = &self.entry.directory;
         loop {
             if let Some(record) = self.choose_immediately().await {
                 return Ok(self.chosen(record));
             }
-            let Some((record, wait)) = directory.earliest_permit(&self.service, &self.tried) else {
+            let Some(opening) = directory.next_opening(&self.service, &self.tried) else {
                 return Err(Refusal::NotRun { retry_after_ms: NO_UPSTREAM_RETRY_MS });
             };
-            let remaining =
-                millis(self.route.goal_ms).saturating_sub(self.waited()).min(self.remaining());
-            let wait_result = if wait <= remaining {
-                self.acquire_permit(&record, remaining).await
-            } else {
-                PermitWait::NotBefore(wait)
-            };
-            match wait_result {
-                PermitWait::Granted => return Ok(self.chosen(record)),
-                PermitWait::NotBefore(wait) => {
-                    return Err(Refusal::NotRun { retry_after_ms: wait.as_millis() as u64 });
+            match opening {
+                NextOpening::BackoffEnd(wait) if wait <= self.max_backoff_wait() => {
+                    clayplank_clock::sleep(wait).await;
+                }
+                NextOpening::Permit(record, wait) if wait <= self.remaining_goal() => {
+                    let timeout = self.remaining_goal();
+                    match self.acquire_permit(&record, timeout).await {
+                        PermitWait::Granted => return Ok(self.chosen(record)),
+                        PermitWait::NotBefore(wait) => return Err(not_before(wait)),
+                        PermitWait::Unusable => {}
+                    }
+                }
+                NextOpening::BackoffEnd(wait) | NextOpening::Permit(_, wait) => {
+                    return Err(not_before(wait));
                 }
-                PermitWait::Unusable => {}
             }
         }
     }
@@ -88,7 +95,8 @@
         let wait = match self.entry.placer.request_permit(&limit, timeout).await {
             PermitReply::After(wait) => {
                 clayplank_clock::sleep(wait).await;
-                // By now the upstream may have departed, or its data centre may be cordoned.
+                // By now the upstream may have departed, its data centre may be cordoned, or it may have
+                // requested a backoff.
                 if directory.usable_record(id).is_none() {
                     return PermitWait::Unusable;
                 }
--- a/clayplank-placement/src/fleet.rs
+++ b/clayplank-placement/src/fleet.rs
@@ -223,7 +223,7 @@
     /// they ask every 40 ms until they resume, so that a few callers that had retried would look
     /// like the typical ones.
     fn record_limit(&mut self, request: &PlacementRequest) {
-        if request.has_begun || !request.avoid.is_empty() {
+        if request.has_begun || request.is_returning {
             return;
         }
         self.typical_limits.record(&request.route, request.route_limit_ms, request.sent_limit_ms);
