Hosts send nothing to an upstream that stated in an answer that it is leaving

What callers would see: requests on their way when a leaving upstream ends, after it had said so in each answer. A host went on sending to it as long as its heartbeats said ready (DRAIN).

Cause: nobody read the header; the registry alone told hosts of departures. Class: what an upstream says of itself in an answer, and nobody reads.

It holds until the upstream is gone: heartbeats and answers that say otherwise may have been sent before. A request that breaks there no longer counts towards a quarantine, as with one that announced its departure by a heartbeat.

--- a/clayplank-forward/src/attempt.rs
+++ b/clayplank-forward/src/attempt.rs
@@ -60,8 +60,8 @@
         }
         let Chosen { record, helpers, mut load, .. } = chosen;
         let upstream = record.heartbeat.id.clone();
-        // It may have requested a backoff while memory was reserved for the request.
-        if !self.entry.directory.backoff_left(&upstream).is_zero() {
+        // An answer may have stated so while memory was reserved for this request.
+        if self.entry.directory.is_unavailable(&upstream) {
             return Attempt::NotRun;
         }
         let request = self.request_for(&record.heartbeat.name, &helpers, last_event_id);
--- a/clayplank-forward/src/availability.rs
+++ b/clayplank-forward/src/availability.rs
@@ -1,8 +1,9 @@
-//! Upstreams that want no requests from this host for a time, and what their requests wait for.
+//! Upstreams that want no requests from this host, for a time or because they are leaving, and what
+//! requests wait for when no upstream accepts them.
 
 use std::time::Duration;
 
-use clayplank_registry::Record;
+use clayplank_registry::{Record, UpstreamStatus};
 use clayplank_types::UpstreamId;
 
 use crate::clock::now_ms;
@@ -31,6 +32,17 @@
         self.stats.get(id).map_or(0, |stats| stats.backoff_left_ms(now_ms))
     }
 
+    /// Whether an upstream stated in an answer that it is leaving. Later heartbeats and answers do
+    /// not revoke this: they may have been sent before.
+    pub(crate) fn is_leaving(&self, id: &UpstreamId) -> bool {
+        self.stats.get(id).is_some_and(|stats| stats.is_leaving)
+    }
+
+    /// Whether an upstream wants no requests from this host.
+    fn is_unavailable(&self, now_ms: u64, id: &UpstreamId) -> bool {
+        self.is_leaving(id) || self.backoff_left_ms(now_ms, id) > 0
+    }
+
     /// Upstreams of a service that accept work, and what is left of their backoffs in ms.
     fn backoffs<'a>(
         &'a self,
@@ -79,12 +91,18 @@
         Duration::from_millis(shortest_ms.unwrap_or_default())
     }
 
-    /// Upstreams of a service that are in a backoff.
-    pub fn in_backoff(&self, service: &str) -> Vec<UpstreamId> {
+    /// Whether an upstream wants no requests from this host.
+    pub fn is_unavailable(&self, id: &UpstreamId) -> bool {
+        self.lock().is_unavailable(now_ms(), id)
+    }
+
+    /// Upstreams of a service that want no requests from this host.
+    pub fn unavailable(&self, service: &str) -> Vec<UpstreamId> {
         let now_ms = now_ms();
         let inner = self.lock();
-        let in_backoff = inner.backoffs(now_ms, service).filter(|(_, left_ms)| *left_ms > 0);
-        in_backoff.map(|(record, _)| record.heartbeat.id.clone()).collect()
+        let of_service = inner.records.iter().filter(|(_, one)| one.heartbeat.service == service);
+        let unavailable = of_service.filter(|(id, _)| inner.is_unavailable(now_ms, id));
+        unavailable.map(|(id, _)| id.clone()).collect()
     }
 
     /// Number of upstreams in a backoff.
@@ -120,4 +138,17 @@
         let stats = inner.stats.entry(id.clone()).or_default();
         !std::mem::replace(&mut stats.is_leaving, true)
     }
+
+    /// Whether an upstream stated in an answer that it is leaving.
+    pub fn is_leaving(&self, id: &UpstreamId) -> bool {
+        self.lock().is_leaving(id)
+    }
+
+    /// Number of upstreams that stated that they are leaving and have not departed yet.
+    pub fn count_leaving(&self) -> usize {
+        let inner = self.lock();
+        let running =
+            inner.records.values().filter(|one| one.heartbeat.standing != UpstreamStatus::Gone);
+        running.filter(|one| inner.is_leaving(&one.heartbeat.id)).count()
+    }
 }
--- a/clayplank-forward/src/choice.rs
+++ b/clayplank-forward/src/choice.rs
@@ -71,7 +71,7 @@
                 self.log_deferred(deferred_ms, &placed);
             }
             let pause_ms = match placed {
-                PlacementOutcome::At(assignment) if self.has_begun_backoff(&assignment) => {
+                PlacementOutcome::At(assignment) if self.is_outdated(&assignment) => {
                     self.entry.placer.record_event(request.id, Event::Ended);
                     continue;
                 }
@@ -112,12 +112,11 @@
         Ok(backoff_ms)
     }
 
-    /// Whether an engine of the assignment has requested a backoff since the placement was
-    /// requested.
-    fn has_begun_backoff(&self, assignment: &Assignment) -> bool {
+    /// Whether an engine of the assignment wants no requests since the placement was requested.
+    fn is_outdated(&self, assignment: &Assignment) -> bool {
         let helpers = assignment.helpers.iter().map(|part| &part.engine);
         let mut engines = helpers.chain([&assignment.engine]);
-        engines.any(|engine| !self.entry.directory.backoff_left(engine).is_zero())
+        engines.any(|engine| self.entry.directory.is_unavailable(engine))
     }
 
     /// Logs, once per request, that it was deferred and whether it was placed.
@@ -149,7 +148,7 @@
         request.data_centre = self.entry.data_centre.clone();
         request.avoid = [self.tried.as_slice(), &self.failed_helpers].concat();
         request.is_returning = !request.avoid.is_empty();
-        request.avoid.extend(self.entry.directory.in_backoff(&self.service));
+        request.avoid.extend(self.entry.directory.unavailable(&self.service));
         request.route = self.route.name.clone();
         request.route_limit_ms = self.route.time_limit_ms as f64;
         request.sent_limit_ms =
--- a/clayplank-forward/src/directory.rs
+++ b/clayplank-forward/src/directory.rs
@@ -116,6 +116,7 @@
     pub(crate) fn accepts_work(&self, heartbeat: &Heartbeat) -> bool {
         heartbeat.standing == UpstreamStatus::Ready
             && !self.cordoned.contains(&heartbeat.data_centre)
+            && !self.is_leaving(&heartbeat.id)
     }
 
     /// Heartbeats of the incarnations of an upstream that have not departed.
--- a/clayplank-forward/src/entry.rs
+++ b/clayplank-forward/src/entry.rs
@@ -166,10 +166,12 @@
         let buffered_bytes = self.buffer_quota.count();
         let limited = self.directory.count_limited();
         let in_backoff = self.directory.count_in_backoff();
+        let leaving = self.directory.count_leaving();
         format!(
             "{}clayplank_entry_held_back {quarantined}\nclayplank_entry_held_bytes {buffered_bytes}\n\
              clayplank_entry_limited_upstreams {limited}\n\
-             clayplank_entry_upstreams_in_backoff {in_backoff}\n",
+             clayplank_entry_upstreams_in_backoff {in_backoff}\n\
+             clayplank_entry_leaving_upstreams {leaving}\n",
             self.metrics.to_text()
         )
     }
--- a/clayplank-forward/src/termination.rs
+++ b/clayplank-forward/src/termination.rs
@@ -116,7 +116,8 @@
             return;
         };
         // An upstream that announced its departure may terminate at any time.
-        if record.heartbeat.standing != UpstreamStatus::Ready {
+        let is_leaving = entry.directory.is_leaving(upstream);
+        if is_leaving || record.heartbeat.standing != UpstreamStatus::Ready {
             return;
         }
         let caller = self.caller.clone();
--- a/clayplank-forward/tests/entry/backoff.rs
+++ b/clayplank-forward/tests/entry/backoff.rs
@@ -207,3 +207,23 @@
     // The placement on the first engine is released without counting as its failure.
     assert_eq!(placer.ended.lock().unwrap()[0].1, Event::Ended);
 }
+
+/// Whether an upstream counts as leaving after it gave this answer to a request.
+async fn is_leaving_after(answer: &str) -> bool {
+    let directory = Arc::new(Directory::default());
+    directory.apply(vec![upstream("u", &[answer.to_owned()]).await]);
+    call(&host(&directory, 300).await).await;
+    directory.is_leaving(&UpstreamId::new("u"))
+}
+
+#[tokio::test]
+async fn an_upstream_is_leaving_if_its_own_answer_says_so() {
+    let leaving = "x-clayplank-leaving: 1\r\n";
+    for head in [ANSWER, REFUSAL, "HTTP/1.1 500 Internal Server Error\r\n"] {
+        assert!(is_leaving_after(&format!("{head}{leaving}")).await, "{head}");
+        assert!(!is_leaving_after(head).await, "{head}");
+        assert!(!is_leaving_after(&format!("{head}x-clayplank-leaving: 0\r\n")).await, "{head}");
+    }
+    let other_incarnation = format!("HTTP/1.1 421 Misdirected Request\r\n{leaving}");
+    assert!(!is_leaving_after(&other_incarnation).await);
+}
