Soak: upstreams request backoffs, and one leaves, amid restarts and changes

The upstreams with a limit refuse up to two requests of each host and request 0.8 to 4 s, again and again; a third one states that it is leaving. Checked: at most two requests of one process within a backoff, none later than 2 s after the answer that told it.

--- a/clayplankd/tests/seeded/backoff.rs
+++ b/clayplankd/tests/seeded/backoff.rs
@@ -16,7 +16,7 @@
 const IN_FLIGHT_TIME: Duration = Duration::from_millis(500);
 
 /// Maximum number of requests of one host after `IN_FLIGHT_TIME` and before the end of a backoff.
-const MAX_IN_BACKOFF: usize = 2;
+pub const MAX_IN_BACKOFF: usize = 2;
 
 /// Time after which no host may use an upstream that stated that it is leaving.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
--- a/clayplankd/tests/seeded/soak/run.rs
+++ b/clayplankd/tests/seeded/soak/run.rs
@@ -7,10 +7,12 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use clayplank_standin::SharedSignals;
+
 use super::callers::run_caller;
 use super::checks::{check_interrupted, check_missed_plans, check_plan, wait_until_served};
 use super::crashing::{Refused, UPSTREAMS, check_quarantine, run_crashing};
-use super::limited::{check_limits, run_limited, start_limited};
+use super::limited::{check_signals, run_limited, run_signals, start_limited};
 use super::operators::{run_heartbeats, run_operator};
 use super::record::{Record, check_observed};
 use super::run_schedule::{run_final_restart, run_schedule};
@@ -62,7 +64,7 @@
     // From now on a keeper with an empty disk joins the existing ones.
     setup.write_restart_settings(&mut system, seed);
     let fleet = Fleet::start(&system, UPSTREAMS);
-    let limits = start_limited(&system);
+    let signals = start_limited(&system);
     let refused = Refused::default();
     let runs = system.runs.clone();
     let callers: Vec<_> = system.entries.iter().map(Host::callers).collect();
@@ -75,6 +77,7 @@
     });
     let mut missed = Vec::new();
     let mut all_killed_at = None;
+    let mut leaving_since = None;
     let started_at = Instant::now();
     std::thread::scope(|scope| {
         for (entry, &address) in callers.iter().enumerate() {
@@ -90,11 +93,12 @@
             let shared = &shared;
             scope.spawn(move || run_limited(shared, entry, seed));
         }
+        let signals_thread = scope.spawn(|| run_signals(&shared, &signals, seed));
         scope.spawn(|| run_heartbeats(&shared));
         scope.spawn(|| run_operator(&shared, 0));
         scope.spawn(|| run_operator(&shared, 1));
         scope.spawn(|| run_crashing(&shared, &refused, seed));
-        let _ends = StopRunOnDrop(&shared.is_finished);
+        let ends = StopRunOnDrop(&shared.is_finished);
         run_schedule(&shared, &schedule, started_at);
         wait_until_served(&shared, seed);
         std::thread::sleep(REPAIR_TIME);
@@ -108,6 +112,8 @@
             setup.restarts_all_hosts,
         );
         wait_until_served(&shared, seed);
+        drop(ends);
+        leaving_since = signals_thread.join().ok();
     });
     let shared = Arc::into_inner(shared).unwrap();
     check_plan(&shared);
@@ -120,17 +126,18 @@
     violations.extend(check_interrupted(&observed, &schedule, started_at, all_killed_at, count));
     violations.extend(not_quarantined);
     violations.extend(missed);
-    violations.extend(check_limits(&limits));
+    violations.extend(check_signals(&signals, leaving_since.unwrap()));
     let served = observed
         .iter()
         .filter(|observed| observed.answer.as_ref().is_some_and(|a| a.status == 200));
     let summary = format!(
-        "{} of {} requests served, plan {}, {} upstreams terminated by the crashing request, {:?} requests at upstreams with a limit, {} steps, {setup:?}",
+        "{} of {} requests served, plan {}, {} upstreams terminated by the crashing request, {:?} requests at upstreams with a limit ({:?} of them refused with a backoff), {} steps, {setup:?}",
         served.count(),
         observed.len(),
         shared.acknowledged.load(Ordering::SeqCst),
         fleet.events().terminations.len(),
-        limits.each_ref().map(|limit| limit.arrivals().len()),
+        signals.iter().map(|one| one.arrivals().len()).collect::<Vec<_>>(),
+        signals.iter().map(count_refused).collect::<Vec<_>>(),
         schedule.len()
     );
     if violations.is_empty() {
@@ -140,6 +147,10 @@
     }
 }
 
+fn count_refused(signals: &SharedSignals) -> usize {
+    signals.received().iter().filter(|one| one.backoff.is_some()).count()
+}
+
 /// The schedule, the violations, and the log lines that mention their requests.
 fn report(schedule: &[Step], violations: &[String], system: &Mutex<System>) -> String {
     let mut text = String::new();
