Clock: a runtime that began before the first reading of the process counts all of its time

What was seen: three tests that failed now and then, 32.999982193 s where 33 s were asserted, 5.001 s for 5 s and 801 ms for 800 ms. Only tests are affected: a daemon has one runtime.

Cause: timestamps count from the first reading of the process, and one from before it was cut off at it. Tests beside each other have paused clocks of their own; one that began some microseconds before the first reading measures that much less, and its waits take up to a millisecond more.

Now: in tests the zero of timestamps lies 60 s before the first reading, so that nothing is cut off; daemons count as before.

--- a/clayplank-clock/src/instant.rs
+++ b/clayplank-clock/src/instant.rs
@@ -6,9 +6,20 @@
 
 use crate::suspension;
 
-/// First reading of the runtime's clock by this process.
+/// Zero of all timestamps, [`EARLIER_CLOCKS_MARGIN`] before the first reading of the runtime's clock
+/// by this process.
 static START: OnceLock<tokio::time::Instant> = OnceLock::new();
 
+/// Maximum time by which the clock of another runtime may have begun before the first reading.
+/// Tests run side by side with a paused clock each; a daemon has one runtime.
+const EARLIER_CLOCKS_MARGIN: Duration =
+    if cfg!(feature = "test-util") { Duration::from_secs(60) } else { Duration::ZERO };
+
+fn start() -> tokio::time::Instant {
+    let now = tokio::time::Instant::now();
+    now.checked_sub(EARLIER_CLOCKS_MARGIN).unwrap_or(now)
+}
+
 /// A timestamp of elapsed time, which includes the time for which the machine was suspended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Instant(Duration);
@@ -18,7 +29,7 @@
     pub fn now() -> Self {
         // The runtime's clock is read first, so that a suspension between the two readings is
         // included.
-        let awake = START.get_or_init(tokio::time::Instant::now).elapsed();
+        let awake = START.get_or_init(start).elapsed();
         Self(awake + suspension::total_suspended())
     }
 
@@ -53,7 +64,7 @@
 impl Sub<Duration> for Instant {
     type Output = Self;
 
-    /// Saturates at the first reading of the clock by this process.
+    /// Saturates at the zero of all timestamps.
     fn sub(self, duration: Duration) -> Self {
         Self(self.0.saturating_sub(duration))
     }
