Hosts repeat the limits that they know, so that a lifted one reaches all keepers

Callers of an upstream of a plain service would wait for permits that nobody needs once that keeper leads.

Cause: the leader that accepted a host's report of the lifting ended before it told the other keepers. All hosts knew it, so none reported it again; the next leader knew nothing, and the other keeper was never told that its limit was outdated.

Without limits nothing is sent. Not shown on real processes: the moment between the report and the leader's end was not hit.

--- a/clayplank-forward/src/directory.rs
+++ b/clayplank-forward/src/directory.rs
@@ -494,6 +494,11 @@
         self.lock().limits.observations().collect()
     }
 
+    /// Latest observations of limits, including recently lifted ones.
+    pub fn latest_limits(&self) -> Vec<LimitObservation> {
+        self.lock().limits.latest().collect()
+    }
+
     /// Number of upstreams with a limit.
     pub fn count_limited(&self) -> usize {
         self.lock().limits.iter().count()
--- a/clayplank-registry/src/limits.rs
+++ b/clayplank-registry/src/limits.rs
@@ -173,6 +173,11 @@
         in_force.map(|(id, entry)| entry.to_observed(id))
     }
 
+    /// The latest observations for all upstreams, including those whose limit was lifted recently.
+    pub fn latest(&self) -> impl Iterator<Item = LimitObservation> {
+        self.entries.iter().map(|(id, entry)| entry.to_observed(id))
+    }
+
     /// The changes after the cursor of a follower; all limits if the cursor belongs to another
     /// incarnation.
     pub fn changes_after(&self, now_ms: u64, cursor: Cursor) -> LimitChanges {
--- a/clayplank-registry/tests/limits_agree.rs
+++ b/clayplank-registry/tests/limits_agree.rs
@@ -118,6 +118,14 @@
         }
     }
 
+    /// The host reports its latest observation again with the next call.
+    fn refresh(&mut self, host: usize) {
+        let host = &mut self.hosts[host];
+        if let Some(latest) = host.limits.latest().next() {
+            host.pending_report = Some(latest);
+        }
+    }
+
     fn spread(&mut self, keeper: usize) {
         let all = self.keepers[self.leader].changes_after(self.now_ms, Cursor::default());
         for limit in all.limits {
@@ -138,13 +146,15 @@
         host.cursors[keeper] = changes.cursor;
     }
 
-    /// Delivers all further messages without loss, while requests continue.
+    /// Delivers all further messages without loss, while requests and regular reports continue.
     fn settle(&mut self) {
         for _ in 0..3 {
             for host in 0..HOSTS {
                 self.now_ms += STEP_MS;
                 self.answer(host, 0);
                 self.report(host, false);
+                self.refresh(host);
+                self.report(host, false);
             }
             (0..KEEPERS).for_each(|keeper| self.spread(keeper));
             for (host, keeper) in
--- a/clayplankd/src/fleet/limit_reports.rs
+++ b/clayplankd/src/fleet/limit_reports.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use clayplank_forward::Directory;
 use clayplank_placement::{Event, PlacementId};
 use clayplank_registry::{AgedLimit, LimitObservation};
 use clayplank_state::encode;
@@ -24,6 +25,9 @@
 /// Delay before limits that no keeper accepted are reported again.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Interval at which a host reports all limits that it knows again.
+const REFRESH_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Newest limit of each upstream that no keeper has accepted yet.
 type PendingLimits = BTreeMap<UpstreamId, LimitObservation>;
 
@@ -53,6 +57,23 @@
     }
 }
 
+/// Reports all known limits again at regular intervals, including recently lifted ones. A keeper that
+/// accepted a report may have ended before it told the other keepers, and upstreams may not state
+/// again that a limit was lifted. The first interval is random, so that hosts started together do not
+/// report together.
+pub(crate) async fn run_limit_refresh(
+    placement_client: Arc<PlacementClient>,
+    directory: Arc<Directory>,
+) {
+    clayplank_clock::sleep(REFRESH_INTERVAL.mul_f64(rand::random())).await;
+    loop {
+        for observed in directory.latest_limits() {
+            placement_client.report_limit(observed);
+        }
+        clayplank_clock::sleep(REFRESH_INTERVAL).await;
+    }
+}
+
 /// Sends the limits to the keeper that places prompts. Returns whether it accepted them.
 async fn report(placement_client: &PlacementClient, pending: &PendingLimits) -> bool {
     let now_ms = now_ms();
--- a/clayplankd/src/process/seeded_entry.rs
+++ b/clayplankd/src/process/seeded_entry.rs
@@ -14,7 +14,7 @@
 use tokio::sync::watch;
 
 use crate::doors::contract::SharedContract;
-use crate::fleet::limit_reports::run_limit_reports;
+use crate::fleet::limit_reports::{run_limit_refresh, run_limit_reports};
 use crate::fleet::placement_client::{PlacementClient, run_backoff_reset, run_event_reports};
 use crate::fleet::termination_reports::{TerminationReporter, run_termination_reports};
 use crate::follow::follow_metrics::FollowMetrics;
@@ -95,6 +95,7 @@
         let entry = Arc::new(entry);
         tokio::spawn(run_event_reports(Arc::clone(&placement_client), reports.events));
         tokio::spawn(run_limit_reports(Arc::clone(&placement_client), reports.limits));
+        tokio::spawn(run_limit_refresh(Arc::clone(&placement_client), Arc::clone(&directory)));
         tokio::spawn(run_backoff_reset(Arc::clone(&placement_client)));
         let metrics = Arc::new(FollowMetrics::default());
         let apply_ms = Arc::new(AtomicU64::new(bounds.apply_ms));
