--- a/clayplank-forward/src/availability.rs
+++ b/clayplank-forward/src/availability.rs
@@ -26,21 +26,46 @@
     }
 }
 
+/// Statements of an upstream by which it wants no requests from this host.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Unavailability {
+    /// End of the backoff that it requested, in ms.
+    backoff_until_ms: u64,
+    /// Whether it stated that it is leaving. Later heartbeats and answers do not revoke this: they
+    /// may have been sent before.
+    is_leaving: bool,
+}
+
+impl Unavailability {
+    fn backoff_left_ms(self, now_ms: u64) -> u64 {
+        self.backoff_until_ms.saturating_sub(now_ms)
+    }
+
+    /// Whether the upstream still wants no requests.
+    pub(crate) fn is_in_force(self, now_ms: u64) -> bool {
+        self.is_leaving || self.backoff_left_ms(now_ms) > 0
+    }
+
+    /// Records a requested backoff. A shorter one does not end one that lasts longer: answers may
+    /// arrive in another order than they were sent.
+    fn record_backoff(&mut self, now_ms: u64, backoff_ms: u64) {
+        self.backoff_until_ms = self.backoff_until_ms.max(now_ms.saturating_add(backoff_ms));
+    }
+}
+
 impl Inner {
+    fn unavailability(&self, id: &UpstreamId) -> Unavailability {
+        self.unavailable.get(id).copied().unwrap_or_default()
+    }
+
     /// Remaining time of the backoff that an upstream requested from this host, in ms.
     pub(crate) fn backoff_left_ms(&self, now_ms: u64, id: &UpstreamId) -> u64 {
-        self.stats.get(id).map_or(0, |stats| stats.backoff_left_ms(now_ms))
+        self.unavailability(id).backoff_left_ms(now_ms)
     }
 
-    /// Whether an upstream stated in an answer that it is leaving. Later heartbeats and answers do
-    /// not revoke this: they may have been sent before.
+    /// Whether an upstream stated in an answer that it is leaving.
     pub(crate) fn is_leaving(&self, id: &UpstreamId) -> bool {
-        self.stats.get(id).is_some_and(|stats| stats.is_leaving)
-    }
-
-    /// Whether an upstream wants no requests from this host.
-    fn is_unavailable(&self, now_ms: u64, id: &UpstreamId) -> bool {
-        self.is_leaving(id) || self.backoff_left_ms(now_ms, id) > 0
+        self.unavailability(id).is_leaving
     }
 
     /// Upstreams of a service that accept work, and what is left of their backoffs in ms.
@@ -74,7 +99,16 @@
     /// Records that an upstream requested a backoff from this host.
     pub fn record_backoff(&self, id: &UpstreamId, backoff_ms: u64) {
         let now_ms = now_ms();
-        self.lock().stats.entry(id.clone()).or_default().record_backoff(now_ms, backoff_ms);
+        let mut inner = self.lock();
+        inner.unavailable.entry(id.clone()).or_default().record_backoff(now_ms, backoff_ms);
+    }
+
+    /// Records that an upstream stated in an answer that it is leaving; returns whether this was
+    /// unknown.
+    pub fn record_leaving(&self, id: &UpstreamId) -> bool {
+        let mut inner = self.lock();
+        let unavailability = inner.unavailable.entry(id.clone()).or_default();
+        !std::mem::replace(&mut unavailability.is_leaving, true)
     }
 
     /// Remaining time of the backoff that an upstream requested from this host; zero without one.
@@ -82,34 +116,37 @@
         Duration::from_millis(self.lock().backoff_left_ms(now_ms(), id))
     }
 
-    /// Time until the first upstream of a service ends its backoff; zero if one accepts requests
-    /// now, or if none accepts work at all.
-    pub fn shortest_backoff(&self, service: &str) -> Duration {
-        let now_ms = now_ms();
-        let inner = self.lock();
-        let shortest_ms = inner.backoffs(now_ms, service).map(|(_, left_ms)| left_ms).min();
-        Duration::from_millis(shortest_ms.unwrap_or_default())
+    /// Whether an upstream stated in an answer that it is leaving.
+    pub fn is_leaving(&self, id: &UpstreamId) -> bool {
+        self.lock().is_leaving(id)
     }
 
     /// Whether an upstream wants no requests from this host.
     pub fn is_unavailable(&self, id: &UpstreamId) -> bool {
-        self.lock().is_unavailable(now_ms(), id)
+        self.lock().unavailability(id).is_in_force(now_ms())
     }
 
     /// Upstreams of a service that want no requests from this host.
     pub fn unavailable(&self, service: &str) -> Vec<UpstreamId> {
         let now_ms = now_ms();
         let inner = self.lock();
-        let of_service = inner.records.iter().filter(|(_, one)| one.heartbeat.service == service);
-        let unavailable = of_service.filter(|(id, _)| inner.is_unavailable(now_ms, id));
-        unavailable.map(|(id, _)| id.clone()).collect()
+        let in_force = inner.unavailable.iter().filter(|(_, one)| one.is_in_force(now_ms));
+        let is_of_service = |id: &UpstreamId| {
+            inner.records.get(id).is_some_and(|record| record.heartbeat.service == service)
+        };
+        in_force.map(|(id, _)| id).filter(|id| is_of_service(id)).cloned().collect()
     }
 
-    /// Number of upstreams in a backoff.
-    pub fn count_in_backoff(&self) -> usize {
+    /// Time until the first upstream of a service ends its backoff; zero if one accepts requests
+    /// now, or if none accepts work at all.
+    pub fn shortest_backoff(&self, service: &str) -> Duration {
         let now_ms = now_ms();
         let inner = self.lock();
-        inner.stats.values().filter(|stats| stats.backoff_left_ms(now_ms) > 0).count()
+        if inner.unavailable.is_empty() {
+            return Duration::ZERO;
+        }
+        let shortest_ms = inner.backoffs(now_ms, service).map(|(_, left_ms)| left_ms).min();
+        Duration::from_millis(shortest_ms.unwrap_or_default())
     }
 
     /// What a request to a plain service can wait for, at the upstream with the shortest wait.
@@ -131,24 +168,20 @@
         openings.into_iter().flatten().filter(is_known).min_by_key(NextOpening::wait)
     }
 
-    /// Records that an upstream stated in an answer that it is leaving; returns whether this was
-    /// unknown.
-    pub fn record_leaving(&self, id: &UpstreamId) -> bool {
-        let mut inner = self.lock();
-        let stats = inner.stats.entry(id.clone()).or_default();
-        !std::mem::replace(&mut stats.is_leaving, true)
-    }
-
-    /// Whether an upstream stated in an answer that it is leaving.
-    pub fn is_leaving(&self, id: &UpstreamId) -> bool {
-        self.lock().is_leaving(id)
+    /// Number of upstreams in a backoff.
+    pub fn count_in_backoff(&self) -> usize {
+        let now_ms = now_ms();
+        let inner = self.lock();
+        inner.unavailable.values().filter(|one| one.backoff_left_ms(now_ms) > 0).count()
     }
 
     /// Number of upstreams that stated that they are leaving and have not departed yet.
     pub fn count_leaving(&self) -> usize {
         let inner = self.lock();
-        let running =
-            inner.records.values().filter(|one| one.heartbeat.standing != UpstreamStatus::Gone);
-        running.filter(|one| inner.is_leaving(&one.heartbeat.id)).count()
+        let is_running = |id: &UpstreamId| {
+            let record = inner.records.get(id);
+            record.is_some_and(|record| record.heartbeat.standing != UpstreamStatus::Gone)
+        };
+        inner.unavailable.iter().filter(|(id, one)| one.is_leaving && is_running(id)).count()
     }
 }
--- a/clayplank-forward/src/directory.rs
+++ b/clayplank-forward/src/directory.rs
@@ -14,6 +14,7 @@
 use clayplank_types::{DataCentre, UpstreamId};
 use tokio::sync::watch;
 
+use crate::availability::Unavailability;
 use crate::clock::now_ms;
 use crate::upstream_stats::UpstreamStats;
 
@@ -53,6 +54,8 @@
     /// requests.
     replaced: HashSet<UpstreamId>,
     pub(crate) stats: HashMap<UpstreamId, UpstreamStats>,
+    /// Upstreams that stated that they want no requests from this host.
+    pub(crate) unavailable: HashMap<UpstreamId, Unavailability>,
     /// Data centres whose upstreams receive no requests.
     cordoned: BTreeSet<DataCentre>,
     /// Limits on requests to cold upstreams (those that have just started), by service.
@@ -71,6 +74,7 @@
             departed_at_ms: HashMap::new(),
             replaced: HashSet::new(),
             stats: HashMap::new(),
+            unavailable: HashMap::new(),
             cordoned: BTreeSet::new(),
             cold_starts: HashMap::new(),
             limits: Limits::new(rand::random()),
@@ -226,7 +230,7 @@
 
     /// Removes upstreams that departed long ago, and their statistics.
     fn remove_departed(&mut self, now_ms: u64) {
-        let Self { records, departed_at_ms, replaced, stats, limits, .. } = self;
+        let Self { records, departed_at_ms, replaced, stats, unavailable, limits, .. } = self;
         departed_at_ms.retain(|id, departed_at_ms| {
             let is_kept = now_ms < *departed_at_ms + TOMBSTONE_RETENTION_MS;
             if !is_kept {
@@ -236,6 +240,7 @@
             }
             is_kept
         });
+        unavailable.retain(|id, one| records.contains_key(id) && one.is_in_force(now_ms));
         limits.expire(now_ms, |id| records.contains_key(id));
     }
 }
--- a/clayplank-forward/src/upstream_stats.rs
+++ b/clayplank-forward/src/upstream_stats.rs
@@ -21,10 +21,6 @@
     pub(crate) rate_limit: RateLimit,
     /// Time of the next permit, in ms, as stated by the keeper that grants permits.
     pub(crate) next_permit_ms: u64,
-    /// End of the backoff that it requested from this host, in ms.
-    backoff_until_ms: u64,
-    /// Whether it stated in an answer that it is leaving.
-    pub(crate) is_leaving: bool,
 }
 
 impl UpstreamStats {
@@ -54,17 +50,6 @@
         }
     }
 
-    /// Remaining time of the backoff that it requested from this host, in ms; 0 without one.
-    pub(crate) fn backoff_left_ms(&self, now_ms: u64) -> u64 {
-        self.backoff_until_ms.saturating_sub(now_ms)
-    }
-
-    /// Records a requested backoff. A shorter one does not end one that lasts longer: answers may
-    /// arrive in another order than they were sent.
-    pub(crate) fn record_backoff(&mut self, now_ms: u64, backoff_ms: u64) {
-        self.backoff_until_ms = self.backoff_until_ms.max(now_ms.saturating_add(backoff_ms));
-    }
-
     /// Records the reported number of running and waiting requests.
     pub(crate) fn record_load(&mut self, now_ms: u64, load: u64) {
         self.reported_load = load;
