The line on requests within a backoff becomes one on requests that are withheld

Since hosts check before they send, nothing reached the old line and its counter. The check itself now tells, as outcome 'withheld' of attempts: the chosen upstream wants no requests any more.

--- a/clayplank-clock/src/instant.rs
+++ b/clayplank-clock/src/instant.rs
@@ -15,7 +15,8 @@
 const EARLIER_CLOCKS_MARGIN: Duration =
     if cfg!(feature = "test-util") { Duration::from_secs(60) } else { Duration::ZERO };
 
-fn start() -> tokio::time::Instant {
+/// The zero of all timestamps, if this is the first reading.
+fn zero() -> tokio::time::Instant {
     let now = tokio::time::Instant::now();
     now.checked_sub(EARLIER_CLOCKS_MARGIN).unwrap_or(now)
 }
@@ -29,7 +30,7 @@
     pub fn now() -> Self {
         // The runtime's clock is read first, so that a suspension between the two readings is
         // included.
-        let awake = START.get_or_init(start).elapsed();
+        let awake = START.get_or_init(zero).elapsed();
         Self(awake + suspension::total_suspended())
     }
 
--- a/clayplank-forward/src/attempt.rs
+++ b/clayplank-forward/src/attempt.rs
@@ -60,8 +60,9 @@
         }
         let Chosen { record, helpers, mut load, .. } = chosen;
         let upstream = record.heartbeat.id.clone();
-        // An answer may have stated so while memory was reserved for this request.
+        // The upstream may have become unavailable while memory was reserved for the request.
         if self.entry.directory.is_unavailable(&upstream) {
+            self.log_withheld(&upstream);
             return Attempt::NotRun;
         }
         let request = self.request_for(&record.heartbeat.name, &helpers, last_event_id);
@@ -69,7 +70,6 @@
         let may_have_run_before = self.may_have_run;
         self.count_sent();
         self.log_limited(&upstream);
-        self.log_in_backoff(&upstream);
         let sent_ms = now_ms();
         let sent = exchange(record.heartbeat.address, request);
         let sent = load.unless_replaced(clayplank_clock::timeout(timeout, sent)).await;
@@ -210,18 +210,14 @@
         }
     }
 
-    /// Logs that a request is sent to an upstream in a backoff.
-    fn log_in_backoff(&self, upstream: &UpstreamId) {
-        let left_ms = self.entry.directory.backoff_left(upstream).as_millis() as u64;
-        if left_ms == 0 {
-            return;
-        }
-        self.entry.metrics.count_in_backoff();
+    /// Logs that a request is not sent to the chosen upstream, which wants no requests any more.
+    fn log_withheld(&self, upstream: &UpstreamId) {
+        let backoff = self.entry.directory.backoff_left(upstream);
+        self.entry.metrics.count_attempt("withheld");
         log::info!(target: "forward",
-            request = self.metadata.attempt_id, upstream = upstream.as_str(), left_ms = left_ms,
-            sent = self.sent_count, has_begun = self.last_event_at.is_some(),
-            waited_ms = self.waited_ms();
-            "Sends to an upstream in a backoff");
+            request = self.metadata.attempt_id, upstream = upstream.as_str(),
+            backoff_ms = backoff.as_millis() as u64, waited_ms = self.waited_ms();
+            "The chosen upstream wants no requests any more");
     }
 
     /// Logs that a request is sent to an upstream with a rate limit.
--- a/clayplank-forward/src/metrics.rs
+++ b/clayplank-forward/src/metrics.rs
@@ -25,8 +25,6 @@
     attempts: BTreeMap<&'static str, u64>,
     /// Attempts at upstreams with a rate limit.
     limited: u64,
-    /// Attempts at upstreams in a backoff that they requested.
-    in_backoff: u64,
 }
 
 /// Metrics by route.
@@ -59,11 +57,6 @@
         self.lock().limited += 1;
     }
 
-    /// Counts an attempt at an upstream in a backoff.
-    pub fn count_in_backoff(&self) {
-        self.lock().in_backoff += 1;
-    }
-
     /// Records the time until the first byte of an answer, or its first event.
     pub fn record_first_byte(&self, route: &str, took_ms: u64) {
         let mut inner = self.lock();
@@ -94,7 +87,6 @@
             writeln!(text, "clayplank_entry_attempts_total{{outcome=\"{outcome}\"}} {count}").ok();
         }
         writeln!(text, "clayplank_entry_limited_attempts_total {}", inner.limited).ok();
-        writeln!(text, "clayplank_entry_backoff_attempts_total {}", inner.in_backoff).ok();
         for (route, histogram) in &inner.first_byte {
             for quantile in QUANTILES {
                 let value = histogram.value_at_quantile(quantile);
--- a/clayplank-forward/src/permits.rs
+++ b/clayplank-forward/src/permits.rs
@@ -17,11 +17,6 @@
 /// of this length.
 const REDRAW_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Refusal of a request that no upstream accepts before a time.
-fn not_before(wait: Duration) -> Refusal {
-    Refusal::NotRun { retry_after_ms: wait.as_millis() as u64 }
-}
-
 /// Result of waiting for a permit.
 enum PermitWait {
     /// The request may be sent, and has been counted at the upstream.
@@ -113,3 +108,8 @@
         PermitWait::NotBefore(wait)
     }
 }
+
+/// Refusal of a request that no upstream accepts before a time.
+fn not_before(wait: Duration) -> Refusal {
+    Refusal::NotRun { retry_after_ms: wait.as_millis() as u64 }
+}
