--- a/clayplankd/tests/seeded/backoff.rs
+++ b/clayplankd/tests/seeded/backoff.rs
@@ -6,8 +6,9 @@
 use clayplank_standin::{Received, SharedSignals};
 use rstest::rstest;
 
-use crate::signals::{ENTRIES, SignalSystem, UpstreamKind};
-use crate::system::wait_for;
+use crate::failover::leader;
+use crate::signals::{ENTRIES, SignalSystem, UpstreamKind, plan_for_signals};
+use crate::system::{publish, wait_for};
 
 /// Backoff that an upstream requests.
 const BACKOFF: Duration = Duration::from_secs(3);
@@ -54,6 +55,7 @@
 #[rstest]
 #[case::engines(UpstreamKind::Engines)]
 #[case::service(UpstreamKind::Service)]
+#[case::unrepeatable(UpstreamKind::Unrepeatable)]
 fn no_host_sends_to_an_upstream_during_a_backoff_that_it_requested(#[case] kind: UpstreamKind) {
     let system = SignalSystem::start(kind);
     let mut max = 0;
@@ -71,6 +73,30 @@
     assert!(sent - served <= max_failed, "{served} of {sent} were served");
 }
 
+/// Hosts place prompts by themselves until the next leader is found.
+#[rstest]
+#[case::engines(UpstreamKind::Engines)]
+#[case::service(UpstreamKind::Service)]
+fn a_backoff_holds_while_the_leader_and_the_plan_change(#[case] kind: UpstreamKind) {
+    let mut system = SignalSystem::start(kind);
+    let killed = leader(&system.system);
+    let other = (killed + 1) % system.system.keepers.len();
+    let mut max = 0;
+    system.run_with_callers(|| {
+        std::thread::sleep(WARM_UP);
+        let refusing = &system.signals[1..];
+        refusing.iter().for_each(|signals| signals.request_backoff(BACKOFF, 1));
+        std::thread::sleep(BACKOFF / 4);
+        system.system.keepers[killed].signal("-KILL");
+        publish(&system.system.keepers[other], &plan_for_signals(3));
+        std::thread::sleep(BACKOFF);
+        max = refusing.iter().map(max_in_backoff).max().unwrap();
+    });
+    system.system.keepers[killed].kill();
+    println!("{max} requests of a host in a backoff");
+    assert!(max <= MAX_IN_BACKOFF, "{max} requests of a host in a backoff of {BACKOFF:?}");
+}
+
 /// Requests are refused at once with the end of the backoff as their retry time, unless it is within
 /// their goal, and served again after it.
 #[rstest]
--- a/clayplankd/tests/seeded/signals.rs
+++ b/clayplankd/tests/seeded/signals.rs
@@ -27,6 +27,8 @@
 pub enum UpstreamKind {
     Engines,
     Service,
+    /// A plain service whose requests must not run twice.
+    Unrepeatable,
 }
 
 impl UpstreamKind {
@@ -34,13 +36,17 @@
         match self {
             Self::Engines => "/prompt/x",
             Self::Service => "/repeatable/x",
+            Self::Unrepeatable => "/once/x",
         }
     }
 }
 
-fn plan_with_service() -> Value {
-    let mut plan = plan_with_engines(2, &EngineModel::default());
-    plan["routes"][0]["targets"] = json!([{ "service": LIMITED_SERVICE, "weight": 1 }]);
+/// A plan that routes the requests of all kinds of upstreams.
+pub fn plan_for_signals(version: u64) -> Value {
+    let mut plan = plan_with_engines(version, &EngineModel::default());
+    for route in 0..2 {
+        plan["routes"][route]["targets"] = json!([{ "service": LIMITED_SERVICE, "weight": 1 }]);
+    }
     plan
 }
 
@@ -62,12 +68,12 @@
                     let model = EngineModel::default();
                     system.start_engine_with(&id, last, model, signals.clone());
                 }
-                UpstreamKind::Service => {
+                UpstreamKind::Service | UpstreamKind::Unrepeatable => {
                     system.start_service_with(LIMITED_SERVICE, &id, last, signals.clone());
                 }
             }
         }
-        system.wait_for_plan(&plan_with_service());
+        system.wait_for_plan(&plan_for_signals(2));
         let started = Self { system, kind, signals };
         for entry in 0..ENTRIES {
             let mut number = 0;
