Test: a request does not wait for the rest of an answer of a replaced incarnation

One row of the waits on upstreams had no test. It fails, after the time limit of 3 s, where the wait for the body ignores that the upstream was replaced (tried, not committed).

--- a/clayplank-forward/tests/entry/replaced_upstreams.rs
+++ b/clayplank-forward/tests/entry/replaced_upstreams.rs
@@ -37,6 +37,22 @@
     (address, arrived)
 }
 
+/// Starts an upstream that sends its answer but for the end, and then nothing more.
+async fn stalled_upstream() -> (SocketAddr, oneshot::Receiver<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (begin, begun) = oneshot::channel();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut bytes = vec![0; 4_096];
+        assert!(stream.read(&mut bytes).await.unwrap() > 0);
+        stream.write_all(&ANSWER.as_bytes()[..ANSWER.len() - 2]).await.unwrap();
+        begin.send(()).unwrap();
+        std::future::pending::<()>().await;
+    });
+    (address, begun)
+}
+
 /// Starts an upstream that answers at once.
 async fn quick_upstream() -> SocketAddr {
     let (now, answers) = oneshot::channel();
@@ -107,6 +123,21 @@
     assert_eq!(pending.status().await, status);
 }
 
+#[rstest]
+#[case::repeatable(RequestKind::Repeatable, "HTTP/1.1 200 OK")]
+#[case::unrepeatable(RequestKind::Unrepeatable, "HTTP/1.1 502 Bad Gateway")]
+#[tokio::test]
+async fn a_request_does_not_wait_for_the_rest_of_an_answer_of_a_replaced_incarnation(
+    #[case] kind: RequestKind,
+    #[case] status: &str,
+) {
+    let (address, begun) = stalled_upstream().await;
+    let former = incarnation("u", 1, address);
+    let pending = PendingRequest::start(kind, &former, begun).await;
+    pending.directory.apply(vec![incarnation("u", 2, quick_upstream().await)]);
+    assert_eq!(pending.status().await, status);
+}
+
 /// The address alone distinguishes incarnations of an upstream that does not report its start time.
 #[tokio::test]
 async fn a_request_does_not_wait_once_another_upstream_has_the_address() {
