--- a/clayplankd/tests/seeded/limited.rs
+++ b/clayplankd/tests/seeded/limited.rs
@@ -147,20 +147,45 @@
     assert!(refused.header("retry-after").is_some());
 }
 
+/// Waits until consecutive requests at all hosts are served, as without limits.
+fn wait_until_unlimited(limited: &SignalSystem) {
+    const CONSECUTIVE_SERVED: usize = 40;
+    let (mut number, mut streak) = (0, 0);
+    wait_for("requests that are all served", || {
+        number += 1;
+        let is_served = limited.is_served(number % ENTRIES, &format!("after-{number}"));
+        streak = if is_served { streak + 1 } else { 0 };
+        streak >= CONSECUTIVE_SERVED
+    });
+}
+
 #[rstest]
 #[case::engines(UpstreamKind::Engines)]
 #[case::service(UpstreamKind::Service)]
 fn a_removed_limit_no_longer_applies(#[case] kind: UpstreamKind) {
-    const CONSECUTIVE_SERVED: usize = 40;
     let limited = SignalSystem::start(kind);
     limited.signals.iter().for_each(|limit| limit.set_limit(Some(LIMIT_PER_S)));
     limited.run_with_callers(|| std::thread::sleep(PROPAGATION_TIME));
     limited.signals.iter().for_each(|limit| limit.set_limit(None));
-    let (mut number, mut streak) = (0, 0);
-    wait_for("requests that are all served", || {
-        number += 1;
-        let is_served = limited.is_served(number % ENTRIES, &format!("after-{number}"));
-        streak = if is_served { streak + 1 } else { 0 };
-        streak >= CONSECUTIVE_SERVED
+    wait_until_unlimited(&limited);
+}
+
+/// The leader may end after it has accepted a report of a removed limit and before it has told the
+/// other keepers.
+#[rstest]
+#[case::engines(UpstreamKind::Engines)]
+#[case::service(UpstreamKind::Service)]
+fn a_limit_removed_while_the_leader_ends_no_longer_applies(#[case] kind: UpstreamKind) {
+    const REPORT_TIME: Duration = Duration::from_millis(400);
+    let mut limited = SignalSystem::start(kind);
+    let killed = leader(&limited.system);
+    limited.signals.iter().for_each(|limit| limit.set_limit(Some(LIMIT_PER_S)));
+    limited.run_with_callers(|| {
+        std::thread::sleep(PROPAGATION_TIME);
+        limited.signals.iter().for_each(|limit| limit.set_limit(None));
+        std::thread::sleep(REPORT_TIME);
+        limited.system.keepers[killed].signal("-KILL");
     });
+    wait_until_unlimited(&limited);
+    limited.system.keepers[killed].kill();
 }
