Soak: requests with further headers are built in one place

call_with_headers serves call_with_key and the callers of upstreams with a limit, which had written the key, the attempt and the deadline again.

--- a/clayplankd/tests/seeded/soak/limited.rs
+++ b/clayplankd/tests/seeded/soak/limited.rs
@@ -11,10 +11,9 @@
 use super::run::Shared;
 use super::schedule::ENTRIES;
 use crate::backoff::{MAX_IN_BACKOFF, count_late, max_in_backoff};
-use crate::client::call;
 use crate::limited::{max_allowed, max_in_window};
 use crate::signals::HOST_HEADER;
-use crate::system::{KEY, LIMITED_SERVICE, System};
+use crate::system::{LIMITED_SERVICE, System, call_with_headers};
 
 /// Limit of each upstream in requests per second.
 const LIMIT_PER_S: f64 = 2.0;
@@ -46,7 +45,6 @@
 
 /// Sends requests to one entry host until the run is finished.
 pub fn run_limited(shared: &Shared, entry: usize, seed: u64) {
-    let key = format!("Bearer {KEY}");
     for number in 0_u64.. {
         if shared.is_finished.load(Ordering::SeqCst) {
             return;
@@ -58,13 +56,8 @@
         let attempt = format!("limited-{seed}-{entry}-{number}");
         // A process that is started again knows nothing of earlier answers.
         let host = format!("{entry} {process:?}");
-        let headers = [
-            ("authorization", key.as_str()),
-            ("x-clayplank-attempt-id", attempt.as_str()),
-            ("x-clayplank-deadline-ms", "2000"),
-            (HOST_HEADER, host.as_str()),
-        ];
-        call(address, "POST", "/limited/x", &headers, &attempt);
+        let headers = [(HOST_HEADER, host.as_str())];
+        call_with_headers(address, &attempt, 2_000, "/limited/x", &headers, &attempt);
         std::thread::sleep(PAUSE);
     }
 }
--- a/clayplankd/tests/seeded/system.rs
+++ b/clayplankd/tests/seeded/system.rs
@@ -324,14 +324,27 @@
     deadline_ms: u64,
     path: &str,
     body: &str,
+) -> Answer {
+    call_with_headers(host, attempt, deadline_ms, path, &[], body)
+}
+
+/// Sends one request with the account's key and further headers, without repetition.
+pub fn call_with_headers(
+    host: SocketAddr,
+    attempt: &str,
+    deadline_ms: u64,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
 ) -> Answer {
     let (key, deadline_ms) = (format!("Bearer {KEY}"), deadline_ms.to_string());
-    let headers = [
+    let mut all = vec![
         ("authorization", key.as_str()),
         ("x-clayplank-attempt-id", attempt),
         ("x-clayplank-deadline-ms", deadline_ms.as_str()),
     ];
-    call(host, "POST", path, &headers, body)
+    all.extend_from_slice(headers);
+    call(host, "POST", path, &all, body)
 }
 
 /// Publishes a plan until the answer is definite. 503 means that no quorum accepted it in time, as
