Entry tests: one placer and one answering upstream for all

The tests of backoffs had written again what those of rate limits have: an upstream that answers with given heads, and a request with its answer; and each file had a placer of its own with the same empty methods. The harness has one of each now.

--- a/clayplank-forward/tests/entry/backoff.rs
+++ b/clayplank-forward/tests/entry/backoff.rs
@@ -1,20 +1,15 @@
 //! Backoffs that upstreams request, and upstreams that state that they are leaving.
 
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use clayplank_forward::{BoxFuture, Directory, EntryBuilder, PermitReply, Placer};
-use clayplank_placement::{
-    Assignment, EngineModel, Event, PlacementId, PlacementOutcome, PlacementRequest,
-};
-use clayplank_registry::{LimitObservation, Record};
+use clayplank_forward::{Directory, EntryBuilder, Placer};
+use clayplank_placement::{Assignment, EngineModel, Event, PlacementOutcome};
 use clayplank_routes::{RequestKind, Route, ServiceGroup};
 use clayplank_types::UpstreamId;
 use rstest::rstest;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
 
-use crate::harness::{Host, NoPlacer, plain_service, read_some, record, route};
+use crate::harness::{Host, TestPlacer, answering_upstream, plain_service, route};
 
 /// Head of a refusal by the upstream itself, to this attempt; tests append more headers.
 const REFUSAL: &str = "HTTP/1.1 503 Service Unavailable\r\nx-clayplank-attempt-id: a\r\n\
@@ -22,42 +17,13 @@
 
 const ANSWER: &str = "HTTP/1.1 200 OK\r\nx-clayplank-attempt-id: a\r\nx-clayplank-seal: s\r\n";
 
-/// Body of an answer, which is also one event.
-const BODY: &str = "id: 1\ndata: x\n\n";
-
-/// Starts an upstream that gives these answers, each to one request, and repeats the last one.
-async fn upstream(name: &str, answers: &[String]) -> Record {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let record = record(name, listener.local_addr().unwrap());
-    let answers = answers.to_vec();
-    tokio::spawn(async move {
-        let mut heads = answers.iter().chain(std::iter::repeat(&answers[answers.len() - 1]));
-        while let Ok((mut stream, _)) = listener.accept().await {
-            read_some(&mut stream).await;
-            let head = heads.next().unwrap();
-            let answer = format!("{head}content-length: {}\r\n\r\n{BODY}", BODY.len());
-            stream.write_all(answer.as_bytes()).await.unwrap();
-        }
-    });
-    record
-}
-
 /// Starts a host in front of plain upstreams.
 async fn host(directory: &Arc<Directory>, goal_ms: u64) -> Host {
     let route = Route { goal_ms, ..route(RequestKind::Unrepeatable) };
-    let (directory, placer) = (Arc::clone(directory), Arc::new(NoPlacer));
+    let (directory, placer) = (Arc::clone(directory), Arc::new(TestPlacer::default()));
     Host::start(EntryBuilder::default(), route, plain_service(), directory, placer).await
 }
 
-/// Sends a request and returns its answer.
-async fn call(host: &Host) -> String {
-    let mut caller = host.connect().await;
-    let request = "POST /x HTTP/1.1\r\nhost: dala.example\r\nx-clayplank-attempt-id: a\r\n\
-        x-clayplank-tokens: 100,10\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
-    caller.write_all(request.as_bytes()).await.unwrap();
-    read_some(&mut caller).await
-}
-
 /// Retry time of a refusal, in seconds.
 fn retry_after_s(answer: &str) -> f64 {
     let value = answer.split("retry-after: ").nth(1).and_then(|rest| rest.lines().next());
@@ -67,8 +33,8 @@
 /// The backoff left after an upstream gave this answer to a request.
 async fn backoff_after(answer: &str) -> Duration {
     let directory = Arc::new(Directory::default());
-    directory.apply(vec![upstream("u", &[answer.to_owned()]).await]);
-    call(&host(&directory, 300).await).await;
+    directory.apply(vec![answering_upstream("u", &[answer]).await]);
+    host(&directory, 300).await.call().await;
     directory.backoff_left(&UpstreamId::new("u"))
 }
 
@@ -127,10 +93,10 @@
 async fn a_refusal_states_the_end_of_the_backoff_if_no_other_upstream_is_left() {
     let refusal = format!("{REFUSAL}retry-after: 30\r\n");
     let directory = Arc::new(Directory::default());
-    directory.apply(vec![upstream("u", &[refusal, ANSWER.to_owned()]).await]);
+    directory.apply(vec![answering_upstream("u", &[&refusal, ANSWER]).await]);
     let host = host(&directory, 300).await;
     for _ in 0..2 {
-        let answer = call(&host).await;
+        let answer = host.call().await;
         assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
         let left_s = directory.backoff_left(&UpstreamId::new("u")).as_secs_f64();
         assert!((left_s..=30.0).contains(&retry_after_s(&answer)), "{answer}, {left_s} s left");
@@ -141,58 +107,33 @@
 async fn a_request_waits_for_the_end_of_a_backoff_that_leaves_time_to_answer_it() {
     let refusal = format!("{REFUSAL}retry-after: 0.3\r\n");
     let directory = Arc::new(Directory::default());
-    directory.apply(vec![upstream("u", &[refusal, ANSWER.to_owned()]).await]);
+    directory.apply(vec![answering_upstream("u", &[&refusal, ANSWER]).await]);
     let host = host(&directory, 60_000).await;
-    assert!(call(&host).await.starts_with("HTTP/1.1 503"));
-    let answer = call(&host).await;
+    assert!(host.call().await.starts_with("HTTP/1.1 503"));
+    let answer = host.call().await;
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     assert_eq!(directory.backoff_left(&UpstreamId::new("u")), Duration::ZERO);
 }
 
 /// Places prompts on engine `a`, which requests a backoff meanwhile, unless it is to be avoided.
-struct LatePlacer {
-    directory: Arc<Directory>,
-    ended: Mutex<Vec<(PlacementId, Event)>>,
-}
-
-impl Placer for LatePlacer {
-    fn place<'a>(&'a self, request: &'a PlacementRequest) -> BoxFuture<'a, PlacementOutcome> {
-        let first = UpstreamId::new("a");
-        let engine = if request.avoid.contains(&first) { UpstreamId::new("b") } else { first };
-        self.directory.record_backoff(&UpstreamId::new("a"), 60_000);
+fn late_placer(directory: Arc<Directory>) -> TestPlacer {
+    let first = UpstreamId::new("a");
+    TestPlacer::placing(move |request| {
+        let is_avoided = request.avoid.contains(&first);
+        let engine = if is_avoided { UpstreamId::new("b") } else { first.clone() };
+        directory.record_backoff(&first, 60_000);
         let (helpers, first_token_ms) = (Vec::new(), 10.0);
-        let assignment = Assignment { engine, helpers, first_token_ms };
-        Box::pin(std::future::ready(PlacementOutcome::At(assignment)))
-    }
-
-    fn record_event(&self, id: PlacementId, event: Event) {
-        self.ended.lock().unwrap().push((id, event));
-    }
-
-    fn record_limit(&self, _: &LimitObservation) {}
-
-    fn request_permit<'a>(
-        &'a self,
-        _: &'a LimitObservation,
-        _: Duration,
-    ) -> BoxFuture<'a, PermitReply> {
-        Box::pin(std::future::ready(PermitReply::Unknown))
-    }
-
-    fn next_id(&self) -> PlacementId {
-        PlacementId::default()
-    }
+        PlacementOutcome::At(Assignment { engine, helpers, first_token_ms })
+    })
 }
 
 #[tokio::test]
 async fn a_prompt_is_placed_anew_if_its_engine_requested_a_backoff_in_the_meantime() {
     let directory = Arc::new(Directory::default());
-    let refusal = REFUSAL.to_owned();
-    let (first, second) =
-        (upstream("a", &[refusal]).await, upstream("b", &[ANSWER.to_owned()]).await);
+    let first = answering_upstream("a", &[REFUSAL]).await;
+    let second = answering_upstream("b", &[ANSWER]).await;
     directory.apply(vec![first, second]);
-    let placer =
-        Arc::new(LatePlacer { directory: Arc::clone(&directory), ended: Mutex::default() });
+    let placer = Arc::new(late_placer(Arc::clone(&directory)));
     let service = ServiceGroup { engine: Some(EngineModel::default()), ..plain_service() };
     let host = Host::start(
         EntryBuilder::default(),
@@ -202,17 +143,17 @@
         Arc::clone(&placer) as Arc<dyn Placer>,
     )
     .await;
-    let answer = call(&host).await;
+    let answer = host.call().await;
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     // The placement on the first engine is released without counting as its failure.
-    assert_eq!(placer.ended.lock().unwrap()[0].1, Event::Ended);
+    assert_eq!(placer.events.lock().unwrap()[0], Event::Ended);
 }
 
 /// Whether an upstream counts as leaving after it gave this answer to a request.
 async fn is_leaving_after(answer: &str) -> bool {
     let directory = Arc::new(Directory::default());
-    directory.apply(vec![upstream("u", &[answer.to_owned()]).await]);
-    call(&host(&directory, 300).await).await;
+    directory.apply(vec![answering_upstream("u", &[answer]).await]);
+    host(&directory, 300).await.call().await;
     directory.is_leaving(&UpstreamId::new("u"))
 }
 
--- a/clayplank-forward/tests/entry/broken_stream.rs
+++ b/clayplank-forward/tests/entry/broken_stream.rs
@@ -5,17 +5,15 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use clayplank_forward::{BoxFuture, Directory, EntryBuilder, PermitReply, Placer};
-use clayplank_placement::{
-    Assignment, EngineModel, Event, HelperPart, PlacementId, PlacementOutcome, PlacementRequest,
-};
-use clayplank_registry::{Heartbeat, LimitObservation, Record};
+use clayplank_forward::{Directory, EntryBuilder};
+use clayplank_placement::{Assignment, EngineModel, HelperPart, PlacementOutcome};
+use clayplank_registry::{Heartbeat, Record};
 use clayplank_routes::{RequestKind, Route, ServiceGroup};
 use clayplank_types::{DataCentre, UpstreamId};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::harness::{Host, PathCommands, plain_service, read_some, record, route};
+use crate::harness::{Host, PathCommands, TestPlacer, plain_service, read_some, record, route};
 
 /// One complete event and the start of another; the engine closes the connection amid the second.
 const TRUNCATED_STREAM: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
@@ -27,47 +25,21 @@
 
 /// Places a prompt once, on `writer` with a reservation at `helper`. Later requests find no capacity, so
 /// that no other engine resumes the stream.
-struct SinglePlacement {
-    requests: AtomicU64,
-    steps: StepLog,
-}
-
-impl Placer for SinglePlacement {
-    fn place<'a>(&'a self, _: &'a PlacementRequest) -> BoxFuture<'a, PlacementOutcome> {
-        let placed = match self.requests.fetch_add(1, Ordering::SeqCst) {
-            0 => PlacementOutcome::At(Assignment {
-                engine: UpstreamId::new("writer"),
-                helpers: vec![HelperPart {
-                    engine: UpstreamId::new("helper"),
-                    reserve_tokens: 1_000,
-                }],
-                first_token_ms: 10.0,
-            }),
-            number => {
-                if number == 3 {
-                    self.steps.lock().unwrap().push("still waits");
-                }
-                PlacementOutcome::Full { retry_after_ms: 100 }
+fn single_placement(steps: StepLog) -> TestPlacer {
+    let requests = AtomicU64::new(0);
+    TestPlacer::placing(move |_| match requests.fetch_add(1, Ordering::SeqCst) {
+        0 => PlacementOutcome::At(Assignment {
+            engine: UpstreamId::new("writer"),
+            helpers: vec![HelperPart { engine: UpstreamId::new("helper"), reserve_tokens: 1_000 }],
+            first_token_ms: 10.0,
+        }),
+        number => {
+            if number == 3 {
+                steps.lock().unwrap().push("still waits");
             }
-        };
-        Box::pin(std::future::ready(placed))
-    }
-
-    fn record_event(&self, _: PlacementId, _: Event) {}
-
-    fn record_limit(&self, _: &LimitObservation) {}
-
-    fn request_permit<'a>(
-        &'a self,
-        _: &'a LimitObservation,
-        _: Duration,
-    ) -> BoxFuture<'a, PermitReply> {
-        Box::pin(std::future::ready(PermitReply::Unknown))
-    }
-
-    fn next_id(&self) -> PlacementId {
-        PlacementId::default()
-    }
+            PlacementOutcome::Full { retry_after_ms: 100 }
+        }
+    })
 }
 
 /// Sends `answer` on every connection, and logs the reservations and releases received.
@@ -109,8 +81,7 @@
             None => tokio::spawn(accept_without_answer(writer, Arc::clone(&steps))),
         };
         tokio::spawn(serve(helper, empty, Some(Arc::clone(&steps))));
-        let placer =
-            Arc::new(SinglePlacement { requests: AtomicU64::new(0), steps: Arc::clone(&steps) });
+        let placer = Arc::new(single_placement(Arc::clone(&steps)));
         let builder = EntryBuilder::default()
             .command_format(Arc::new(PathCommands))
             .data_centre(DataCentre::new("a"));
--- a/clayplank-forward/tests/entry/connection_limit.rs
+++ b/clayplank-forward/tests/entry/connection_limit.rs
@@ -6,7 +6,7 @@
 use clayplank_forward::{Directory, EntryBuilder};
 use clayplank_routes::RequestKind;
 
-use crate::harness::{Host, NoPlacer, plain_service, route};
+use crate::harness::{Host, TestPlacer, plain_service, route};
 
 /// Time within which a change of readiness must show: load balancers probe about once a second.
 const READINESS_TIMEOUT: Duration = Duration::from_secs(1);
@@ -17,7 +17,7 @@
         route(RequestKind::Repeatable),
         plain_service(),
         Arc::new(Directory::default()),
-        Arc::new(NoPlacer),
+        Arc::new(TestPlacer::default()),
     )
     .await
 }
--- a/clayplank-forward/tests/entry/harness.rs
+++ b/clayplank-forward/tests/entry/harness.rs
@@ -1,7 +1,7 @@
 //! An entry host in the test's process, with the routes, upstreams and placers that the tests share.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,31 +16,63 @@
 };
 use http::Request;
 use http_body_util::Full;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 /// Name of the service behind the only route of each plan.
 const SERVICE: &str = "app";
 
-/// A placer without engines: every request finds no capacity.
-pub struct NoPlacer;
+/// A placer whose answers a test defines. By default it has no engines and grants no permits: every
+/// request finds no capacity.
+pub struct TestPlacer {
+    place: Box<dyn Fn(&PlacementRequest) -> PlacementOutcome + Send + Sync>,
+    permit: Box<dyn Fn(Duration) -> PermitReply + Send + Sync>,
+    /// Events of placements, in order.
+    pub events: Mutex<Vec<Event>>,
+}
 
-impl Placer for NoPlacer {
-    fn place<'a>(&'a self, _: &'a PlacementRequest) -> BoxFuture<'a, PlacementOutcome> {
-        Box::pin(std::future::ready(PlacementOutcome::Full { retry_after_ms: 100 }))
+impl Default for TestPlacer {
+    fn default() -> Self {
+        Self {
+            place: Box::new(|_| PlacementOutcome::Full { retry_after_ms: 100 }),
+            permit: Box::new(|_| PermitReply::Unknown),
+            events: Mutex::default(),
+        }
+    }
+}
+
+impl TestPlacer {
+    /// A placer that answers placement requests with `place`.
+    pub fn placing(
+        place: impl Fn(&PlacementRequest) -> PlacementOutcome + Send + Sync + 'static,
+    ) -> Self {
+        Self { place: Box::new(place), ..Self::default() }
     }
 
-    fn record_event(&self, _: PlacementId, _: Event) {}
+    /// A placer that answers requests for permits, which have a time-out, with `permit`.
+    pub fn permitting(permit: impl Fn(Duration) -> PermitReply + Send + Sync + 'static) -> Self {
+        Self { permit: Box::new(permit), ..Self::default() }
+    }
+}
+
+impl Placer for TestPlacer {
+    fn place<'a>(&'a self, request: &'a PlacementRequest) -> BoxFuture<'a, PlacementOutcome> {
+        Box::pin(std::future::ready((self.place)(request)))
+    }
+
+    fn record_event(&self, _: PlacementId, event: Event) {
+        self.events.lock().unwrap().push(event);
+    }
 
     fn record_limit(&self, _: &LimitObservation) {}
 
     fn request_permit<'a>(
         &'a self,
         _: &'a LimitObservation,
-        _: Duration,
+        timeout: Duration,
     ) -> BoxFuture<'a, PermitReply> {
-        Box::pin(std::future::ready(PermitReply::Unknown))
+        Box::pin(std::future::ready((self.permit)(timeout)))
     }
 
     fn next_id(&self) -> PlacementId {
@@ -139,6 +171,40 @@
     pub async fn connect(&self) -> TcpStream {
         TcpStream::connect(self.caller_address).await.unwrap()
     }
+
+    /// Sends a request of attempt `a` on a new connection.
+    pub async fn send(&self) -> TcpStream {
+        let mut caller = self.connect().await;
+        let request = "POST /x HTTP/1.1\r\nhost: dala.example\r\nx-clayplank-attempt-id: a\r\n\
+            x-clayplank-tokens: 100,10\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+        caller.write_all(request.as_bytes()).await.unwrap();
+        caller
+    }
+
+    /// Sends a request and returns its answer.
+    pub async fn call(&self) -> String {
+        read_some(&mut self.send().await).await
+    }
+}
+
+/// Body of the answers of an [`answering_upstream`], which is also one event.
+const ANSWER_BODY: &str = "id: 1\ndata: x\n\n";
+
+/// Starts an upstream that answers with these heads, each to one request, and repeats the last one.
+pub async fn answering_upstream(name: &str, heads: &[&str]) -> Record {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let record = record(name, listener.local_addr().unwrap());
+    let heads: Vec<_> = heads.iter().map(|head| (*head).to_owned()).collect();
+    tokio::spawn(async move {
+        let mut heads = heads.iter().chain(std::iter::repeat(&heads[heads.len() - 1]));
+        while let Ok((mut stream, _)) = listener.accept().await {
+            read_some(&mut stream).await;
+            let (head, length) = (heads.next().unwrap(), ANSWER_BODY.len());
+            let answer = format!("{head}content-length: {length}\r\n\r\n{ANSWER_BODY}");
+            stream.write_all(answer.as_bytes()).await.unwrap();
+        }
+    });
+    record
 }
 
 /// A service without engines.
--- a/clayplank-forward/tests/entry/quarantine.rs
+++ b/clayplank-forward/tests/entry/quarantine.rs
@@ -14,7 +14,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
-use crate::harness::{Host, NoPlacer, plain_service, record, route};
+use crate::harness::{Host, TestPlacer, plain_service, record, route};
 
 /// API key that all callers send; the route needs none.
 const API_KEY: &str = "a-secret-key";
@@ -107,7 +107,7 @@
             Route { time_limit_ms: 5_000, ..route(RequestKind::Repeatable) },
             plain_service(),
             Arc::clone(&directory),
-            Arc::new(NoPlacer),
+            Arc::new(TestPlacer::default()),
         )
         .await;
         Self { host, directory, authority, requests }
--- a/clayplank-forward/tests/entry/rate_limits.rs
+++ b/clayplank-forward/tests/entry/rate_limits.rs
@@ -4,15 +4,16 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use clayplank_forward::{BoxFuture, Directory, EntryBuilder, PermitReply, Placer, now_ms};
-use clayplank_placement::{Event, PlacementId, PlacementOutcome, PlacementRequest};
+use clayplank_forward::{Directory, EntryBuilder, PermitReply, now_ms};
 use clayplank_registry::{Heartbeat, LimitObservation, Record};
 use clayplank_routes::{RequestKind, Route};
 use clayplank_types::{DataCentre, UpstreamId};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 
-use crate::harness::{Host, NoPlacer, plain_service, read_some, record, route};
+use crate::harness::{
+    Host, TestPlacer, answering_upstream, plain_service, read_some, record, route,
+};
 
 /// Start of the head of an answer by the upstream itself, to this attempt; tests append more headers.
 const HEAD_WITHOUT_LIMIT: &str =
@@ -20,34 +21,18 @@
 
 /// The limit known after an upstream gave these answers, each to one request.
 async fn limit_after(answers: &[&str]) -> Option<f64> {
-    let responses: Vec<_> = answers.iter().map(|answer| (*answer).to_owned()).collect();
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let directory = Arc::new(Directory::default());
-    directory.apply(vec![record("u", listener.local_addr().unwrap())]);
-    tokio::spawn(async move {
-        for answer in responses {
-            let (mut stream, _) = listener.accept().await.unwrap();
-            read_some(&mut stream).await;
-            stream
-                .write_all(format!("{answer}content-length: 2\r\n\r\nok").as_bytes())
-                .await
-                .unwrap();
-        }
-    });
+    directory.apply(vec![answering_upstream("u", answers).await]);
     let host = Host::start(
         EntryBuilder::default(),
         route(RequestKind::Unrepeatable),
         plain_service(),
         Arc::clone(&directory),
-        Arc::new(NoPlacer),
+        Arc::new(TestPlacer::default()),
     )
     .await;
     for _ in answers {
-        let mut caller = host.connect().await;
-        let request = "POST /x HTTP/1.1\r\nhost: dala.example\r\nx-clayplank-attempt-id: a\r\n\
-            connection: close\r\ncontent-length: 0\r\n\r\n";
-        caller.write_all(request.as_bytes()).await.unwrap();
-        read_some(&mut caller).await;
+        host.call().await;
     }
     directory.limit(&UpstreamId::new("u"))?.requests_per_s
 }
@@ -91,35 +76,15 @@
 }
 
 /// Grants no permit at once: each request that waits gets one after the next of these delays.
-struct DelayedPermits {
-    delays: Mutex<Vec<Duration>>,
-}
-
-impl Placer for DelayedPermits {
-    fn place<'a>(&'a self, _: &'a PlacementRequest) -> BoxFuture<'a, PlacementOutcome> {
-        Box::pin(std::future::ready(PlacementOutcome::Full { retry_after_ms: 100 }))
-    }
-
-    fn record_event(&self, _: PlacementId, _: Event) {}
-
-    fn record_limit(&self, _: &LimitObservation) {}
-
-    fn request_permit<'a>(
-        &'a self,
-        _: &'a LimitObservation,
-        timeout: Duration,
-    ) -> BoxFuture<'a, PermitReply> {
-        let turn = if timeout.is_zero() {
+fn delayed_permits(delays: Vec<Duration>) -> TestPlacer {
+    let delays = Mutex::new(delays);
+    TestPlacer::permitting(move |timeout| {
+        if timeout.is_zero() {
             PermitReply::NotBefore(Duration::from_millis(50))
         } else {
-            PermitReply::After(self.delays.lock().unwrap().remove(0))
-        };
-        Box::pin(std::future::ready(turn))
-    }
-
-    fn next_id(&self) -> PlacementId {
-        PlacementId::default()
-    }
+            PermitReply::After(delays.lock().unwrap().remove(0))
+        }
+    })
 }
 
 /// Starts an upstream in a data centre that counts its connections and answers each.
@@ -153,20 +118,17 @@
             at_ms: now_ms(),
         });
     }
-    let delays = Mutex::new(vec![Duration::from_millis(300), Duration::ZERO]);
+    let delays = vec![Duration::from_millis(300), Duration::ZERO];
     let route = Route { goal_ms: 2_000, ..route(RequestKind::Unrepeatable) };
     let host = Host::start(
         EntryBuilder::default(),
         route,
         plain_service(),
         Arc::clone(&directory),
-        Arc::new(DelayedPermits { delays }),
+        Arc::new(delayed_permits(delays)),
     )
     .await;
-    let mut caller = host.connect().await;
-    let request = "POST /x HTTP/1.1\r\nhost: dala.example\r\nx-clayplank-attempt-id: a\r\n\
-        connection: close\r\ncontent-length: 0\r\n\r\n";
-    caller.write_all(request.as_bytes()).await.unwrap();
+    let mut caller = host.send().await;
     tokio::time::sleep(Duration::from_millis(100)).await;
     directory.set_cordoned([DataCentre::new("emptied")].into());
     let answer = read_some(&mut caller).await;
--- a/clayplank-forward/tests/entry/replaced_upstreams.rs
+++ b/clayplank-forward/tests/entry/replaced_upstreams.rs
@@ -11,7 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 
-use crate::harness::{Host, NoPlacer, plain_service, record, route};
+use crate::harness::{Host, TestPlacer, plain_service, record, route};
 
 const ANSWER: &str = "HTTP/1.1 200 OK\r\nx-clayplank-attempt-id: a\r\nx-clayplank-seal: s\r\n\
     content-length: 15\r\n\r\nid: 1\ndata: x\n\n";
@@ -87,7 +87,7 @@
         directory.apply(vec![at.clone()]);
         // Keeps the host from abandoning an unresponsive upstream before the time limit.
         let route = Route { time_limit_ms: 3_000, goal_ms: 3_000, ..route(kind) };
-        let placer = Arc::new(NoPlacer);
+        let placer = Arc::new(TestPlacer::default());
         let host =
             Host::start(EntryBuilder::default(), route, plain_service(), directory.clone(), placer)
                 .await;
--- a/clayplank-forward/tests/entry/slow_readers.rs
+++ b/clayplank-forward/tests/entry/slow_readers.rs
@@ -10,7 +10,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
-use crate::harness::{Host, NoPlacer, plain_service, record, route};
+use crate::harness::{Host, TestPlacer, plain_service, record, route};
 
 const MIB: usize = 1 << 20;
 
@@ -96,7 +96,7 @@
         limits,
     };
     let builder = EntryBuilder::default().max_buffered_bytes(MAX_HELD_BYTES);
-    Host::start_with_plan(builder, plan, directory, Arc::new(NoPlacer)).await
+    Host::start_with_plan(builder, plan, directory, Arc::new(TestPlacer::default())).await
 }
 
 fn request(path: &str, attempt: &str, body_bytes: usize) -> String {
--- a/clayplank-forward/tests/entry/suspended.rs
+++ b/clayplank-forward/tests/entry/suspended.rs
@@ -12,7 +12,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::harness::{Host, NoPlacer, plain_service, read_some, record, route};
+use crate::harness::{Host, TestPlacer, plain_service, read_some, record, route};
 
 /// Time for which a plan is valid after a confirmation by a keeper, in ms.
 const LEASE_MS: u64 = 4_000;
@@ -62,7 +62,7 @@
         Route { max_attempts: 1, ..route(RequestKind::Unrepeatable) },
         plain_service(),
         directory,
-        Arc::new(NoPlacer),
+        Arc::new(TestPlacer::default()),
     )
     .await;
     let mut caller = host.connect().await;
