Tests of what upstreams state wait for an answer of these upstreams at each host

Traced with the hosts' lines in 24 plays beside the same load, three of which failed (184 of 192, 186 of 192, 192 of 197; the first and the last were looked through): the requests beyond the four are the first ones, refused for want of any upstream 2 s before the first backoff.

Cause: the system counted as started once each host had served a request, but under the former plan another service serves that path. A host then took in the plan before it knew the upstreams.

Now the start waits until one of these upstreams has received a request of each host.

--- a/clayplankd/tests/seeded/signals.rs
+++ b/clayplankd/tests/seeded/signals.rs
@@ -77,14 +77,22 @@
         let started = Self { system, kind, signals };
         for entry in 0..ENTRIES {
             let mut number = 0;
-            wait_for("an answer at each host", || {
+            // Other upstreams may answer while a host has the former plan.
+            wait_for("an answer of these upstreams at each host", || {
                 number += 1;
-                started.is_served(entry, &format!("first-{entry}-{number}"))
+                let is_served = started.is_served(entry, &format!("first-{entry}-{number}"));
+                is_served && started.has_received_from(entry)
             });
         }
         started
     }
 
+    /// Whether an upstream has received a request of an entry host.
+    fn has_received_from(&self, entry: usize) -> bool {
+        let host = entry.to_string();
+        self.signals.iter().any(|one| one.received().iter().any(|received| received.host == host))
+    }
+
     pub fn is_served(&self, entry: usize, attempt: &str) -> bool {
         let answer = self.request(entry, attempt);
         answer.status == 200 && answer.is_complete
