Observe which upstreams a host reaches

The logs could not tell a host that is cut off from all upstreams from one that misses a single one. Connections to upstreams are now opened in one place (clayplank-connect), which counts them and logs when a host reaches none, and when it reaches one again. A host may have an address of its own for these connections (source_ip), as one with several addresses needs it.

--- /dev/null
+++ b/clayplank-connect/src/reachability.rs
@@ -0,0 +1,57 @@
+//! Which upstreams this host reaches, as its latest connections show.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// A host that failed to connect to this many upstreams, and to none successfully since, is cut off:
+/// a single one may have failed by itself.
+const MIN_FAILED_UPSTREAMS: usize = 2;
+
+/// Time for which a failed connection counts without a further one, in ms.
+const FAILURE_RETENTION_MS: u64 = 10_000;
+
+/// Results of the latest connections to upstreams.
+#[derive(Clone, Debug, Default)]
+pub struct Reachability {
+    /// Time of the latest failed connection to each upstream that has not been connected to since,
+    /// in ms.
+    failed_at_ms: HashMap<SocketAddr, u64>,
+    /// Time of the latest connection to any upstream, in ms.
+    connected_at_ms: u64,
+}
+
+impl Reachability {
+    /// Records a connection to an upstream.
+    pub fn record_connected(&mut self, now_ms: u64, address: SocketAddr) {
+        self.failed_at_ms.remove(&address);
+        self.connected_at_ms = now_ms;
+    }
+
+    /// Records a connection that was refused or not answered.
+    pub fn record_failed(&mut self, now_ms: u64, address: SocketAddr) {
+        self.failed_at_ms.retain(|_, failed_at_ms| is_recent(now_ms, *failed_at_ms));
+        self.failed_at_ms.insert(address, now_ms);
+    }
+
+    /// Whether the latest connection to an upstream failed.
+    pub fn has_failed(&self, now_ms: u64, address: SocketAddr) -> bool {
+        self.failed_at_ms.get(&address).is_some_and(|failed_at_ms| is_recent(now_ms, *failed_at_ms))
+    }
+
+    /// Number of upstreams to which the latest connection failed.
+    pub fn count_failed(&self, now_ms: u64) -> usize {
+        self.failed_at_ms.values().filter(|failed_at_ms| is_recent(now_ms, **failed_at_ms)).count()
+    }
+
+    /// Whether this host seems to reach no upstream.
+    pub fn is_cut_off(&self, now_ms: u64) -> bool {
+        let failed_since = self.failed_at_ms.values().filter(|failed_at_ms| {
+            is_recent(now_ms, **failed_at_ms) && **failed_at_ms >= self.connected_at_ms
+        });
+        failed_since.count() >= MIN_FAILED_UPSTREAMS
+    }
+}
+
+fn is_recent(now_ms: u64, failed_at_ms: u64) -> bool {
+    now_ms < failed_at_ms + FAILURE_RETENTION_MS
+}
--- a/clayplank-forward/tests/keepalive.rs
+++ b/clayplank-connect/tests/keepalive.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use clayplank_forward::connect;
+use clayplank_connect::Connector;
 use socket2::SockRef;
 use tokio::net::TcpListener;
 
@@ -14,7 +14,8 @@
 #[tokio::test]
 async fn an_idle_connection_is_probed_until_its_peer_counts_as_dead() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let stream = connect(listener.local_addr().unwrap()).await.unwrap();
+    let connector = Connector::default();
+    let stream = connector.connect(listener.local_addr().unwrap()).await.unwrap();
     let socket = SockRef::from(&stream);
     assert!(socket.keepalive().unwrap());
     let (first, interval) =
--- /dev/null
+++ b/clayplank-connect/tests/reachability.rs
@@ -0,0 +1,45 @@
+//! When a host counts as cut off from its upstreams.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::net::SocketAddr;
+
+use clayplank_connect::Reachability;
+
+fn upstream(number: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], number))
+}
+
+#[test]
+fn one_unreached_upstream_does_not_cut_a_host_off() {
+    let mut reachability = Reachability::default();
+    for now_ms in [0, 400, 800] {
+        reachability.record_failed(now_ms, upstream(1));
+    }
+    assert!(!reachability.is_cut_off(900));
+    assert!(reachability.has_failed(900, upstream(1)));
+    assert!(!reachability.has_failed(900, upstream(2)));
+}
+
+#[test]
+fn a_host_that_reaches_some_upstreams_is_not_cut_off() {
+    let mut reachability = Reachability::default();
+    for round in 0..10 {
+        let now_ms = round * 100;
+        reachability.record_failed(now_ms, upstream(1));
+        reachability.record_failed(now_ms + 1, upstream(2));
+        reachability.record_connected(now_ms + 2, upstream(3));
+        assert!(!reachability.is_cut_off(now_ms + 3));
+    }
+    assert_eq!(reachability.count_failed(1_000), 2);
+}
+
+#[test]
+fn old_failures_do_not_count() {
+    let mut reachability = Reachability::default();
+    reachability.record_failed(0, upstream(1));
+    reachability.record_failed(1, upstream(2));
+    assert!(reachability.is_cut_off(9_000));
+    assert!(!reachability.is_cut_off(11_000));
+    assert!(!reachability.has_failed(11_000, upstream(1)));
+}
--- a/clayplank-forward/src/attempt.rs
+++ b/clayplank-forward/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt: sends a request to an upstream and classifies the head of the response.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -71,7 +72,8 @@
         self.count_sent();
         self.log_limited(&upstream);
         let sent_ms = now_ms();
-        let sent = exchange(record.heartbeat.address, request);
+        let entry = Arc::clone(&self.entry);
+        let sent = exchange(&entry.connector, record.heartbeat.address, request);
         let sent = load.unless_replaced(clayplank_clock::timeout(timeout, sent)).await;
         let Some(sent) = sent else {
             return self.record_unanswered(
--- a/clayplank-forward/src/choice.rs
+++ b/clayplank-forward/src/choice.rs
@@ -1,6 +1,7 @@
 //! Chooses the upstream of an attempt and reserves memory at helpers where needed.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use clayplank_placement::{
     Assignment, Event, HelperPart, MIN_GOAL_MS, PlacementOutcome, PlacementRequest,
@@ -12,7 +13,7 @@
 use crate::load::LoadGuard;
 use crate::queue_quota::QueuePermit;
 use crate::refusal::Refusal;
-use crate::reserve::{Reservation, Ticket};
+use crate::reserve::{CommandSender, Reservation, Ticket};
 
 /// Retry time sent to callers if no upstream is known, in ms; about one heartbeat interval of
 /// upstreams.
@@ -211,7 +212,8 @@
     async fn reserve(&self, load: &mut LoadGuard, helpers: &[Helper]) -> Option<()> {
         let tickets: Vec<_> = helpers.iter().filter_map(|helper| helper.ticket.clone()).collect();
         if !tickets.is_empty() {
-            let commands = self.entry.commands.clone()?;
+            let format = self.entry.commands.clone()?;
+            let commands = CommandSender { connector: Arc::clone(&self.entry.connector), format };
             load.set_reservation(Reservation::make(commands, tickets).await?);
         }
         Some(())
--- a/clayplank-forward/src/entry.rs
+++ b/clayplank-forward/src/entry.rs
@@ -3,6 +3,7 @@
 use std::fmt::Write as _;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use clayplank_connect::Connector;
 use clayplank_types::{DataCentre, QuarantinedRequest};
 
 use crate::budget::{BudgetLimits, RetryBudget};
@@ -37,6 +38,8 @@
     pub(crate) gate: Arc<Gate>,
     pub(crate) directory: Arc<Directory>,
     pub(crate) placer: Arc<dyn Placer>,
+    /// Opens connections to upstreams.
+    pub(crate) connector: Arc<Connector>,
     /// Format of commands by which engines reserve memory; `None` if no engine supports them.
     pub(crate) commands: Option<Arc<dyn CommandFormat>>,
     pub(crate) budget: Mutex<RetryBudget>,
@@ -67,6 +70,7 @@
     max_connections: Option<usize>,
     max_buffered_bytes: Option<usize>,
     queue_limits: Option<QueueLimits>,
+    connector: Arc<Connector>,
 }
 
 impl std::fmt::Debug for EntryBuilder {
@@ -126,6 +130,12 @@
         self
     }
 
+    /// Sets the connector that opens connections to upstreams.
+    pub fn connector(mut self, connector: Arc<Connector>) -> Self {
+        self.connector = connector;
+        self
+    }
+
     /// Builds the entry host.
     pub fn build(
         self,
@@ -144,6 +154,7 @@
             gate,
             directory,
             placer,
+            connector: self.connector,
             commands: self.command_format,
             budget: Mutex::new(budget),
             metrics: Metrics::default(),
@@ -191,11 +202,12 @@
         let in_backoff = self.directory.count_in_backoff();
         let leaving = self.directory.count_leaving();
         let mut text = format!(
-            "{}clayplank_entry_held_back {quarantined}\nclayplank_entry_held_bytes {buffered_bytes}\n\
+            "{}{}clayplank_entry_held_back {quarantined}\nclayplank_entry_held_bytes {buffered_bytes}\n\
              clayplank_entry_limited_upstreams {limited}\n\
              clayplank_entry_upstreams_in_backoff {in_backoff}\n\
              clayplank_entry_leaving_upstreams {leaving}\n",
-            self.metrics.to_text()
+            self.metrics.to_text(),
+            self.connector.metrics_text()
         );
         for (route, leaving_time) in self.leaving_times.learned() {
             let leaving_ms = leaving_time.as_millis();
--- a/clayplank-forward/src/exchange.rs
+++ b/clayplank-forward/src/exchange.rs
@@ -5,29 +5,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use clayplank_connect::Connector;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use socket2::TcpKeepalive;
-use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 
-/// Time-out for opening a connection; many times the round trip to the farthest data centre of a
-/// region.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// A connection is closed if the peer does not acknowledge bytes for this time.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(4);
-
-/// Idle time after which a connection is probed, and the interval between probes.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
-
-/// A connection is closed after this many unanswered probes, unless the operating system applies
-/// the time-out for unacknowledged bytes to probes too.
-const MAX_UNANSWERED_PROBES: u32 = 2;
-
 /// Maximum size of a response head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
@@ -66,50 +51,19 @@
     }
 }
 
-/// Opens a connection with the time-outs that all sockets of this process have.
-///
-/// # Errors
-/// The peer refused the connection, or did not answer in time.
-pub async fn connect(address: SocketAddr) -> Result<TcpStream, std::io::Error> {
-    let socket = TcpSocket::new_v4()?;
-    let stream = clayplank_clock::timeout(CONNECT_TIMEOUT, socket.connect(address))
-        .await
-        .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
-    set_socket_timeouts(&stream);
-    Ok(stream)
-}
-
 /// Whether connections to an address are refused because nothing listens there.
-pub(crate) async fn is_refused(address: SocketAddr) -> bool {
-    let refused = connect(address).await.err();
+pub(crate) async fn is_refused(connector: &Connector, address: SocketAddr) -> bool {
+    let refused = connector.connect(address).await.err();
     refused.is_some_and(|error| error.kind() == ErrorKind::ConnectionRefused)
 }
 
-/// Closes a connection whose peer host is unresponsive, even while nothing is sent: a running host
-/// answers probes however busy its program is.
-pub(crate) fn set_socket_timeouts(stream: &TcpStream) {
-    let socket = socket2::SockRef::from(stream);
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!(target: "forward", "Could not set TCP_NODELAY on a socket: {error}.");
-    }
-    let probes = TcpKeepalive::new()
-        .with_time(PROBE_INTERVAL)
-        .with_interval(PROBE_INTERVAL)
-        .with_retries(MAX_UNANSWERED_PROBES);
-    let configured = socket
-        .set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
-        .and_then(|()| socket.set_tcp_keepalive(&probes));
-    if let Err(error) = configured {
-        log::debug!(target: "forward", "Could not set the time-outs of a socket: {error}.");
-    }
-}
-
 /// Sends a request and waits for the head of the response.
 pub(crate) async fn exchange(
+    connector: &Connector,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
 ) -> Result<(Response<Incoming>, Connection), ExchangeError> {
-    let stream = connect(address).await.map_err(ExchangeError::Connect)?;
+    let stream = connector.connect(address).await.map_err(ExchangeError::Connect)?;
     let (mut sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(stream))
@@ -131,12 +85,13 @@
 /// # Errors
 /// No complete response came in time.
 pub async fn request_complete(
+    connector: &Connector,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
     timeout: Duration,
 ) -> Result<(StatusCode, Bytes), CallError> {
     let call = async {
-        let (response, _connection) = exchange(address, request).await?;
+        let (response, _connection) = exchange(connector, address, request).await?;
         let status = response.status();
         let body = response.into_body().collect().await.map_err(CallError::BrokenOff)?;
         Ok((status, body.to_bytes()))
--- a/clayplank-forward/src/listener.rs
+++ b/clayplank-forward/src/listener.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use clayplank_connect::set_socket_timeouts;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -17,7 +18,6 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 
 use crate::entry::Entry;
-use crate::exchange::set_socket_timeouts;
 
 /// Maximum number of open connections for small requests; each takes a file descriptor and some
 /// memory.
--- a/clayplank-forward/src/reserve.rs
+++ b/clayplank-forward/src/reserve.rs
@@ -12,6 +12,7 @@
 
 use bytes::Bytes;
 use clayplank_clock::Instant;
+use clayplank_connect::Connector;
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use tokio::sync::oneshot;
@@ -46,6 +47,21 @@
     fn release(&self, ticket: &str) -> Request<Full<Bytes>>;
 }
 
+/// Sends commands to engines.
+#[derive(Clone)]
+pub struct CommandSender {
+    /// Opens the connections to engines.
+    pub connector: Arc<Connector>,
+    /// Format of the commands.
+    pub format: Arc<dyn CommandFormat>,
+}
+
+impl std::fmt::Debug for CommandSender {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("CommandSender").finish_non_exhaustive()
+    }
+}
+
 /// A reservation of memory at one engine.
 #[derive(Clone, Debug)]
 pub struct Ticket {
@@ -67,7 +83,7 @@
 impl Reservation {
     /// Reserves memory at all engines in parallel; `None` if one of them has no room. In that case
     /// memory that was reserved is released.
-    pub async fn make(commands: Arc<dyn CommandFormat>, tickets: Vec<Ticket>) -> Option<Self> {
+    pub async fn make(commands: CommandSender, tickets: Vec<Ticket>) -> Option<Self> {
         let (keep_alive, released) = oneshot::channel();
         let (result_sender, result) = oneshot::channel();
         // From here on, dropping it releases what may have been reserved.
@@ -98,7 +114,7 @@
 /// Reserves memory, reports whether all engines had room, renews the reservation while `released`
 /// is open, and then releases it.
 async fn maintain(
-    commands: Arc<dyn CommandFormat>,
+    commands: CommandSender,
     tickets: Vec<Ticket>,
     result: oneshot::Sender<bool>,
     mut released: oneshot::Receiver<()>,
@@ -107,7 +123,7 @@
         .into_iter()
         .map(|ticket| TicketState { ticket, last_unanswered_at: None })
         .collect();
-    let is_reserved = reserve_all(&*commands, &mut states).await;
+    let is_reserved = reserve_all(&commands, &mut states).await;
     // If the caller has disconnected meanwhile, nothing receives this, and the memory is released.
     result.send(is_reserved).ok();
     loop {
@@ -116,20 +132,20 @@
             _ = &mut released => break,
             () = clayplank_clock::sleep(RENEW_INTERVAL) => {}
         }
-        if !reserve_all(&*commands, &mut states).await {
+        if !reserve_all(&commands, &mut states).await {
             log::info!(target: "forward",
                 tickets = states.len(); "Could not renew a memory reservation at all engines");
         }
     }
-    let releases = states.iter().map(|state| release(&*commands, state));
+    let releases = states.iter().map(|state| release(&commands, state));
     futures_util::future::join_all(releases).await;
 }
 
-async fn reserve_all(commands: &dyn CommandFormat, states: &mut [TicketState]) -> bool {
+async fn reserve_all(commands: &CommandSender, states: &mut [TicketState]) -> bool {
     let calls = states.iter_mut().map(|state| async {
         let sent_at = Instant::now();
-        let command = commands.reserve(&state.ticket.name, state.ticket.tokens, LEASE_MS);
-        let result = send_command(&state.ticket, command).await;
+        let command = commands.format.reserve(&state.ticket.name, state.ticket.tokens, LEASE_MS);
+        let result = commands.send(&state.ticket, command).await;
         if result == CommandResult::Unknown {
             state.last_unanswered_at = Some(sent_at);
         }
@@ -139,9 +155,9 @@
 }
 
 /// Releases a ticket, repeatedly while an earlier reservation of it may still be executed.
-async fn release(commands: &dyn CommandFormat, state: &TicketState) {
+async fn release(commands: &CommandSender, state: &TicketState) {
     let ticket = &state.ticket;
-    let first = send_command(ticket, commands.release(&ticket.name)).await;
+    let first = commands.send(ticket, commands.format.release(&ticket.name)).await;
     let Some(last_unanswered_at) = state.last_unanswered_at else {
         return;
     };
@@ -150,23 +166,25 @@
         "An unanswered command may still be executed; repeats the release");
     while last_unanswered_at.elapsed() < MAX_COMMAND_DELAY {
         clayplank_clock::sleep(RELEASE_RETRY_INTERVAL).await;
-        send_command(ticket, commands.release(&ticket.name)).await;
+        commands.send(ticket, commands.format.release(&ticket.name)).await;
     }
 }
 
-/// Sends a command to an engine.
-async fn send_command(ticket: &Ticket, command: Request<Full<Bytes>>) -> CommandResult {
-    match request_complete(ticket.address, command, COMMAND_TIMEOUT).await {
-        Ok((StatusCode::OK, _)) => CommandResult::Taken,
-        Ok(_) => CommandResult::Refused,
-        Err(error) => {
-            log::info!(target: "forward",
-                ticket = ticket.name, cause:% = error; "A command to an engine failed");
-            match error {
-                CallError::Exchange(ExchangeError::Connect(_)) => CommandResult::NotSent,
-                CallError::Exchange(ExchangeError::Failed(_))
-                | CallError::BrokenOff(_)
-                | CallError::TimedOut => CommandResult::Unknown,
+impl CommandSender {
+    /// Sends a command to an engine.
+    async fn send(&self, ticket: &Ticket, command: Request<Full<Bytes>>) -> CommandResult {
+        match request_complete(&self.connector, ticket.address, command, COMMAND_TIMEOUT).await {
+            Ok((StatusCode::OK, _)) => CommandResult::Taken,
+            Ok(_) => CommandResult::Refused,
+            Err(error) => {
+                log::info!(target: "forward",
+                    ticket = ticket.name, cause:% = error; "A command to an engine failed");
+                match error {
+                    CallError::Exchange(ExchangeError::Connect(_)) => CommandResult::NotSent,
+                    CallError::Exchange(ExchangeError::Failed(_))
+                    | CallError::BrokenOff(_)
+                    | CallError::TimedOut => CommandResult::Unknown,
+                }
             }
         }
     }
--- a/clayplank-forward/src/termination.rs
+++ b/clayplank-forward/src/termination.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use clayplank_clock::Instant;
+use clayplank_connect::Connector;
 use clayplank_registry::{Record, UpstreamStatus};
 use clayplank_types::{ObservedOutcome, RequestFingerprint, UpstreamId};
 
@@ -60,9 +61,9 @@
 }
 
 /// Whether nothing listens any more at an address where a connection has just broken.
-pub async fn has_stopped_listening(address: SocketAddr) -> bool {
+pub async fn has_stopped_listening(connector: &Connector, address: SocketAddr) -> bool {
     clayplank_clock::sleep(LISTEN_CHECK_DELAY).await;
-    is_refused(address).await
+    is_refused(connector, address).await
 }
 
 impl RequestQuarantine {
@@ -130,7 +131,7 @@
 
 /// Determines whether an upstream terminated after requests broke off, and reports it if so.
 async fn check_terminated(entry: Arc<Entry>, record: Record) {
-    let has_stopped = has_stopped_listening(record.heartbeat.address).await;
+    let has_stopped = has_stopped_listening(&entry.connector, record.heartbeat.address).await;
     // A later break starts a new check: an upstream that is running now may terminate a moment
     // later.
     let breaks = entry.pending_breaks.take(&record.heartbeat.id);
--- a/clayplank-forward/tests/entry/delayed_commands.rs
+++ b/clayplank-forward/tests/entry/delayed_commands.rs
@@ -9,7 +9,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use clayplank_forward::{Reservation, Ticket};
+use clayplank_connect::Connector;
+use clayplank_forward::{CommandSender, Reservation, Ticket};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -74,10 +75,14 @@
     }
 }
 
+fn commands() -> CommandSender {
+    CommandSender { connector: Arc::new(Connector::default()), format: Arc::new(PathCommands) }
+}
+
 async fn reserve_memory(engine: &SharedEngine) -> Reservation {
     let address = start_engine(Arc::clone(engine)).await;
     let ticket = Ticket { address, name: "t1".to_owned(), tokens: 1_000 };
-    Reservation::make(Arc::new(PathCommands), vec![ticket]).await.unwrap()
+    Reservation::make(commands(), vec![ticket]).await.unwrap()
 }
 
 #[tokio::test]
--- a/clayplank-forward/tests/reservations.rs
+++ b/clayplank-forward/tests/reservations.rs
@@ -13,7 +13,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use clayplank_forward::{CommandFormat, Reservation, Ticket};
+use clayplank_connect::Connector;
+use clayplank_forward::{CommandFormat, CommandSender, Reservation, Ticket};
 use http::Request;
 use http_body_util::Full;
 use rand::rngs::SmallRng;
@@ -129,6 +130,10 @@
 
 struct PathCommands;
 
+fn commands() -> CommandSender {
+    CommandSender { connector: Arc::new(Connector::default()), format: Arc::new(PathCommands) }
+}
+
 impl CommandFormat for PathCommands {
     fn reserve(&self, ticket: &str, _: u64, hold_ms: u64) -> Request<Full<Bytes>> {
         command(&format!("/reserve/{ticket}/{hold_ms}"))
@@ -268,7 +273,7 @@
     sleep(Duration::from_millis(rng.random_range(0..ARRIVAL_SPAN_MS))).await;
     let run_time = Duration::from_millis(rng.random_range(0..6_000));
     let prompt_run = async {
-        let reservation = Reservation::make(Arc::new(PathCommands), tickets).await;
+        let reservation = Reservation::make(commands(), tickets).await;
         if reservation.is_some() {
             std::future::pending::<()>().await;
         }
--- a/clayplank-settings/src/seeded.rs
+++ b/clayplank-settings/src/seeded.rs
@@ -23,6 +23,10 @@
     pub role: Role,
     /// IP address under which the other hosts reach the local one. All hosts use the same ports.
     pub ip: IpAddr,
+    /// Address from which the local host opens connections to upstreams; by default, the operating
+    /// system chooses one.
+    #[serde(default)]
+    pub source_ip: Option<IpAddr>,
     /// Data centre in which the local host runs.
     pub data_centre: DataCentre,
     /// All data centres of the deployment, so that a cordon of any other one is rejected. Empty
--- a/clayplankd/src/doors/quarantine.rs
+++ b/clayplankd/src/doors/quarantine.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 
 use clayplank_clock::Instant;
+use clayplank_connect::Connector;
 use clayplank_forward::{BrokenRequest, TerminationEvidence, has_stopped_listening};
 use clayplank_types::{Refusal, RefusalReason, RequestFingerprint, UpstreamId};
 
@@ -58,7 +59,7 @@
         let broken_attempt = BrokenRequest { fingerprint, caller, at: Instant::now() };
         let upstream_incarnation = UpstreamId::new(format!("{upstream}@{attempt}"));
         tokio::spawn(async move {
-            if has_stopped_listening(address).await {
+            if has_stopped_listening(&Connector::default(), address).await {
                 host.quarantine.report_termination(
                     &upstream_incarnation,
                     TerminationEvidence::Refused,
--- a/clayplankd/src/fleet/fleet_keeper.rs
+++ b/clayplankd/src/fleet/fleet_keeper.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwapOption;
+use clayplank_connect::Connector;
 use clayplank_placement::RateLimit;
 use clayplank_registry::{
     AgedLimit, Buckets, Changes, Cursor, Digest, Heartbeat, LimitChanges, LimitObservation,
@@ -67,6 +68,7 @@
 /// The registry, limits and plan of one keeper, and the placement on their engines.
 pub(crate) struct FleetKeeper {
     contract: SharedContract,
+    connector: Arc<Connector>,
     keepers: KeeperClient,
     heartbeat_ms: u64,
     started_ms: u64,
@@ -95,9 +97,15 @@
 }
 
 impl FleetKeeper {
-    pub(crate) fn new(contract: SharedContract, keepers: KeeperClient, heartbeat_ms: u64) -> Self {
+    pub(crate) fn new(
+        contract: SharedContract,
+        connector: Arc<Connector>,
+        keepers: KeeperClient,
+        heartbeat_ms: u64,
+    ) -> Self {
         Self {
             contract,
+            connector,
             keepers,
             heartbeat_ms,
             started_ms: now_ms(),
@@ -362,6 +370,11 @@
         self.placement.record_pace(id, report.pace);
     }
 
+    /// Opens the connections of this keeper to upstreams.
+    pub(crate) fn connector(&self) -> &Connector {
+        &self.connector
+    }
+
     pub(crate) fn contract(&self) -> &SharedContract {
         &self.contract
     }
--- a/clayplankd/src/fleet/suspect_probe.rs
+++ b/clayplankd/src/fleet/suspect_probe.rs
@@ -71,6 +71,7 @@
     address: SocketAddr,
 ) -> Result<EngineLoadReport, ReportError> {
     let contract = fleet.contract();
-    let (_, body) = request_complete(address, contract.report_request(), REPORT_TIMEOUT).await?;
+    let request = contract.report_request();
+    let (_, body) = request_complete(fleet.connector(), address, request, REPORT_TIMEOUT).await?;
     Ok(contract.parse_report(&body)?)
 }
--- a/clayplankd/src/process/seeded.rs
+++ b/clayplankd/src/process/seeded.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use clayplank_clock::Instant;
+use clayplank_connect::Connector;
 use clayplank_forward::{Gate, serve_small_requests};
 use clayplank_settings::{Role, SeededSettings};
 use clayplank_types::HostId;
@@ -87,6 +88,7 @@
             contract,
             peers,
             keepers: keepers.clone(),
+            connector: Arc::new(Connector::with_source(settings.source_ip)),
         };
         let metrics = bind(settings.listen.metrics).await?;
         tokio::spawn(run_leader_search(keepers.clone()));
@@ -156,6 +158,7 @@
             ("name", current.name != changed.name),
             ("role", current.role != changed.role),
             ("ip", current.ip != changed.ip),
+            ("source_ip", current.source_ip != changed.source_ip),
             ("data_centre", current.data_centre != changed.data_centre),
             ("listen", current.listen != changed.listen),
             ("data_dir", current.data_dir != changed.data_dir),
@@ -211,6 +214,8 @@
     pub(crate) contract: SharedContract,
     pub(crate) peers: Peers,
     pub(crate) keepers: KeeperClient,
+    /// Opens the connections of this host to upstreams.
+    pub(crate) connector: Arc<Connector>,
 }
 
 /// The hosts at the bootstrap addresses in the settings (`seeds`).
--- a/clayplankd/src/process/seeded_entry.rs
+++ b/clayplankd/src/process/seeded_entry.rs
@@ -94,7 +94,8 @@
             .budget(RetryBudget::new(budget_limits(bounds)))
             .command_format(Arc::clone(&self.contract) as Arc<dyn CommandFormat>)
             .quarantine_authority(Arc::new(termination_reporter))
-            .data_centre(self.settings.data_centre.clone());
+            .data_centre(self.settings.data_centre.clone())
+            .connector(Arc::clone(&self.connector));
         if let Some(limits) = self.settings.resources.as_ref().and_then(queue_limits) {
             entry = entry.queue_limits(limits);
         }
--- a/clayplankd/src/process/seeded_keeper.rs
+++ b/clayplankd/src/process/seeded_keeper.rs
@@ -83,7 +83,8 @@
     pub(crate) fn new_fleet(&self) -> Arc<FleetKeeper> {
         let heartbeat_ms = self.settings.bounds.heartbeat_ms;
         let contract = Arc::clone(&self.contract);
-        Arc::new(FleetKeeper::new(contract, self.keepers.clone(), heartbeat_ms))
+        let connector = Arc::clone(&self.connector);
+        Arc::new(FleetKeeper::new(contract, connector, self.keepers.clone(), heartbeat_ms))
     }
 
     /// Creates the forwarder of heartbeats from this host to the keepers.
