--- a/clayplankd/tests/seeded/main.rs
+++ b/clayplankd/tests/seeded/main.rs
@@ -12,6 +12,7 @@
 mod cordons;
 mod crashing;
 mod crashing_upstreams;
+mod cut_off;
 mod failover;
 mod guarantees;
 mod host;
--- a/clayplankd/tests/seeded/proxy.rs
+++ b/clayplankd/tests/seeded/proxy.rs
@@ -1,9 +1,12 @@
-//! Loopback proxy that delays, resets or blackholes connections, or blocks one direction.
+//! Loopback proxy that delays, resets or blackholes connections, or blocks one direction, and that
+//! cuts single hosts off.
 
-use std::net::SocketAddr;
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use socket2::{SockFilter, SockRef};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -45,15 +48,31 @@
     }
 }
 
+/// How one host is cut off from the process behind the proxy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// No packet of the host arrives.
+    Silent,
+    /// Its connections are reset, and new ones are not answered.
+    Reset,
+    /// Its connections stay, and new ones are not answered.
+    NewConnections,
+}
+
+/// Hosts that are cut off, by their address.
+type Cuts = BTreeMap<Ipv4Addr, Cut>;
+
 /// Proxy for all connections to one process.
 #[derive(Clone, Debug)]
 pub struct Proxy {
     fault: Arc<Mutex<watch::Sender<Fault>>>,
+    cuts: watch::Sender<Cuts>,
 }
 
 impl Default for Proxy {
     fn default() -> Self {
-        Self { fault: Arc::new(Mutex::new(watch::channel(Fault::None).0)) }
+        let fault = Arc::new(Mutex::new(watch::channel(Fault::None).0));
+        Self { fault, cuts: watch::Sender::default() }
     }
 }
 
@@ -62,18 +81,95 @@
         self.fault.lock().unwrap().send_replace(fault);
     }
 
+    /// Cuts a host off, or restores its links.
+    pub fn cut(&self, host: Ipv4Addr, cut: Option<Cut>) {
+        self.cuts.send_modify(|cuts| match cut {
+            Some(cut) => {
+                cuts.insert(host, cut);
+            }
+            None => {
+                cuts.remove(&host);
+            }
+        });
+    }
+
     /// Forwards connections from `near` to `far`.
     pub fn start(&self, runtime: &Runtime, near: SocketAddr, far: SocketAddr) {
         let listener = runtime.block_on(TcpListener::bind(near)).unwrap();
         let fault = self.fault.lock().unwrap().subscribe();
+        let mut cuts = self.cuts.subscribe();
         runtime.spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(pass(stream, far, fault.clone()));
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => {
+                        let Ok((stream, peer)) = accepted else { return };
+                        tokio::spawn(pass_unless_cut(stream, peer, far, fault.clone(), cuts.clone()));
+                    }
+                    changed = cuts.changed() => {
+                        if changed.is_err() { return }
+                        let hosts: Vec<_> = cuts.borrow_and_update().keys().copied().collect();
+                        drop_packets_of(&listener, &hosts);
+                    }
+                }
             }
         });
     }
 }
 
+/// Forwards a connection until its host is cut off.
+async fn pass_unless_cut(
+    near: TcpStream,
+    peer: SocketAddr,
+    far: SocketAddr,
+    fault: watch::Receiver<Fault>,
+    mut cuts: watch::Receiver<Cuts>,
+) {
+    let IpAddr::V4(host) = peer.ip() else { return };
+    let socket = SockRef::from(&near).try_clone().unwrap();
+    let cut_off = async {
+        loop {
+            let cut = cuts.borrow_and_update().get(&host).copied();
+            match cut {
+                Some(Cut::Reset) => {
+                    socket.set_linger(Some(Duration::ZERO)).ok();
+                    return;
+                }
+                Some(Cut::Silent) => drop_packets_of(&socket, &[host]),
+                Some(Cut::NewConnections) | None => drop_packets_of(&socket, &[]),
+            }
+            if cuts.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    };
+    tokio::select! {
+        () = pass(near, far, fault) => {}
+        () = cut_off => {}
+    }
+}
+
+/// Offset from which a filter reads the IP header.
+const IP_HEADER: u32 = (-0x10_0000_i32) as u32;
+
+/// Offset of the source address in the IP header.
+const SOURCE_OFFSET: u32 = 12;
+
+/// Filter instructions: load a word, skip if it differs, and return the number of bytes to keep.
+const LOAD_WORD: u16 = 0x20;
+const JUMP_IF_EQUAL: u16 = 0x15;
+const RETURN: u16 = 0x06;
+
+/// Makes the kernel discard all packets of some hosts that arrive at a socket.
+fn drop_packets_of<'a>(socket: impl Into<SockRef<'a>>, hosts: &[Ipv4Addr]) {
+    let mut filter = vec![SockFilter::new(LOAD_WORD, 0, 0, IP_HEADER.wrapping_add(SOURCE_OFFSET))];
+    for host in hosts {
+        filter.push(SockFilter::new(JUMP_IF_EQUAL, 0, 1, u32::from(*host)));
+        filter.push(SockFilter::new(RETURN, 0, 0, 0));
+    }
+    filter.push(SockFilter::new(RETURN, 0, 0, u32::MAX));
+    socket.into().attach_filter(&filter).unwrap();
+}
+
 async fn pass(near: TcpStream, far: SocketAddr, fault: watch::Receiver<Fault>) {
     let mut resets = fault.clone();
     let passing = async {
--- a/clayplankd/tests/seeded/signals.rs
+++ b/clayplankd/tests/seeded/signals.rs
@@ -59,7 +59,12 @@
 
 impl SignalSystem {
     pub fn start(kind: UpstreamKind) -> Self {
-        let system = System::start_with(Topology { entries: ENTRIES, ..Topology::default() });
+        Self::start_in(kind, Topology { entries: ENTRIES, ..Topology::default() })
+    }
+
+    /// Like `start`, with another topology.
+    pub fn start_in(kind: UpstreamKind, topology: Topology) -> Self {
+        let system = System::start_with(topology);
         let signals: Vec<_> = (0..4).map(|_| SharedSignals::default()).collect();
         for (number, signals) in (1_u8..).zip(&signals) {
             let (id, last) = (format!("l{number}"), 30 + number);
--- a/clayplankd/tests/seeded/system.rs
+++ b/clayplankd/tests/seeded/system.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
@@ -17,7 +18,7 @@
 use crate::client::call;
 use crate::crashing_upstreams::FLEET_SERVICE;
 use crate::host::{CONTROL_PORT, Host, INNER_PORT, Role, UPSTREAM_PORT};
-use crate::proxy::Proxy;
+use crate::proxy::{Cut, Proxy};
 
 /// A service whose upstreams have limits.
 pub const LIMITED_SERVICE: &str = "limited";
@@ -41,6 +42,9 @@
     pub keepers: usize,
     pub entries: usize,
     pub has_proxies: bool,
+    /// Whether proxies are in front of the upstreams that tests start, and each entry host has an
+    /// address of its own at them.
+    pub has_upstream_proxies: bool,
     /// Whether the keepers are entry hosts too, and the entry hosts have control listeners.
     pub has_combined_roles: bool,
     /// Whether the bootstrap addresses are the first keeper and the entry hosts, instead of all
@@ -56,6 +60,7 @@
             keepers: 3,
             entries: 2,
             has_proxies: false,
+            has_upstream_proxies: false,
             has_combined_roles: false,
             bootstraps_from_entries: false,
             idle_entries: 0,
@@ -66,6 +71,12 @@
 /// Last address byte of the first idle entry host.
 const FIRST_IDLE_ENTRY: usize = 70;
 
+/// Last address bytes of the upstreams that each system starts.
+pub const BASIC_UPSTREAMS: [u8; 2] = [21, 22];
+
+/// Last address bytes of the upstreams that tests start and that may be behind proxies.
+const PROXIED_UPSTREAMS: RangeInclusive<u8> = 31..=34;
+
 /// Maximum number of bootstrap addresses of a host.
 const MAX_BOOTSTRAP_ADDRESSES: usize = 3;
 
@@ -139,6 +150,7 @@
         };
         system.write_settings(true);
         system.start_proxies();
+        system.start_upstream_proxies();
         system.keepers.iter_mut().for_each(Host::start);
         system.entries.iter_mut().for_each(Host::start);
         system.idle_entries.iter_mut().for_each(Host::start);
@@ -237,12 +249,33 @@
         }
         let hosts = self.keepers.iter().chain(&self.entries).chain(&self.idle_entries);
         let of_hosts = hosts.map(|host| (host.ip, vec![INNER_PORT, CONTROL_PORT]));
-        let upstreams = [21, 22].map(|last| (self.upstream_ip(last), vec![UPSTREAM_PORT]));
+        let upstreams = BASIC_UPSTREAMS.map(|last| (self.upstream_ip(last), vec![UPSTREAM_PORT]));
         for (ip, ports) in of_hosts.chain(upstreams).collect::<Vec<_>>() {
             self.start_proxy(ip, &ports);
         }
     }
 
+    /// Starts one proxy in front of each upstream that a test may start, and gives the entry hosts
+    /// source addresses.
+    fn start_upstream_proxies(&mut self) {
+        if !self.topology.has_upstream_proxies {
+            return;
+        }
+        for entry in &self.entries {
+            entry.change_settings_file(|settings| settings["source_ip"] = json!(entry.ip));
+        }
+        for last in BASIC_UPSTREAMS.into_iter().chain(PROXIED_UPSTREAMS) {
+            self.start_proxy(self.upstream_ip(last), &[UPSTREAM_PORT]);
+        }
+    }
+
+    /// Cuts an entry host off from all upstreams, or restores its links.
+    pub fn cut_off(&self, entry: usize, cut: Option<Cut>) {
+        for last in PROXIED_UPSTREAMS {
+            self.proxy(last).cut(self.entries[entry].ip, cut);
+        }
+    }
+
     fn start_proxy(&mut self, ip: Ipv4Addr, ports: &[u16]) {
         let proxy = Proxy::default();
         for port in ports {
--- a/clayplankd/tests/seeded/upstreams.rs
+++ b/clayplankd/tests/seeded/upstreams.rs
@@ -12,7 +12,7 @@
 use crate::answer::Answer;
 use crate::client::call;
 use crate::host::{Host, UPSTREAM_PORT};
-use crate::system::{System, behind_proxy};
+use crate::system::{BASIC_UPSTREAMS, System, Topology, behind_proxy};
 
 /// Concurrent requests of an upstream of the service `app`.
 const APP_SLOTS: u32 = 4;
@@ -25,9 +25,7 @@
     /// Starts an upstream of the service `app`. It sends no heartbeats itself; tests send them
     /// singly.
     pub fn start_upstream(&self, id: &str, last: u8) {
-        let ip = self.upstream_ip(last);
-        let bind_ip = if self.topology.has_proxies { behind_proxy(ip) } else { ip };
-        let address = SocketAddr::new(IpAddr::V4(bind_ip), UPSTREAM_PORT);
+        let address = self.bind_address(last);
         let (id, runs) = (id.to_owned(), self.runs.clone());
         let listener = self.runtime.block_on(clayplank_standin::bind(address)).unwrap();
         self.runtime.spawn(serve_upstream(listener, id, runs, None, SharedSignals::default()));
@@ -46,20 +44,18 @@
         model: EngineModel,
         signals: SharedSignals,
     ) -> SocketAddr {
-        let address = self.upstream_address(last);
-        let listener = self.runtime.block_on(clayplank_standin::bind(address)).unwrap();
-        self.runtime.spawn(serve_pass_engine(listener, id.to_owned(), model, signals));
+        let listener = self.runtime.block_on(clayplank_standin::bind(self.bind_address(last)));
+        self.runtime.spawn(serve_pass_engine(listener.unwrap(), id.to_owned(), model, signals));
         self.register_engine(id, last);
-        address
+        self.upstream_address(last)
     }
 
     /// Starts an upstream of a plain service whose statements a test changes; it registers with
     /// all keepers.
     pub fn start_service_with(&self, service: &str, id: &str, last: u8, signals: SharedSignals) {
-        let address = self.upstream_address(last);
-        let listener = self.runtime.block_on(clayplank_standin::bind(address)).unwrap();
+        let listener = self.runtime.block_on(clayplank_standin::bind(self.bind_address(last)));
         let runs = SharedRuns::default();
-        self.runtime.spawn(serve_upstream(listener, id.to_owned(), runs, None, signals));
+        self.runtime.spawn(serve_upstream(listener.unwrap(), id.to_owned(), runs, None, signals));
         self.send_heartbeats(self.registration(id, service, last, APP_SLOTS));
     }
 
@@ -83,6 +79,15 @@
         }
     }
 
+    /// Address on which an upstream listens, which may be behind a proxy.
+    fn bind_address(&self, last: u8) -> SocketAddr {
+        let ip = self.upstream_ip(last);
+        let Topology { has_proxies, has_upstream_proxies, .. } = self.topology;
+        let has_proxy = has_upstream_proxies || (has_proxies && BASIC_UPSTREAMS.contains(&last));
+        let ip = if has_proxy { behind_proxy(ip) } else { ip };
+        SocketAddr::new(IpAddr::V4(ip), UPSTREAM_PORT)
+    }
+
     fn upstream_address(&self, last: u8) -> SocketAddr {
         SocketAddr::new(IpAddr::V4(self.upstream_ip(last)), UPSTREAM_PORT)
     }
