Connect to upstreams through peers where the direct path is broken

Cause: a host had no way to an upstream but its own. It tried one upstream after the other, 400 ms each, and refused, although each of its peers reached all of them.

Change: where a direct connection does not come within 150 ms, or failed before, a peer is asked for a tunnel: it connects to the upstream and passes bytes on. Both are tried at once while the path is broken, so that the host uses its own link again as soon as it is back. The peer decides nothing: choice, headers, retries and 'not run' stay with the host, and a request counts as sent only once the peer has connected. Bytes from the upstream come in frames with an end mark, since an answer without a length must not look complete when the peer ends. Peers come from the keepers, which know who follows them and who says that it is cut off. A backoff that an upstream requests is told to the peer, which the upstream takes for the sender.

Weighed: readiness alone (callers with open connections stay, and the balancer uses all hosts of a data centre when under half are ready); handing the whole request to a peer (its answer and its retries would need a second set of rules for what may have run, and each request would stand in two logs).

--- a/clayplank-connect/src/lib.rs
+++ b/clayplank-connect/src/lib.rs
@@ -1,15 +1,20 @@
 //! Connections to upstreams, and what they tell about the network of this host.
 //!
+//! A host that does not reach an upstream has a peer connect to it (a tunnel): the peer passes bytes
+//! on and decides nothing, so that the host chooses the upstream, sends and repeats its requests as it
+//! does over its own links.
+//!
 //! ```
 //! use clayplank_connect::Reachability;
 //!
 //! let mut reachability = Reachability::default();
-//! let [first, second] = ["10.0.0.1:80", "10.0.0.2:80"].map(|text| text.parse().unwrap());
-//! reachability.record_failed(0, first);
-//! assert!(!reachability.is_cut_off(1));
-//! reachability.record_failed(1, second);
+//! let upstreams = ["10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80"].map(|text| text.parse().unwrap());
+//! for upstream in upstreams {
+//!     assert!(!reachability.is_cut_off(1));
+//!     reachability.record_failed(1, upstream);
+//! }
 //! assert!(reachability.is_cut_off(2));
-//! reachability.record_connected(3, first);
+//! reachability.record_connected(3, upstreams[0]);
 //! assert!(!reachability.is_cut_off(4));
 //! ```
 
@@ -18,7 +23,15 @@
 mod connector;
 mod reachability;
 mod socket;
+mod stream;
+mod tunnel_client;
+mod tunnel_hosts;
+mod tunnel_protocol;
+mod tunnel_server;
 
-pub use connector::Connector;
+pub use connector::{ConnectError, Connector};
 pub use reachability::Reachability;
 pub use socket::set_socket_timeouts;
+pub use stream::UpstreamStream;
+pub use tunnel_client::TunnelStream;
+pub use tunnel_server::{TunnelServer, UpstreamAccess, is_tunnel_request};
--- a/clayplank-connect/src/reachability.rs
+++ b/clayplank-connect/src/reachability.rs
@@ -3,9 +3,9 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-/// A host that failed to connect to this many upstreams, and to none successfully since, is cut off:
-/// a single one may have failed by itself.
-const MIN_FAILED_UPSTREAMS: usize = 2;
+/// Number of unreached upstreams from which on the links of this host may be at fault: a few may
+/// have failed by themselves.
+const MIN_FAILED_UPSTREAMS: usize = 3;
 
 /// Time for which a failed connection counts without a further one, in ms.
 const FAILURE_RETENTION_MS: u64 = 10_000;
@@ -43,6 +43,11 @@
         self.failed_at_ms.values().filter(|failed_at_ms| is_recent(now_ms, **failed_at_ms)).count()
     }
 
+    /// Whether a failure to connect to an upstream may be due to this host: others failed too.
+    pub fn is_impaired(&self, now_ms: u64) -> bool {
+        self.count_failed(now_ms) >= MIN_FAILED_UPSTREAMS
+    }
+
     /// Whether this host seems to reach no upstream.
     pub fn is_cut_off(&self, now_ms: u64) -> bool {
         let failed_since = self.failed_at_ms.values().filter(|failed_at_ms| {
--- a/clayplank-connect/tests/keepalive.rs
+++ b/clayplank-connect/tests/keepalive.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use clayplank_connect::Connector;
+use clayplank_connect::{Connector, UpstreamStream};
 use socket2::SockRef;
 use tokio::net::TcpListener;
 
@@ -16,6 +16,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let connector = Connector::default();
     let stream = connector.connect(listener.local_addr().unwrap()).await.unwrap();
+    let UpstreamStream::Direct(stream) = stream else { panic!("not a direct connection") };
     let socket = SockRef::from(&stream);
     assert!(socket.keepalive().unwrap());
     let (first, interval) =
--- a/clayplank-connect/tests/reachability.rs
+++ b/clayplank-connect/tests/reachability.rs
@@ -11,14 +11,15 @@
 }
 
 #[test]
-fn one_unreached_upstream_does_not_cut_a_host_off() {
+fn two_unreached_upstreams_do_not_cut_a_host_off() {
     let mut reachability = Reachability::default();
     for now_ms in [0, 400, 800] {
         reachability.record_failed(now_ms, upstream(1));
+        reachability.record_failed(now_ms, upstream(2));
     }
     assert!(!reachability.is_cut_off(900));
     assert!(reachability.has_failed(900, upstream(1)));
-    assert!(!reachability.has_failed(900, upstream(2)));
+    assert!(!reachability.has_failed(900, upstream(3)));
 }
 
 #[test]
@@ -29,9 +30,10 @@
         reachability.record_failed(now_ms, upstream(1));
         reachability.record_failed(now_ms + 1, upstream(2));
         reachability.record_connected(now_ms + 2, upstream(3));
-        assert!(!reachability.is_cut_off(now_ms + 3));
+        reachability.record_failed(now_ms + 3, upstream(4));
+        assert!(!reachability.is_cut_off(now_ms + 4));
     }
-    assert_eq!(reachability.count_failed(1_000), 2);
+    assert_eq!(reachability.count_failed(1_000), 3);
 }
 
 #[test]
@@ -39,6 +41,7 @@
     let mut reachability = Reachability::default();
     reachability.record_failed(0, upstream(1));
     reachability.record_failed(1, upstream(2));
+    reachability.record_failed(2, upstream(3));
     assert!(reachability.is_cut_off(9_000));
     assert!(!reachability.is_cut_off(11_000));
     assert!(!reachability.has_failed(11_000, upstream(1)));
--- a/clayplank-forward/src/attempt.rs
+++ b/clayplank-forward/src/attempt.rs
@@ -1,9 +1,11 @@
 //! One attempt: sends a request to an upstream and classifies the head of the response.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use clayplank_connect::ConnectError;
 use clayplank_registry::{LimitObservation, LimitUpdateResult};
 use clayplank_types::UpstreamId;
 use http::{Request, Response};
@@ -28,12 +30,18 @@
 /// Retry time sent to callers if the upstreams are full, in ms.
 pub(crate) const BUSY_RETRY_MS: u64 = 700;
 
+/// Retry time sent to callers while this host reaches no upstream, in ms; the load balancer may
+/// route the retry to a host that does.
+pub(crate) const CUT_OFF_RETRY_MS: u64 = 100;
+
 /// Result of an attempt, up to the head of the response.
 pub(crate) enum Attempt {
     /// The upstream's answer to the request.
     Answered(Box<Response<Incoming>>, Connection, LoadGuard),
     /// The upstream did not run the request.
     NotRun,
+    /// This host reaches no upstream; nothing was sent.
+    CutOff,
     /// No valid answer came; the upstream may have run the request.
     MayHaveRun,
 }
@@ -59,7 +67,7 @@
         if self.is_quarantined() {
             return Attempt::NotRun;
         }
-        let Chosen { record, helpers, mut load, .. } = chosen;
+        let Chosen { record, helpers, load, .. } = chosen;
         let upstream = record.heartbeat.id.clone();
         // The upstream may have become unavailable while memory was reserved for the request.
         if self.entry.directory.is_unavailable(&upstream) {
@@ -91,9 +99,7 @@
             Ok(Err(ExchangeError::Connect(error))) => {
                 self.sent_count -= 1;
                 self.may_have_run = may_have_run_before;
-                load.record_outcome(Outcome::Unreachable);
-                self.log_attempt(&upstream, "unreached", &error.to_string());
-                Attempt::NotRun
+                self.record_unconnected(&upstream, load, &error)
             }
             Ok(Err(ExchangeError::Failed(error))) => {
                 self.record_unanswered(&upstream, load, "lost", &error.to_string())
@@ -122,7 +128,7 @@
         // Any other response may come from a different upstream.
         if matches!(verdict, Verdict::Valid | Verdict::NotRun) {
             self.record_limit(upstream, parse_limit(&head.headers, names), sent_ms);
-            self.record_backoff(upstream, parse_backoff(&head));
+            self.record_backoff(upstream, parse_backoff(&head), connection.tunnel_host());
             if is_leaving(&head.headers, names) {
                 self.record_leaving(upstream);
             }
@@ -185,7 +191,12 @@
     }
 
     /// Records the backoff that the upstream requested from this host.
-    fn record_backoff(&self, upstream: &UpstreamId, backoff: RequestedBackoff) {
+    fn record_backoff(
+        &self,
+        upstream: &UpstreamId,
+        backoff: RequestedBackoff,
+        tunnel_host: Option<SocketAddr>,
+    ) {
         match backoff {
             RequestedBackoff::None => {}
             RequestedBackoff::ForMs(backoff_ms) => {
@@ -194,6 +205,9 @@
                     upstream = upstream.as_str(), backoff_ms = backoff_ms,
                     request = self.metadata.attempt_id;
                     "An upstream requested a backoff");
+                if let Some(host) = tunnel_host {
+                    self.report_backoff(host, upstream, backoff_ms);
+                }
             }
             RequestedBackoff::Unreadable => {
                 log::warn!(target: "forward",
@@ -203,6 +217,17 @@
         }
     }
 
+    /// Reports a backoff to the peer through which the answer came.
+    fn report_backoff(&self, host: SocketAddr, upstream: &UpstreamId, backoff_ms: u64) {
+        let Some(record) = self.entry.directory.record(upstream) else {
+            return;
+        };
+        let entry = Arc::clone(&self.entry);
+        tokio::spawn(async move {
+            entry.connector.report_backoff(host, record.heartbeat.address, backoff_ms).await;
+        });
+    }
+
     /// Records that the upstream stated that it is leaving.
     fn record_leaving(&self, upstream: &UpstreamId) {
         if self.entry.directory.record_leaving(upstream) {
@@ -252,6 +277,28 @@
         }
     }
 
+    /// Records an attempt for which no connection was opened.
+    fn record_unconnected(
+        &mut self,
+        upstream: &UpstreamId,
+        mut load: LoadGuard,
+        error: &ConnectError,
+    ) -> Attempt {
+        match error {
+            ConnectError::Upstream(_) => {
+                load.record_outcome(Outcome::Unreachable);
+                self.log_attempt(upstream, "unreached", &error.to_string());
+                Attempt::NotRun
+            }
+            ConnectError::CutOff(_) => {
+                load.record_outcome(Outcome::CutOff);
+                self.log_attempt(upstream, "cut_off", &error.to_string());
+                self.tried.pop();
+                Attempt::CutOff
+            }
+        }
+    }
+
     /// Records an attempt that got no valid answer and may have run.
     fn record_unanswered(
         &mut self,
--- a/clayplank-forward/src/exchange.rs
+++ b/clayplank-forward/src/exchange.rs
@@ -1,11 +1,10 @@
 //! One request to one upstream, on a dedicated connection.
 
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
-use clayplank_connect::Connector;
+use clayplank_connect::{ConnectError, Connector};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -21,7 +20,7 @@
 pub enum ExchangeError {
     /// Nothing was sent.
     #[error("no connection: {0}")]
-    Connect(#[source] std::io::Error),
+    Connect(#[source] ConnectError),
     /// The connection failed; the request may have run.
     #[error("the connection failed: {0}")]
     Failed(#[source] hyper::Error),
@@ -43,18 +42,28 @@
 
 /// Aborts the task of a connection when it is dropped, with the response that uses it.
 #[derive(Debug)]
-pub(crate) struct Connection(JoinHandle<()>);
+pub(crate) struct Connection {
+    task: JoinHandle<()>,
+    tunnel_host: Option<SocketAddr>,
+}
+
+impl Connection {
+    /// The peer through which the connection goes; `None` if it is direct.
+    pub(crate) fn tunnel_host(&self) -> Option<SocketAddr> {
+        self.tunnel_host
+    }
+}
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        self.0.abort();
+        self.task.abort();
     }
 }
 
 /// Whether connections to an address are refused because nothing listens there.
 pub(crate) async fn is_refused(connector: &Connector, address: SocketAddr) -> bool {
     let refused = connector.connect(address).await.err();
-    refused.is_some_and(|error| error.kind() == ErrorKind::ConnectionRefused)
+    refused.is_some_and(|error| error.is_refused())
 }
 
 /// Sends a request and waits for the head of the response.
@@ -64,6 +73,7 @@
     request: Request<Full<Bytes>>,
 ) -> Result<(Response<Incoming>, Connection), ExchangeError> {
     let stream = connector.connect(address).await.map_err(ExchangeError::Connect)?;
+    let tunnel_host = stream.tunnel_host();
     let (mut sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(stream))
@@ -74,7 +84,7 @@
             log::debug!(target: "forward", "A connection to an upstream failed: {error}.");
         }
     });
-    let guard = Connection(task);
+    let guard = Connection { task, tunnel_host };
     let response = sender.send_request(request).await.map_err(ExchangeError::Failed)?;
     Ok((response, guard))
 }
--- a/clayplank-forward/src/lib.rs
+++ b/clayplank-forward/src/lib.rs
@@ -51,6 +51,7 @@
 mod source;
 mod stream;
 mod termination;
+mod tunnel_access;
 mod unary;
 mod upstream_stats;
 
--- a/clayplank-forward/src/load.rs
+++ b/clayplank-forward/src/load.rs
@@ -21,13 +21,15 @@
     Broken,
     /// No connection could be opened.
     Unreachable,
+    /// This host reaches no upstream, which says nothing about this one.
+    CutOff,
 }
 
 impl Outcome {
     /// Event that is reported for the placement of an attempt with this outcome.
     fn event(self) -> Event {
         match self {
-            Self::Good => Event::Ended,
+            Self::Good | Self::CutOff => Event::Ended,
             Self::Failed => Event::Failed,
             Self::Broken => Event::Broken,
             Self::Unreachable => Event::Unreached,
@@ -129,7 +131,7 @@
             }
             None => {
                 let took_ms = self.started_at.elapsed().as_millis() as u64;
-                let is_good = outcome == Outcome::Good;
+                let is_good = matches!(outcome, Outcome::Good | Outcome::CutOff);
                 self.entry.directory.record_end(&self.upstream, took_ms, is_good);
             }
         }
--- a/clayplank-forward/src/opening.rs
+++ b/clayplank-forward/src/opening.rs
@@ -9,7 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use crate::attempt::{Attempt, BUSY_RETRY_MS};
+use crate::attempt::{Attempt, BUSY_RETRY_MS, CUT_OFF_RETRY_MS};
 use crate::call::Call;
 use crate::choice::Chosen;
 use crate::clock::millis;
@@ -73,6 +73,10 @@
                 failed_answer = Some(response);
             }
             OpenResult::NotRun => refusal = Refusal::NotRun { retry_after_ms: BUSY_RETRY_MS },
+            OpenResult::CutOff => {
+                refusal = Refusal::NotRun { retry_after_ms: CUT_OFF_RETRY_MS };
+                break;
+            }
             OpenResult::MayHaveRun => {}
         }
         if !call.may_retry() {
@@ -89,6 +93,8 @@
     /// better.
     Other(Response<AnswerBody>, bool),
     NotRun,
+    /// This host reaches no upstream; nothing was sent.
+    CutOff,
     MayHaveRun,
 }
 
@@ -102,6 +108,7 @@
     let (response, connection, load) = match call.attempt(chosen, last_event_id, timeout).await {
         Attempt::Answered(response, connection, load) => (response, connection, load),
         Attempt::NotRun => return OpenResult::NotRun,
+        Attempt::CutOff => return OpenResult::CutOff,
         Attempt::MayHaveRun => return OpenResult::MayHaveRun,
     };
     let (head, body) = response.into_parts();
@@ -189,6 +196,7 @@
     let chosen = call.choose().await.map_err(|_| NotResumed::NoUpstream)?;
     match open_at(call, chosen, last_event_id).await {
         OpenResult::Started(started) => Ok(*started),
+        OpenResult::CutOff => Err(NotResumed::NoUpstream),
         OpenResult::Other(..) | OpenResult::NotRun | OpenResult::MayHaveRun => {
             Err(NotResumed::Failed)
         }
--- a/clayplank-forward/src/unary.rs
+++ b/clayplank-forward/src/unary.rs
@@ -10,7 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use crate::attempt::{Attempt, BUSY_RETRY_MS};
+use crate::attempt::{Attempt, BUSY_RETRY_MS, CUT_OFF_RETRY_MS};
 use crate::buffer_quota::{BufferPermit, BufferQuota, CountedBody};
 use crate::call::Call;
 use crate::choice::Chosen;
@@ -61,6 +61,8 @@
     /// The upstream responded with an error; another upstream may do better.
     Failed(CompleteAnswer),
     NotRun,
+    /// This host reaches no upstream; nothing was sent.
+    CutOff,
     MayHaveRun,
 }
 
@@ -80,6 +82,10 @@
             AttemptResult::Succeeded(answer) => return Ok(finish(call, answer)),
             AttemptResult::Failed(answer) => failed_answer = Some(answer),
             AttemptResult::NotRun => refusal = Refusal::NotRun { retry_after_ms: BUSY_RETRY_MS },
+            AttemptResult::CutOff => {
+                refusal = Refusal::NotRun { retry_after_ms: CUT_OFF_RETRY_MS };
+                break;
+            }
             AttemptResult::MayHaveRun => {}
         }
         if !call.may_retry() {
@@ -101,6 +107,7 @@
         match call.attempt(chosen, call.metadata.last_event_id, timeout).await {
             Attempt::Answered(response, connection, load) => (response, connection, load),
             Attempt::NotRun => return AttemptResult::NotRun,
+            Attempt::CutOff => return AttemptResult::CutOff,
             Attempt::MayHaveRun => return AttemptResult::MayHaveRun,
         };
     let (head, body) = response.into_parts();
--- a/clayplankd/src/fleet.rs
+++ b/clayplankd/src/fleet.rs
@@ -13,4 +13,5 @@
 pub(crate) mod saved_upstreams;
 pub(crate) mod suspect_probe;
 pub(crate) mod termination_reports;
+pub(crate) mod tunnel_hosts;
 pub(crate) mod unreachable;
--- a/clayplankd/src/fleet/fleet_keeper.rs
+++ b/clayplankd/src/fleet/fleet_keeper.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use arc_swap::ArcSwapOption;
 use clayplank_connect::Connector;
@@ -23,6 +23,7 @@
 use crate::doors::contract::{EngineLoadReport, SharedContract};
 use crate::fleet::host_counts::HostCounts;
 use crate::fleet::placement_keeper::PlacementKeeper;
+use crate::fleet::tunnel_hosts::TunnelHosts;
 use crate::follow::packed_changes::PackedChanges;
 use crate::follow::plan_edits::PlanEdits;
 use crate::keepers::keeper::AppliedState;
@@ -94,6 +95,7 @@
     plan: ArcSwapOption<PlanIndex>,
     edits: Mutex<PlanEdits>,
     entry_hosts: Mutex<HostCounts>,
+    tunnel_hosts: Mutex<TunnelHosts>,
 }
 
 impl FleetKeeper {
@@ -123,6 +125,7 @@
             plan: ArcSwapOption::empty(),
             edits: Mutex::default(),
             entry_hosts: Mutex::default(),
+            tunnel_hosts: Mutex::default(),
         }
     }
 
@@ -457,6 +460,11 @@
         edit.unwrap_or_default()
     }
 
+    /// Entry hosts that may open tunnels for others.
+    pub(crate) fn tunnel_hosts(&self) -> MutexGuard<'_, TunnelHosts> {
+        lock_ignoring_poison(&self.tunnel_hosts)
+    }
+
     /// Records a follow request of an entry host.
     pub(crate) fn record_follower(&self, host: HostId) {
         lock_ignoring_poison(&self.entry_hosts).record_local(now_ms(), host);
--- a/clayplankd/src/follow/follow_responder.rs
+++ b/clayplankd/src/follow/follow_responder.rs
@@ -12,6 +12,7 @@
 use crate::follow::leader_confirmation::{Relay, RenewalsByIncarnation};
 use crate::keepers::keeper::Keeper;
 use crate::keepers::keeper_messages::{GetDelta, Watch, WatchOutcome};
+use crate::process::clock::now_ms;
 use crate::process::peer_service::invalid_message;
 
 /// The parts of a keeper that answer its followers.
@@ -34,6 +35,10 @@
     limits_cursor: Cursor,
     /// Whether the follower also sent a request to another keeper.
     is_hedge: bool,
+    /// Whether the follower reaches no upstream directly.
+    is_cut_off: bool,
+    /// Whether the follower requested hosts that may open tunnels.
+    asks_tunnel_hosts: bool,
 }
 
 impl FollowResponder<'_> {
@@ -51,6 +56,8 @@
             digest: decode_digest(&request.digest)?,
             limits_cursor: decode(&request.limits_cursor).map_err(invalid_message)?,
             is_hedge: request.is_hedge,
+            is_cut_off: request.is_cut_off,
+            asks_tunnel_hosts: request.asks_tunnel_hosts,
         };
         self.fleet.apply_follower_records(&known);
         match request.keeper {
@@ -68,8 +75,13 @@
     /// includes all that was acknowledged before the request came.
     async fn answer_host(self, request: &DecodedRequest) -> Result<follow_reply::Result, Status> {
         let newest_round = self.relay.newest_round();
-        self.fleet.record_follower(request.host.clone());
-        self.relay.wait_for_updates(request.revision, request.cursor).await;
+        let (host, is_cut_off) = (request.host.clone(), request.is_cut_off);
+        self.fleet.record_follower(host.clone());
+        self.fleet.tunnel_hosts().record_follower(now_ms(), host, is_cut_off);
+        // A host that is cut off needs a list of other hosts at once.
+        if !(is_cut_off && request.asks_tunnel_hosts) {
+            self.relay.wait_for_updates(request.revision, request.cursor).await;
+        }
         let Some(leader) = self.relay.confirm_after(newest_round).await else {
             return Ok(follow_reply::Result::NotLeaderHint(String::new()));
         };
@@ -98,6 +110,10 @@
         };
         self.fleet.placement().renew_all(renewals);
         self.fleet.record_peer_host_count(request.host.clone(), keeper_part.entry_hosts);
+        if request.asks_tunnel_hosts {
+            let hosts = keeper_part.tunnel_hosts.iter().map(HostId::new).collect();
+            self.fleet.tunnel_hosts().record_reported(now_ms(), request.host.clone(), hosts);
+        }
         // The keeper receives the rest of the state with the replicated log.
         let delta = Delta { revision: delta.revision, ..Delta::default() };
         self.reply(request, delta, self.relay.local_host())
@@ -116,6 +132,10 @@
             false => fleet.update_for(request.cursor, request.digest.as_ref()),
         };
         let updates = updates.map_err(invalid_message)?;
+        let tunnel_hosts = match request.asks_tunnel_hosts {
+            true => fleet.tunnel_hosts().sample(now_ms(), &request.host),
+            false => Vec::new(),
+        };
         let plan_edit = fleet.take_plan_edit(&mut delta, request.plan_version);
         Ok(follow_reply::Result::Followed(Followed {
             delta: encode(&delta).map_err(invalid_message)?,
@@ -128,6 +148,7 @@
             deputy: fleet.keepers().deputy().map_or_else(String::new, |host| host.to_string()),
             leader: leader.to_string(),
             limits: encode_limits(fleet, request.limits_cursor)?,
+            tunnel_hosts: tunnel_hosts.iter().map(ToString::to_string).collect(),
         }))
     }
 }
--- a/clayplankd/src/follow/follow_task.rs
+++ b/clayplankd/src/follow/follow_task.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use clayplank_connect::Connector;
 use clayplank_forward::{Directory, Entry, Gate};
 use clayplank_members::{FollowTimeouts, KeeperRanking};
 use clayplank_registry::{Buckets, Changes, Cursor, LimitChanges, LimitUpdateResult, Record};
@@ -41,6 +42,7 @@
     pub(crate) gate: Arc<Gate>,
     pub(crate) directory: Arc<Directory>,
     pub(crate) entry: Arc<Entry>,
+    pub(crate) connector: Arc<Connector>,
     pub(crate) metrics: Arc<FollowMetrics>,
     /// Time, in ms, within which a change must be in force on this host.
     pub(crate) apply_ms: Arc<AtomicU64>,
@@ -198,6 +200,8 @@
             keeper: None,
             limits_cursor: encode(&position.limits_cursor).ok()?,
             is_hedge,
+            is_cut_off: self.connector.is_cut_off(),
+            asks_tunnel_hosts: !is_hedge && self.connector.needs_tunnel_hosts(),
         })
     }
 
@@ -250,6 +254,7 @@
         if changes.cursor != Cursor::default() {
             self.gate.confirm(requested_ms);
         }
+        self.set_tunnel_hosts(&followed.tunnel_hosts);
         self.entry.set_hosts(followed.entry_hosts);
         self.placement_client.set_host_count(followed.entry_hosts);
         self.directory.set_hosts(followed.entry_hosts);
@@ -267,6 +272,16 @@
         position.requested_buckets = Buckets(followed.asks_known);
     }
 
+    /// Sets the hosts that may open tunnels for this one, if the keeper named some.
+    fn set_tunnel_hosts(&self, hosts: &[String]) {
+        if hosts.is_empty() {
+            return;
+        }
+        let peers = self.keepers.peers();
+        let addresses = hosts.iter().filter_map(|host| peers.inner_address(&HostId::new(host)));
+        self.connector.set_tunnel_hosts(addresses.collect());
+    }
+
     /// Applies the upstream limits that other hosts observed. Where this host knows a newer limit, it
     /// reports that one.
     fn apply_limits(&self, position: &mut Position, limits: &[u8]) {
--- a/clayplankd/src/follow/leader_confirmation.rs
+++ b/clayplankd/src/follow/leader_confirmation.rs
@@ -320,7 +320,14 @@
         } else {
             Vec::new()
         };
+        let now_ms = now_ms();
+        let mut tunnel_hosts = self.fleet.tunnel_hosts();
+        let asks_tunnel_hosts = tunnel_hosts.take_exchange(now_ms);
+        let listed =
+            if asks_tunnel_hosts { tunnel_hosts.sample_followers(now_ms) } else { Vec::new() };
+        drop(tunnel_hosts);
         let keeper = KeeperFollow {
+            tunnel_hosts: listed.iter().map(ToString::to_string).collect(),
             entry_hosts: self.fleet.count_local_followers(),
             renewals: encode(&self.take_renewals())?,
         };
@@ -332,6 +339,7 @@
             digest,
             keeper: Some(keeper),
             limits_cursor: encode(&position.limits_cursor)?,
+            asks_tunnel_hosts,
             ..FollowRequest::default()
         })
     }
@@ -348,6 +356,11 @@
             position.limits_cursor = changes.cursor;
         }
         self.fleet.record_leader_host_count(followed.entry_hosts);
+        if !followed.tunnel_hosts.is_empty() {
+            let hosts = followed.tunnel_hosts.iter().map(HostId::new).collect();
+            let leader = HostId::new(&followed.leader);
+            self.fleet.tunnel_hosts().record_reported(now_ms(), leader, hosts);
+        }
         let keepers = self.fleet.keepers();
         keepers.set_keepers(followed.keepers.iter().map(HostId::new));
         let deputy = Some(&followed.deputy).filter(|host| !host.is_empty());
--- a/clayplankd/src/process/daemon.rs
+++ b/clayplankd/src/process/daemon.rs
@@ -1,11 +1,13 @@
 //! A host whose settings list all hosts: starts its parts, and drains requests before it stops.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use clayplank_agreement::{Options, Store, StoreError};
 use clayplank_clock::Instant;
+use clayplank_connect::{TunnelServer, is_tunnel_request};
 use clayplank_forward::RequestQuarantine;
 use clayplank_settings::{Faults, HostSettings, Role};
 use clayplank_types::{HostId, Incarnation};
@@ -14,7 +16,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use hyper_util::service::TowerToHyperService;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use xtra::{Address, Mailbox};
 
@@ -139,7 +141,7 @@
             relay: None,
             heartbeat_relay: None,
         };
-        tokio::spawn(serve_inner(inner_listener, inner));
+        tokio::spawn(serve_inner(inner_listener, inner, None));
         let local_host = settings.host.clone();
         tokio::spawn(run_leader_search(host.keepers.clone()));
         tokio::spawn(run_settings_watch(Arc::clone(&host), local_host));
@@ -290,7 +292,11 @@
 }
 
 /// Serves the gRPC calls of peers. There is only one service, so that no router is needed.
-pub(crate) async fn serve_inner(listener: TcpListener, inner: InnerService) {
+pub(crate) async fn serve_inner(
+    listener: TcpListener,
+    inner: InnerService,
+    tunnels: Option<Arc<TunnelServer>>,
+) {
     let service = InnerServer::new(inner)
         .max_decoding_message_size(MAX_MESSAGE_BYTES)
         .max_encoding_message_size(MAX_MESSAGE_BYTES);
@@ -299,16 +305,34 @@
             continue;
         };
         stream.set_nodelay(true).ok();
-        let service = TowerToHyperService::new(service.clone());
-        tokio::spawn(async move {
-            let mut builder = auto::Builder::new(TokioExecutor::new()).http2_only();
-            builder
-                .http2()
-                .timer(TokioTimer::new())
-                .keep_alive_interval(Some(Duration::from_secs(5)));
-            if let Err(error) = builder.serve_connection(TokioIo::new(stream), service).await {
-                log::debug!(target: log_target::INNER, "The connection of a peer ended with an error: {error}.");
+        tokio::spawn(serve_peer(stream, service.clone(), tunnels.clone()));
+    }
+}
+
+/// Time-out for the first byte of a peer, which is sent as soon as it is connected.
+const PREFACE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Serves one connection of a peer: a tunnel, or calls.
+async fn serve_peer(
+    stream: TcpStream,
+    service: InnerServer<InnerService>,
+    tunnels: Option<Arc<TunnelServer>>,
+) {
+    if let Some(tunnels) = tunnels {
+        let is_tunnel = clayplank_clock::timeout(PREFACE_TIMEOUT, is_tunnel_request(&stream));
+        match is_tunnel.await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
+            Ok(true) => return tunnels.serve(stream).await,
+            Ok(false) => {}
+            Err(error) => {
+                log::debug!(target: log_target::INNER, "The connection of a peer failed: {error}.");
+                return;
             }
-        });
+        }
+    }
+    let mut builder = auto::Builder::new(TokioExecutor::new()).http2_only();
+    builder.http2().timer(TokioTimer::new()).keep_alive_interval(Some(Duration::from_secs(5)));
+    let service = TowerToHyperService::new(service);
+    if let Err(error) = builder.serve_connection(TokioIo::new(stream), service).await {
+        log::debug!(target: log_target::INNER, "The connection of a peer ended with an error: {error}.");
     }
 }
--- a/clayplankd/src/process/peers.rs
+++ b/clayplankd/src/process/peers.rs
@@ -58,13 +58,18 @@
         Self { clients: Arc::default(), inner_port: Some(inner_port) }
     }
 
+    /// Address on which a host that is named by its IP address listens for peers.
+    pub(crate) fn inner_address(&self, host: &HostId) -> Option<SocketAddr> {
+        let ip: IpAddr = host.as_str().parse().ok()?;
+        Some(SocketAddr::new(ip, self.inner_port?))
+    }
+
     fn client(&self, host: &HostId) -> Option<InnerClient<Channel>> {
         let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(client) = clients.get(host) {
             return Some(client.clone());
         }
-        let ip: IpAddr = host.as_str().parse().ok()?;
-        let client = connect(SocketAddr::new(ip, self.inner_port?));
+        let client = connect(self.inner_address(host)?);
         clients.insert(host.clone(), client.clone());
         Some(client)
     }
--- a/clayplankd/src/process/seeded.rs
+++ b/clayplankd/src/process/seeded.rs
@@ -10,8 +10,8 @@
 
 use bytes::Bytes;
 use clayplank_clock::Instant;
-use clayplank_connect::Connector;
-use clayplank_forward::{Gate, serve_small_requests};
+use clayplank_connect::{Connector, TunnelServer};
+use clayplank_forward::{Directory, Gate, serve_small_requests};
 use clayplank_settings::{Role, SeededSettings};
 use clayplank_types::HostId;
 use http::{Response, StatusCode};
@@ -82,14 +82,19 @@
         );
         let (failed_sender, failed) = mpsc::channel(1);
         let (closing, closing_receiver) = watch::channel(false);
+        let directory = Arc::new(Directory::default());
+        let connector = Arc::new(Connector::with_source(settings.source_ip));
         let context = StartContext {
             settings: Arc::new(settings.clone()),
             local_host,
             contract,
             peers,
             keepers: keepers.clone(),
-            connector: Arc::new(Connector::with_source(settings.source_ip)),
+            tunnels: Arc::new(TunnelServer::new(Arc::clone(&connector), directory.clone())),
+            directory,
+            connector,
         };
+        let tunnels = Arc::clone(&context.tunnels);
         let metrics = bind(settings.listen.metrics).await?;
         tokio::spawn(run_leader_search(keepers.clone()));
         tokio::spawn(run_suspension_watch());
@@ -116,7 +121,7 @@
                 .map(|(entry, follow_metrics)| entry.metrics_text() + &follow_metrics.to_text())
                 .unwrap_or_default();
             let keeper_text = fleet.as_deref().map(FleetKeeper::to_text).unwrap_or_default();
-            entry_text + &keeper_text + &suspension_metrics()
+            entry_text + &tunnels.metrics_text() + &keeper_text + &suspension_metrics()
         });
         log::info!(target: log_target::DAEMON,
             name = settings.name, role:? = settings.role, keeper = settings.is_keeper(),
@@ -214,8 +219,13 @@
     pub(crate) contract: SharedContract,
     pub(crate) peers: Peers,
     pub(crate) keepers: KeeperClient,
+    /// Upstreams known to this host, if it is an entry host.
+    pub(crate) directory: Arc<Directory>,
     /// Opens the connections of this host to upstreams.
     pub(crate) connector: Arc<Connector>,
+    /// Connects to upstreams on behalf of peers, if this is an entry host: it declines where the
+    /// directory is empty.
+    pub(crate) tunnels: Arc<TunnelServer>,
 }
 
 /// The hosts at the bootstrap addresses in the settings (`seeds`).
--- a/clayplankd/src/process/seeded_entry.rs
+++ b/clayplankd/src/process/seeded_entry.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use clayplank_forward::{
-    BudgetLimits, CommandFormat, Directory, Entry, EntryBuilder, Gate, QueueLimits, RetryBudget,
+    BudgetLimits, CommandFormat, Entry, EntryBuilder, Gate, QueueLimits, RetryBudget,
     serve_callers, serve_small_requests,
 };
 use clayplank_routes::CallerLimits;
@@ -65,7 +65,7 @@
             relay: None,
             heartbeat_relay: None,
         };
-        tokio::spawn(serve_inner(inner, service));
+        tokio::spawn(serve_inner(inner, service, Some(Arc::clone(&self.tunnels))));
         Ok(())
     }
 
@@ -83,7 +83,7 @@
         }
         let bounds = &self.settings.bounds;
         let gate = Arc::new(Gate::new(lease_ms(bounds)));
-        let directory = Arc::new(Directory::default());
+        let directory = Arc::clone(&self.directory);
         let (placement_client, reports) =
             PlacementClient::new(self.peers.clone(), self.keepers.clone());
         let placement_client = Arc::new(placement_client);
@@ -117,6 +117,7 @@
             gate: Arc::clone(&gate),
             directory,
             entry: Arc::clone(&entry),
+            connector: Arc::clone(&self.connector),
             metrics: Arc::clone(&metrics),
             apply_ms: Arc::clone(&apply_ms),
         }));
--- a/clayplankd/src/process/seeded_keeper.rs
+++ b/clayplankd/src/process/seeded_keeper.rs
@@ -204,6 +204,7 @@
                 relay: Some(relay),
                 heartbeat_relay: Some(heartbeat_relay.clone()),
             },
+            Some(Arc::clone(&self.tunnels)),
         ));
         self.start_control_endpoint(
             control,
--- a/clayplankd/tests/seeded/host.rs
+++ b/clayplankd/tests/seeded/host.rs
@@ -35,6 +35,8 @@
     pub ip: Ipv4Addr,
     /// Listening address for peers and operators; differs from `ip` if the host is behind a proxy.
     pub bind_ip: Ipv4Addr,
+    /// Address from which the host opens connections to upstreams, if it has one of its own.
+    pub source_ip: Option<Ipv4Addr>,
     pub role: Role,
     pub settings: PathBuf,
     pub data: PathBuf,
@@ -132,6 +134,7 @@
             "name": self.ip.to_string(),
             "role": if self.role == Role::Keeper { "keeper" } else { "entry" },
             "ip": self.ip,
+            "source_ip": self.source_ip,
             "data_centre": "hall",
             "data_centres": ["hall", "annex"],
             "listen": listen,
--- a/clayplankd/tests/seeded/soak/run_schedule.rs
+++ b/clayplankd/tests/seeded/soak/run_schedule.rs
@@ -50,10 +50,12 @@
         (Target::Keeper(number), Action::ProcessFault(fault)) => {
             return inject_process_fault(&mut system.keepers[number], fault);
         }
+        (Target::Entry(number), Action::CutOff(cut)) => system.cut_off(number, Some(cut)),
         (Target::Entry(number), Action::ProcessFault(fault)) => {
             return inject_process_fault(&mut system.entries[number], fault);
         }
-        (Target::Link(_), Action::ProcessFault(_))
+        (Target::Link(_), Action::ProcessFault(_) | Action::CutOff(_))
+        | (Target::Keeper(_), Action::CutOff(_))
         | (Target::Keeper(_) | Target::Entry(_), Action::Network(_)) => {
             unreachable!(
                 "schedules contain process faults for processes and network faults for links"
@@ -107,10 +109,13 @@
                 system.start_replacement(number);
                 system.install_replacement(number);
             }
-            Action::ProcessFault(_) | Action::Network(_) => {
+            Action::ProcessFault(_) | Action::Network(_) | Action::CutOff(_) => {
                 return undo_process_fault(&mut system.keepers[number], pending);
             }
         },
+        Target::Entry(number) if matches!(pending.step.action, Action::CutOff(_)) => {
+            system.cut_off(number, None);
+        }
         Target::Entry(number) => return undo_process_fault(&mut system.entries[number], pending),
     }
     true
@@ -149,7 +154,8 @@
             | ProcessFault::ReplacePlanned
             | ProcessFault::ReplaceUnplanned,
         )
-        | Action::Network(_) => restart(host),
+        | Action::Network(_)
+        | Action::CutOff(_) => restart(host),
     }
     true
 }
--- a/clayplankd/tests/seeded/soak/schedule.rs
+++ b/clayplankd/tests/seeded/soak/schedule.rs
@@ -3,7 +3,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::proxy::Fault;
+use crate::proxy::{Cut, Fault};
 
 /// Period in which faults start, in ms.
 pub const FAULT_PERIOD_MS: u64 = 12_000;
@@ -57,6 +57,8 @@
 pub enum Action {
     ProcessFault(ProcessFault),
     Network(Fault),
+    /// A host loses its links to upstreams.
+    CutOff(Cut),
 }
 
 /// One fault with its start and duration.
@@ -96,6 +98,9 @@
     let mut steps: Vec<_> = (0..count).map(|_| draw_step(&mut rng, is_planned_only)).collect();
     let replaced = rng.random_range(0..3);
     steps.extend((0..replaced).map(|_| draw_replacement(&mut rng, is_planned_only)));
+    if !is_planned_only {
+        steps.extend(draw_cuts(seed));
+    }
     steps.sort_by_key(|step| step.start_ms);
     space_disk_losses(&mut steps);
     steps
@@ -137,6 +142,24 @@
     }
 }
 
+/// Entry hosts that are cut off from upstreams, most of them at once in some runs. Draws from its own
+/// generator, so that the other steps of earlier seeds remain.
+fn draw_cuts(seed: u64) -> Vec<Step> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0x0c07_0ff0);
+    let count = rng.random_range(0..4);
+    let cuts = (0..count).map(|_| Step {
+        start_ms: rng.random_range(0..FAULT_PERIOD_MS),
+        duration_ms: rng.random_range(500..6_000),
+        target: Target::Entry(rng.random_range(0..ENTRIES)),
+        action: Action::CutOff(match rng.random_range(0..3) {
+            0 => Cut::Silent,
+            1 => Cut::Reset,
+            _ => Cut::NewConnections,
+        }),
+    });
+    cuts.collect()
+}
+
 /// The two keepers that lose their disks in the final restart.
 pub fn draw_final_disk_losses(seed: u64) -> [usize; 2] {
     let mut rng = SmallRng::seed_from_u64(seed);
--- a/clayplankd/tests/seeded/soak/setup.rs
+++ b/clayplankd/tests/seeded/soak/setup.rs
@@ -54,6 +54,7 @@
             keepers: KEEPERS,
             entries: ENTRIES,
             has_proxies: true,
+            has_upstream_proxies: true,
             has_combined_roles: self.bootstrap_choice != BootstrapChoice::Keepers,
             idle_entries: self.idle_entries,
             ..Topology::default()
--- a/clayplankd/tests/seeded/system.rs
+++ b/clayplankd/tests/seeded/system.rs
@@ -42,8 +42,8 @@
     pub keepers: usize,
     pub entries: usize,
     pub has_proxies: bool,
-    /// Whether proxies are in front of the upstreams that tests start, and each entry host has an
-    /// address of its own at them.
+    /// Whether proxies are in front of the upstreams, and each host has an address of its own at
+    /// them.
     pub has_upstream_proxies: bool,
     /// Whether the keepers are entry hosts too, and the entry hosts have control listeners.
     pub has_combined_roles: bool,
@@ -75,7 +75,7 @@
 pub const BASIC_UPSTREAMS: [u8; 2] = [21, 22];
 
 /// Last address bytes of the upstreams that tests start and that may be behind proxies.
-const PROXIED_UPSTREAMS: RangeInclusive<u8> = 31..=34;
+pub const PROXIED_UPSTREAMS: RangeInclusive<u8> = 31..=34;
 
 /// Maximum number of bootstrap addresses of a host.
 const MAX_BOOTSTRAP_ADDRESSES: usize = 3;
@@ -124,7 +124,8 @@
             let bind_ip = if topology.has_proxies { behind_proxy(ip) } else { ip };
             let settings = dir.path().join(format!("{last}.json"));
             let data = dir.path().join(format!("data-{last}"));
-            Host { ip, bind_ip, role, settings, data, child: None }
+            let source_ip = topology.has_upstream_proxies.then_some(ip);
+            Host { ip, bind_ip, source_ip, role, settings, data, child: None }
         };
         let keeper = if topology.has_combined_roles { Role::EntryAndKeeper } else { Role::Keeper };
         let entry = Role::Entry { has_control_listener: topology.has_combined_roles };
@@ -229,6 +230,7 @@
         let mut keeper = Host {
             ip,
             bind_ip: if self.topology.has_proxies { behind_proxy(ip) } else { ip },
+            source_ip: self.topology.has_upstream_proxies.then_some(ip),
             role: self.keepers[0].role,
             settings: self.dir.path().join(format!("{last}.json")),
             data: self.dir.path().join(format!("data-{last}")),
@@ -255,23 +257,26 @@
         }
     }
 
-    /// Starts one proxy in front of each upstream that a test may start, and gives the entry hosts
-    /// source addresses.
+    /// Starts one proxy in front of each upstream that a test may start.
     fn start_upstream_proxies(&mut self) {
         if !self.topology.has_upstream_proxies {
             return;
         }
-        for entry in &self.entries {
-            entry.change_settings_file(|settings| settings["source_ip"] = json!(entry.ip));
-        }
-        for last in BASIC_UPSTREAMS.into_iter().chain(PROXIED_UPSTREAMS) {
-            self.start_proxy(self.upstream_ip(last), &[UPSTREAM_PORT]);
+        for ip in BASIC_UPSTREAMS
+            .into_iter()
+            .chain(PROXIED_UPSTREAMS)
+            .map(|last| self.upstream_ip(last))
+            .collect::<Vec<_>>()
+        {
+            if !self.proxies.contains_key(&ip) {
+                self.start_proxy(ip, &[UPSTREAM_PORT]);
+            }
         }
     }
 
     /// Cuts an entry host off from all upstreams, or restores its links.
     pub fn cut_off(&self, entry: usize, cut: Option<Cut>) {
-        for last in PROXIED_UPSTREAMS {
+        for last in BASIC_UPSTREAMS.into_iter().chain(PROXIED_UPSTREAMS) {
             self.proxy(last).cut(self.entries[entry].ip, cut);
         }
     }
--- a/clayplankd/tests/seeded/upstreams.rs
+++ b/clayplankd/tests/seeded/upstreams.rs
@@ -12,7 +12,7 @@
 use crate::answer::Answer;
 use crate::client::call;
 use crate::host::{Host, UPSTREAM_PORT};
-use crate::system::{BASIC_UPSTREAMS, System, Topology, behind_proxy};
+use crate::system::{BASIC_UPSTREAMS, PROXIED_UPSTREAMS, System, Topology, behind_proxy};
 
 /// Concurrent requests of an upstream of the service `app`.
 const APP_SLOTS: u32 = 4;
@@ -83,7 +83,10 @@
     fn bind_address(&self, last: u8) -> SocketAddr {
         let ip = self.upstream_ip(last);
         let Topology { has_proxies, has_upstream_proxies, .. } = self.topology;
-        let has_proxy = has_upstream_proxies || (has_proxies && BASIC_UPSTREAMS.contains(&last));
+        let has_proxy = match BASIC_UPSTREAMS.contains(&last) {
+            true => has_proxies || has_upstream_proxies,
+            false => has_upstream_proxies && PROXIED_UPSTREAMS.contains(&last),
+        };
         let ip = if has_proxy { behind_proxy(ip) } else { ip };
         SocketAddr::new(IpAddr::V4(ip), UPSTREAM_PORT)
     }
