Placement: an engine that a host did not reach is used again as soon as it answers

Callers saw: prompts rejected for lack of capacity at hosts that were not cut off, while engines were idle. Cause: a connection that one host could not open counted as a failure of the engine, which doubles its time out of use up to 8 s, although the leader's own query reached it 0.2 s later. A failed connection now takes an engine out of use until it answers a query or a later heartbeat comes, and no longer.

The test failed before: 4 of 4 engines avoided after they had answered.

--- a/clayplank-placement/src/engine_loads.rs
+++ b/clayplank-placement/src/engine_loads.rs
@@ -134,10 +134,10 @@
                 engine.health.record_failure(now_ms);
                 engine.reachability.record_broken();
             }),
-            Event::Unreached => self.end(now_ms, id, |engine| {
-                engine.health.record_failure(now_ms);
-                engine.reachability.record_unreachable(now_ms);
-            }),
+            // The links of the host that reports it may be broken, so this is no failure of the engine.
+            Event::Unreached => {
+                self.end(now_ms, id, |engine| engine.reachability.record_unreachable(now_ms));
+            }
             Event::HelperFailed { position } => {
                 self.record_helper_failed(now_ms, id, position);
                 self.end(now_ms, id, |_| {});
--- a/clayplank-placement/tests/decisions.rs
+++ b/clayplank-placement/tests/decisions.rs
@@ -433,6 +433,22 @@
     assert_eq!((summary.engines, summary.unreached, summary.avoided), (7, 6, 0));
 }
 
+/// The links of the host that reported it may be broken.
+#[test]
+fn an_unreached_engine_is_used_again_as_soon_as_it_answers_a_keeper() {
+    const ENGINES: usize = 4;
+    let mut fleet = fleet_of(ENGINES, &EngineModel::default());
+    for number in 0..ENGINES {
+        let mut request = short(number as u64);
+        request.avoid = (0..ENGINES).filter(|other| *other != number).map(engine).collect();
+        assert_eq!(assigned(fleet.place(0.0, &request)).engine, engine(number));
+        fleet.apply_event(1.0, request.id, Event::Unreached);
+        fleet.record_pace(10.0, &engine(number), 1.0);
+    }
+    let summary = fleet.pool_summary(20.0, "main");
+    assert_eq!((summary.engines, summary.unreached, summary.avoided), (ENGINES, 0, 0));
+}
+
 /// A hundred streams broke off and would be prefilled again by the one engine that is left. It must
 /// accept only those that resume before their callers time out.
 #[test]
