--- a/clayplank-connect/src/tunnel_server.rs
+++ b/clayplank-connect/src/tunnel_server.rs
@@ -17,7 +17,7 @@
 };
 
 /// Maximum number of open tunnels; each takes two file descriptors and a buffer.
-const MAX_TUNNELS: usize = 400;
+const MAX_TUNNELS: usize = 200;
 
 /// Maximum size of a frame, in bytes.
 const MAX_FRAME_BYTES: usize = 8 << 10;
