Tunnels: a planned stop waits for the requests of peers

Callers saw nothing yet: found by reading. A stopping host waited for its own requests only, and ended those of peers that went through it. It now declines new tunnels at once, so that peers ask another host, and waits for open ones until the grace period is nearly over. The test failed before: the stream of a host that was cut off broke off when its peers got SIGTERM (status 200, incomplete).

--- a/clayplank-connect/src/tunnel_protocol.rs
+++ b/clayplank-connect/src/tunnel_protocol.rs
@@ -44,7 +44,7 @@
     /// The peer does not reach the upstream, and its own links may be at fault.
     NoPath,
     /// The peer does not connect to this address now: it knows no such upstream, the upstream wants
-    /// no requests from it, or it has too many tunnels.
+    /// no requests from it, it has too many tunnels, or it is about to stop.
     Declined,
 }
 
--- a/clayplank-connect/src/tunnel_server.rs
+++ b/clayplank-connect/src/tunnel_server.rs
@@ -4,6 +4,7 @@
 use std::fmt::Write as _;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -50,6 +51,7 @@
     connector: Arc<Connector>,
     access: Arc<dyn UpstreamAccess>,
     permits: Semaphore,
+    is_closed: AtomicBool,
     replies: Mutex<BTreeMap<&'static str, u64>>,
 }
 
@@ -72,7 +74,8 @@
     /// Creates a server of tunnels to the upstreams that `access` allows.
     pub fn new(connector: Arc<Connector>, access: Arc<dyn UpstreamAccess>) -> Self {
         let permits = Semaphore::new(MAX_TUNNELS);
-        Self { connector, access, permits, replies: Mutex::default() }
+        let is_closed = AtomicBool::new(false);
+        Self { connector, access, permits, is_closed, replies: Mutex::default() }
     }
 
     /// Serves one connection of a peer until it ends.
@@ -108,7 +111,7 @@
         address: SocketAddr,
     ) -> Result<(TcpStream, tokio::sync::SemaphorePermit<'_>), TunnelReply> {
         let permit = self.permits.try_acquire().map_err(|_| TunnelReply::Declined)?;
-        if !self.access.is_open(address) {
+        if self.is_closed.load(Ordering::SeqCst) || !self.access.is_open(address) {
             return Err(TunnelReply::Declined);
         }
         let timeout = match self.connector.may_be_at_fault(address) {
@@ -124,6 +127,16 @@
         Ok((upstream, permit))
     }
 
+    /// Declines all further requests, as this host is about to stop.
+    pub fn close(&self) {
+        self.is_closed.store(true, Ordering::SeqCst);
+    }
+
+    /// Number of open tunnels.
+    pub fn open_tunnels(&self) -> usize {
+        MAX_TUNNELS - self.permits.available_permits()
+    }
+
     fn count(&self, reply: TunnelReply) {
         let mut replies = self.replies.lock().unwrap_or_else(PoisonError::into_inner);
         *replies.entry(reply.as_str()).or_default() += 1;
@@ -136,8 +149,7 @@
         for (reply, count) in replies.iter() {
             writeln!(text, "clayplank_tunnel_requests_total{{reply=\"{reply}\"}} {count}").ok();
         }
-        let open = MAX_TUNNELS - self.permits.available_permits();
-        writeln!(text, "clayplank_tunnels_open {open}").ok();
+        writeln!(text, "clayplank_tunnels_open {}", self.open_tunnels()).ok();
         text
     }
 }
--- a/clayplankd/src/process/seeded.rs
+++ b/clayplankd/src/process/seeded.rs
@@ -52,6 +52,7 @@
     keepers: KeeperClient,
     /// `None` on a host without callers.
     entry: Option<EntryHost>,
+    tunnels: Arc<TunnelServer>,
     closing: watch::Sender<bool>,
     /// Errors that end the daemon. Closed on a host without a data folder, which has none.
     failed: mpsc::Receiver<StartError>,
@@ -95,6 +96,7 @@
             connector,
         };
         let tunnels = Arc::clone(&context.tunnels);
+        let counted_tunnels = Arc::clone(&tunnels);
         let metrics = bind(settings.listen.metrics).await?;
         tokio::spawn(run_leader_search(keepers.clone()));
         tokio::spawn(run_suspension_watch());
@@ -121,14 +123,14 @@
                 .map(|(entry, follow_metrics)| entry.metrics_text() + &follow_metrics.to_text())
                 .unwrap_or_default();
             let keeper_text = fleet.as_deref().map(FleetKeeper::to_text).unwrap_or_default();
-            entry_text + &tunnels.metrics_text() + &keeper_text + &suspension_metrics()
+            entry_text + &counted_tunnels.metrics_text() + &keeper_text + &suspension_metrics()
         });
         log::info!(target: log_target::DAEMON,
             name = settings.name, role:? = settings.role, keeper = settings.is_keeper(),
             is_first_start = settings.is_first_start,
             seeds = bootstrap_hosts(&settings).map(|host| host.to_string()).collect::<Vec<_>>().join(" ");
             "Host started");
-        Ok(Self { settings, keepers, entry, closing, failed })
+        Ok(Self { settings, keepers, entry, tunnels, closing, failed })
     }
 
     /// Waits for a failure that ends the daemon.
@@ -195,17 +197,19 @@
         log::info!(target: log_target::DAEMON, cut_off = cut_off; "Stopped");
     }
 
-    /// Fails the readiness check, then rejects new requests, and waits for those in progress until
-    /// the grace period is nearly over.
+    /// Fails the readiness check, then rejects new requests, and waits for those in progress, also
+    /// those of peers in tunnels, until the grace period is nearly over.
     async fn drain(&self, gate: &Gate) {
         let end =
             Instant::now() + Duration::from_secs_f64(self.settings.bounds.grace_s) - GRACE_MARGIN;
         log::info!(target: log_target::DAEMON, in_progress = gate.in_progress(); "Shutting down; draining requests");
         gate.start_shutdown();
+        self.tunnels.close();
         clayplank_clock::sleep(BALANCER_DELAY).await;
         gate.close();
         self.closing.send_replace(true);
-        while gate.in_progress() > 0 && Instant::now() < end {
+        let is_busy = || gate.in_progress() > 0 || self.tunnels.open_tunnels() > 0;
+        while is_busy() && Instant::now() < end {
             clayplank_clock::sleep(DRAIN_POLL_INTERVAL).await;
         }
         clayplank_clock::sleep(FLUSH_DELAY).await;
--- a/clayplankd/tests/seeded/cut_off.rs
+++ b/clayplankd/tests/seeded/cut_off.rs
@@ -5,9 +5,10 @@
 
 use rstest::rstest;
 
+use crate::host::Host;
 use crate::proxy::Cut;
 use crate::signals::{ENTRIES, SignalSystem, UpstreamKind};
-use crate::system::Topology;
+use crate::system::{Topology, wait_for};
 
 /// Hosts that are cut off.
 const CUT_OFF: [usize; 2] = [0, 1];
@@ -66,6 +67,11 @@
     }
 }
 
+fn start(kind: UpstreamKind) -> SignalSystem {
+    let topology = Topology { entries: ENTRIES, has_upstream_proxies: true, ..Topology::default() };
+    SignalSystem::start_in(kind, topology)
+}
+
 /// Each host has a link of its own to each upstream, and used no other.
 #[rstest]
 #[case::engines_silent(UpstreamKind::Engines, Cut::Silent)]
@@ -106,3 +112,26 @@
     );
     assert!(other_served * 10 >= other_sent * 9, "{other_served} of {other_sent} at other hosts");
 }
+
+/// The peer ended although a request of another host went through it.
+#[test]
+fn a_planned_stop_of_peers_interrupts_no_request_that_goes_through_them() {
+    let system = start(UpstreamKind::Engines);
+    system.system.cut_off(0, Some(Cut::Silent));
+    let mut number = 0;
+    wait_for("service through a peer", || {
+        number += 1;
+        system.is_served(0, &format!("short-{number}"))
+    });
+    let count = || system.signals.iter().map(|one| one.arrivals().len()).sum::<usize>();
+    let before = count();
+    let answer = std::thread::scope(|scope| {
+        // It takes longer than the time after which a stopping host refuses requests.
+        let long = scope.spawn(|| system.request_with_tokens(0, "long", "2000,4000"));
+        wait_for("the start of the request", || count() > before);
+        system.system.entries[1..].iter().for_each(Host::terminate);
+        long.join().unwrap()
+    });
+    assert_eq!((answer.status, answer.is_complete), (200, true));
+    assert_eq!(count(), before + 1, "the request was sent once");
+}
--- a/clayplankd/tests/seeded/signals.rs
+++ b/clayplankd/tests/seeded/signals.rs
@@ -104,8 +104,13 @@
     }
 
     pub fn request(&self, entry: usize, attempt: &str) -> Answer {
+        self.request_with_tokens(entry, attempt, "2000,90")
+    }
+
+    /// Sends a request with these numbers of tokens in and out.
+    pub fn request_with_tokens(&self, entry: usize, attempt: &str, tokens: &str) -> Answer {
         let host = entry.to_string();
-        let headers = [("x-clayplank-tokens", "2000,90"), (HOST_HEADER, host.as_str())];
+        let headers = [("x-clayplank-tokens", tokens), (HOST_HEADER, host.as_str())];
         self.system.send(entry, attempt, self.kind.path(), &headers)
     }
 
