Soak: a stream that ends at its caller's deadline was not interrupted

The check now knows the deadline that the caller sent; a request that breaks off before it counts as before.

--- a/clayplankd/tests/seeded/soak/callers.rs
+++ b/clayplankd/tests/seeded/soak/callers.rs
@@ -13,6 +13,9 @@
 /// Time limit for an answer, longer than the time limit of all routes.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(12);
 
+/// Time limit that callers send.
+const DEADLINE: Duration = Duration::from_secs(9);
+
 /// Faults that a request may ask its upstream to show.
 const UPSTREAM_FAULTS: [&str; 6] = ["refuse", "lose", "break", "foreign", "unsealed", "slow"];
 
@@ -47,7 +50,7 @@
         let header = |fault| format!("x-standin-fault: {fault}\r\n");
         let headers = requested_fault.map(header).unwrap_or_default();
         let sent_at = Instant::now();
-        let head = head(&attempt, &path, 9_000, &headers, &attempt);
+        let head = head(&attempt, &path, DEADLINE.as_millis(), &headers, &attempt);
         let answer = connection.send(&head, &attempt).ok();
         let ended_at = Instant::now();
         record.push(ObservedRequest {
@@ -56,6 +59,7 @@
             entry,
             sent_at,
             ended_at,
+            deadline: sent_at + DEADLINE,
             requested_fault,
             answer,
         });
--- a/clayplankd/tests/seeded/soak/queue.rs
+++ b/clayplankd/tests/seeded/soak/queue.rs
@@ -174,9 +174,9 @@
     for number in 0..3 {
         let attempt = format!("{name}-{number}");
         let sent_at = Instant::now();
-        let deadline_ms = DEADLINE.saturating_sub(sent_at - started_at).as_millis();
+        let deadline_ms = DEADLINE.saturating_sub(sent_at - started_at).as_millis() as u64;
         let headers = format!("x-clayplank-tokens: 2000,{tokens}\r\n{HOST_HEADER}: {attempt}\r\n");
-        let head = head(&attempt, "/prompt/x", deadline_ms, &headers, name);
+        let head = head(&attempt, "/prompt/x", deadline_ms.into(), &headers, name);
         let answer = PersistentConnection::new(address, timeout).send(&head, name).ok();
         let refused = answer.as_ref().filter(|answer| answer.status == 503);
         let retry_s = refused.and_then(|answer| answer.header("retry-after")?.parse::<f64>().ok());
@@ -186,6 +186,7 @@
             entry,
             sent_at,
             ended_at: Instant::now(),
+            deadline: sent_at + Duration::from_millis(deadline_ms),
             requested_fault: leaves.then_some("leave"),
             answer,
         });
--- a/clayplankd/tests/seeded/soak/record.rs
+++ b/clayplankd/tests/seeded/soak/record.rs
@@ -21,6 +21,8 @@
     pub entry: usize,
     pub sent_at: Instant,
     pub ended_at: Instant,
+    /// End of the time for which the caller wanted an answer.
+    pub deadline: Instant,
     /// Fault that the request asked its upstream to show.
     pub requested_fault: Option<&'static str>,
     pub answer: Option<Answer>,
@@ -80,9 +82,11 @@
     }
 }
 
-/// Whether a request that ran got no complete answer although it asked for no fault. Outside the
-/// periods of unplanned faults, only planned work on the host of the caller can cause this.
+/// Whether a request that ran got no complete answer before its deadline although it asked for no
+/// fault. Outside the periods of unplanned faults, only planned work on the host of the caller can
+/// cause this.
 pub fn is_interrupted(observed: &ObservedRequest, runs: usize) -> bool {
     let is_complete = observed.answer.as_ref().is_some_and(|answer| answer.is_complete);
-    runs > 0 && observed.requested_fault.is_none() && !is_complete
+    let is_in_time = observed.ended_at < observed.deadline;
+    runs > 0 && observed.requested_fault.is_none() && !is_complete && is_in_time
 }
