--- a/clayplank-connect/src/connector.rs
+++ b/clayplank-connect/src/connector.rs
@@ -122,44 +122,48 @@
         opened
     }
 
+    /// Opens a connection in one of the two ways, whichever succeeds first.
     async fn open(&self, address: SocketAddr) -> Result<UpstreamStream, ConnectError> {
         let mut direct = pin!(self.connect_directly(address));
-        let head_start = self.head_start(address);
-        let first = match clayplank_clock::timeout(head_start, direct.as_mut()).await {
+        let head_start = clayplank_clock::timeout(self.head_start(address), direct.as_mut());
+        let mut failed = match head_start.await {
             Ok(Ok(stream)) => return Ok(UpstreamStream::Direct(stream)),
             Ok(Err(error)) => Some(error),
             Err(_) => None,
         };
         let mut tunnel = pin!(self.open_tunnel(address));
-        let (failed, no_tunnel) = match first {
-            Some(error) => (Err(error), tunnel.await),
-            None => tokio::select! {
+        let mut no_tunnel = None;
+        loop {
+            if let Some(cause) = no_tunnel
+                && let Some(error) = failed.take()
+            {
+                return Err(self.connect_error(error, cause));
+            }
+            tokio::select! {
                 biased;
-                connected = direct.as_mut() => match connected {
-                    Ok(stream) => (Ok(stream), Err(NoTunnel::NoPeer)),
-                    Err(error) => (Err(error), tunnel.await),
+                connected = direct.as_mut(), if failed.is_none() => match connected {
+                    Ok(stream) => return Ok(UpstreamStream::Direct(stream)),
+                    Err(error) => failed = Some(error),
                 },
-                tunnelled = tunnel.as_mut() => match tunnelled {
+                tunnelled = tunnel.as_mut(), if no_tunnel.is_none() => match tunnelled {
                     Ok(stream) => {
                         self.record(address, false);
                         return Ok(UpstreamStream::Tunnelled(stream));
                     }
-                    Err(no_tunnel) => (direct.await, Err(no_tunnel)),
+                    Err(cause) => no_tunnel = Some(cause),
                 },
-            },
-        };
-        match (failed, no_tunnel) {
-            (Ok(stream), _) => Ok(UpstreamStream::Direct(stream)),
-            (Err(_), Ok(stream)) => Ok(UpstreamStream::Tunnelled(stream)),
-            (Err(error), Err(NoTunnel::NoPeer)) if self.is_cut_off() => {
-                Err(ConnectError::CutOff(error))
-            }
-            (Err(error), Err(NoTunnel::NoPeer | NoTunnel::Unreachable)) => {
-                Err(ConnectError::Upstream(error))
             }
         }
     }
 
+    /// Reason why neither way to an upstream is open.
+    fn connect_error(&self, direct: io::Error, no_tunnel: NoTunnel) -> ConnectError {
+        match no_tunnel {
+            NoTunnel::NoPeer if self.is_cut_off() => ConnectError::CutOff(direct),
+            NoTunnel::NoPeer | NoTunnel::Unreachable => ConnectError::Upstream(direct),
+        }
+    }
+
     /// Opens a direct connection within a time-out.
     pub(crate) async fn connect_within(
         &self,
