Tunnels: a host that gets no list of peers requests one once a second

Found by reading. A keeper answers the follow request of a host that is cut off and asks for peers at once; an empty answer did not count as one, so that the host asked again at once, some 20 times a second. The test failed to compile before (the request was not counted); by reading, each request asked.

--- a/clayplank-connect/src/connector.rs
+++ b/clayplank-connect/src/connector.rs
@@ -238,11 +238,13 @@
             || (reachability.has_failed(now_ms, address) && reachability.is_impaired(now_ms))
     }
 
-    /// Whether a new list of peers that may open tunnels should be requested.
-    pub fn needs_tunnel_hosts(&self) -> bool {
+    /// Whether a list of peers that may open tunnels should be requested now; if so, counts it as
+    /// requested.
+    pub fn take_tunnel_hosts_request(&self) -> bool {
         let now_ms = now_ms();
-        let state = self.lock();
-        state.tunnel_hosts.needs_list(now_ms, state.reachability.is_cut_off(now_ms))
+        let mut state = self.lock();
+        let is_cut_off = state.reachability.is_cut_off(now_ms);
+        state.tunnel_hosts.take_request(now_ms, is_cut_off)
     }
 
     /// Sets the peers that may open tunnels for this host.
--- a/clayplank-connect/src/tunnel_hosts.rs
+++ b/clayplank-connect/src/tunnel_hosts.rs
@@ -14,8 +14,9 @@
 /// Age at which the list is requested anew, in ms.
 const REFRESH_MS: u64 = 30_000;
 
-/// The same while this host is cut off, when other hosts may be too.
-const CUT_OFF_REFRESH_MS: u64 = 1_000;
+/// The same while this host is cut off, when other hosts may be too, and the interval between two
+/// requests.
+const REQUEST_INTERVAL_MS: u64 = 1_000;
 
 /// Peers that may open tunnels for this host, as a keeper named them.
 #[derive(Debug, Default)]
@@ -25,22 +26,28 @@
     avoided_until_ms: HashMap<SocketAddr, u64>,
     /// Time of the latest list, in ms; `None` before the first.
     listed_at_ms: Option<u64>,
+    /// Time of the latest request for a list, in ms.
+    requested_at_ms: Option<u64>,
 }
 
 impl TunnelHosts {
-    /// Replaces the list. An empty one, of a keeper that knows no hosts yet, keeps the former.
+    /// Replaces the list.
     pub(crate) fn set(&mut self, now_ms: u64, hosts: Vec<SocketAddr>) {
         self.listed_at_ms = Some(now_ms);
-        if !hosts.is_empty() {
-            self.hosts = hosts;
-        }
+        self.hosts = hosts;
     }
 
-    /// Whether a new list should be requested.
-    pub(crate) fn needs_list(&self, now_ms: u64, is_cut_off: bool) -> bool {
-        let interval_ms =
-            if is_cut_off || self.hosts.is_empty() { CUT_OFF_REFRESH_MS } else { REFRESH_MS };
-        self.listed_at_ms.is_none_or(|listed_at_ms| now_ms >= listed_at_ms + interval_ms)
+    /// Whether a new list should be requested now; if so, counts it as requested.
+    pub(crate) fn take_request(&mut self, now_ms: u64, is_cut_off: bool) -> bool {
+        let refresh_ms = if is_cut_off { REQUEST_INTERVAL_MS } else { REFRESH_MS };
+        let is_due =
+            |at_ms: Option<u64>, age_ms| at_ms.is_none_or(|at_ms| now_ms >= at_ms + age_ms);
+        let is_requested = is_due(self.listed_at_ms, refresh_ms)
+            && is_due(self.requested_at_ms, REQUEST_INTERVAL_MS);
+        if is_requested {
+            self.requested_at_ms = Some(now_ms);
+        }
+        is_requested
     }
 
     /// Records that a peer could not help.
--- a/clayplank-connect/tests/tunnels.rs
+++ b/clayplank-connect/tests/tunnels.rs
@@ -239,6 +239,21 @@
     drop(listener);
 }
 
+/// Requests of a host that is cut off are answered at once, so one after the other would load the
+/// keepers.
+#[tokio::test(start_paused = true)]
+async fn a_host_that_gets_no_list_of_peers_requests_it_once_a_second() {
+    let host = cut_off_host(&[]);
+    for _ in 0..3 {
+        host.connect(refusing_address().await).await.unwrap_err();
+    }
+    for _ in 0..3 {
+        tokio::time::advance(Duration::from_secs(1)).await;
+        assert!(host.take_tunnel_hosts_request());
+        assert!(!host.take_tunnel_hosts_request());
+    }
+}
+
 #[tokio::test]
 async fn bytes_that_are_no_request_close_the_connection() {
     let peer = Peer::start().await;
--- a/clayplankd/src/follow/follow_task.rs
+++ b/clayplankd/src/follow/follow_task.rs
@@ -201,7 +201,7 @@
             limits_cursor: encode(&position.limits_cursor).ok()?,
             is_hedge,
             is_cut_off: self.connector.is_cut_off(),
-            asks_tunnel_hosts: !is_hedge && self.connector.needs_tunnel_hosts(),
+            asks_tunnel_hosts: !is_hedge && self.connector.take_tunnel_hosts_request(),
         })
     }
 
