Tunnels: one name for each list of hosts, and plainer code

The keepers' list of hosts that may open tunnels is TunnelHostRegistry; TunnelHosts is what a host knows. A sample in place of a loop that removes, and conditions in place of a match with a guard. No change of behaviour.

--- a/clayplank-connect/src/tunnel_server.rs
+++ b/clayplank-connect/src/tunnel_server.rs
@@ -119,10 +119,14 @@
             false => CONNECT_TIMEOUT,
         };
         let connected = self.connector.connect_within(address, timeout).await;
-        let upstream = connected.map_err(|error| match error.kind() {
-            _ if self.connector.may_be_at_fault(address) => TunnelReply::NoPath,
-            io::ErrorKind::ConnectionRefused => TunnelReply::Refused,
-            _ => TunnelReply::Unreachable,
+        let upstream = connected.map_err(|error| {
+            if self.connector.may_be_at_fault(address) {
+                TunnelReply::NoPath
+            } else if error.kind() == io::ErrorKind::ConnectionRefused {
+                TunnelReply::Refused
+            } else {
+                TunnelReply::Unreachable
+            }
         })?;
         Ok((upstream, permit))
     }
--- a/clayplankd/src/fleet/fleet_keeper.rs
+++ b/clayplankd/src/fleet/fleet_keeper.rs
@@ -23,7 +23,7 @@
 use crate::doors::contract::{EngineLoadReport, SharedContract};
 use crate::fleet::host_counts::HostCounts;
 use crate::fleet::placement_keeper::PlacementKeeper;
-use crate::fleet::tunnel_hosts::TunnelHosts;
+use crate::fleet::tunnel_hosts::TunnelHostRegistry;
 use crate::follow::packed_changes::PackedChanges;
 use crate::follow::plan_edits::PlanEdits;
 use crate::keepers::keeper::AppliedState;
@@ -95,7 +95,7 @@
     plan: ArcSwapOption<PlanIndex>,
     edits: Mutex<PlanEdits>,
     entry_hosts: Mutex<HostCounts>,
-    tunnel_hosts: Mutex<TunnelHosts>,
+    tunnel_hosts: Mutex<TunnelHostRegistry>,
 }
 
 impl FleetKeeper {
@@ -461,7 +461,7 @@
     }
 
     /// Entry hosts that may open tunnels for others.
-    pub(crate) fn tunnel_hosts(&self) -> MutexGuard<'_, TunnelHosts> {
+    pub(crate) fn tunnel_hosts(&self) -> MutexGuard<'_, TunnelHostRegistry> {
         lock_ignoring_poison(&self.tunnel_hosts)
     }
 
--- a/clayplankd/src/fleet/tunnel_hosts.rs
+++ b/clayplankd/src/fleet/tunnel_hosts.rs
@@ -3,7 +3,6 @@
 use std::collections::HashMap;
 
 use clayplank_types::HostId;
-use rand::RngExt;
 use rand::seq::IteratorRandom;
 
 /// Maximum number of hosts in a list.
@@ -26,14 +25,14 @@
 
 /// Entry hosts that follow this keeper, and lists that other keepers sent of theirs.
 #[derive(Debug, Default)]
-pub(crate) struct TunnelHosts {
+pub(crate) struct TunnelHostRegistry {
     followers: HashMap<HostId, Follower>,
     /// Latest list of each keeper, and the time of its arrival in ms.
     reported: HashMap<HostId, (Vec<HostId>, u64)>,
     exchanged_at_ms: Option<u64>,
 }
 
-impl TunnelHosts {
+impl TunnelHostRegistry {
     /// Records a follow request of an entry host.
     pub(crate) fn record_follower(&mut self, now_ms: u64, host: HostId, is_cut_off: bool) {
         self.followers.insert(host, Follower { requested_ms: now_ms, is_cut_off });
@@ -70,9 +69,6 @@
         hosts.retain(|host| host != requester);
         hosts.sort();
         hosts.dedup();
-        while hosts.len() > MAX_LISTED {
-            hosts.swap_remove(rand::rng().random_range(0..hosts.len()));
-        }
-        hosts
+        hosts.into_iter().sample(&mut rand::rng(), MAX_LISTED)
     }
 }
