--- a/clayplank-admission/benches/tick.rs
+++ b/clayplank-admission/benches/tick.rs
@@ -8,7 +8,7 @@
 use clayplank_placement::{
     EngineModel, EngineSpec, Event, PlacementId, PlacementRequest, QueueTerms,
 };
-use clayplank_types::{DataCentre, RequestFingerprint, UpstreamId};
+use clayplank_types::{DataCentre, Fingerprint, UpstreamId};
 use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
 
 const ENGINES: usize = 69;
@@ -31,7 +31,7 @@
     request.route_limit_ms = 15_000.0;
     request.sent_limit_ms = 15_000.0;
     request.queue_terms = Some(QueueTerms {
-        fingerprint: RequestFingerprint::new(u128::from(number)),
+        fingerprint: Fingerprint::new(u128::from(number)),
         account: format!("account-{}", number % ACCOUNTS),
         rank: 0,
         deadline_ms: 15_000.0,
--- a/clayplank-admission/src/appointments.rs
+++ b/clayplank-admission/src/appointments.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use clayplank_placement::{Demand, Promised};
-use clayplank_types::RequestFingerprint;
+use clayplank_types::Fingerprint;
 
 /// A caller that returns this much before its appointment, in ms, is served as one that is on time:
 /// clocks of callers and the network vary.
@@ -49,7 +49,7 @@
 /// share a fingerprint, so there may be several.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Appointments {
-    by_fingerprint: BTreeMap<RequestFingerprint, Vec<Appointment>>,
+    by_fingerprint: BTreeMap<Fingerprint, Vec<Appointment>>,
     open: usize,
 }
 
@@ -64,11 +64,7 @@
     }
 
     /// Adds an appointment; returns whether there was room for it.
-    pub(crate) fn open(
-        &mut self,
-        fingerprint: RequestFingerprint,
-        appointment: Appointment,
-    ) -> bool {
+    pub(crate) fn open(&mut self, fingerprint: Fingerprint, appointment: Appointment) -> bool {
         if self.open >= MAX_OPEN {
             return false;
         }
@@ -82,7 +78,7 @@
     pub(crate) fn take(
         &mut self,
         now_ms: f64,
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
         is_returning: bool,
     ) -> Option<Appointment> {
         let of_request = self.by_fingerprint.get_mut(&fingerprint)?;
@@ -146,7 +142,7 @@
         let appointment =
             Appointment { pool: "main".to_owned(), due_ms, first_try_ms: 0.0, demand, is_promise };
         let mut appointments = Appointments::default();
-        assert!(appointments.open(RequestFingerprint::new(1), appointment));
+        assert!(appointments.open(Fingerprint::new(1), appointment));
         appointments
     }
 
@@ -172,7 +168,7 @@
     /// Callers that came slightly early lost their promise.
     #[test]
     fn a_caller_returns_within_a_window_around_its_appointment() {
-        let fingerprint = RequestFingerprint::new(1);
+        let fingerprint = Fingerprint::new(1);
         for (now_ms, is_kept) in [(2_890.0, false), (2_910.0, true), (3_990.0, true)] {
             let taken = opened(3_000.0, true).take(now_ms, fingerprint, false);
             assert_eq!(taken.is_some(), is_kept, "{now_ms}");
--- a/clayplank-admission/src/decide.rs
+++ b/clayplank-admission/src/decide.rs
@@ -1,7 +1,7 @@
 //! Decides on arrivals, and on the appointments of refused callers.
 
 use clayplank_placement::{Event, PlacementId, PlacementOutcome, PlacementRequest, Promised};
-use clayplank_types::RequestFingerprint;
+use clayplank_types::Fingerprint;
 
 use crate::admission::Admission;
 use crate::appointments::Appointment;
@@ -62,7 +62,7 @@
         &mut self,
         now_ms: f64,
         request: &PlacementRequest,
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
     ) -> Option<Appointment> {
         let is_returning = request.is_returning || self.fleet.since_first_try_ms(request) > 0.0;
         self.appointments.take(now_ms, fingerprint, is_returning)
--- a/clayplank-admission/src/queue.rs
+++ b/clayplank-admission/src/queue.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use clayplank_placement::{Demand, MIN_GOAL_MS, PlacementId, PlacementRequest};
-use clayplank_types::RequestFingerprint;
+use clayplank_types::Fingerprint;
 
 use crate::appointments::Appointment;
 use crate::ledger::MIN_SPLIT_PREFILL_MS;
@@ -46,7 +46,7 @@
     pub(crate) length_band: u32,
     /// Worth per time of its slot, as an integer to order by.
     pub(crate) worth_rank: u64,
-    pub(crate) fingerprint: RequestFingerprint,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) account: String,
     pub(crate) rank: u8,
     /// Time at which the remaining times in `request` were right.
--- a/clayplank-admission/tests/common/mod.rs
+++ b/clayplank-admission/tests/common/mod.rs
@@ -7,7 +7,7 @@
     Assignment, EngineModel, EngineSpec, Event, MIN_GOAL_MS, PlacementId, PlacementOutcome,
     PlacementRequest, QueueTerms,
 };
-use clayplank_types::{DataCentre, RequestFingerprint, UpstreamId};
+use clayplank_types::{DataCentre, Fingerprint, UpstreamId};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -405,7 +405,7 @@
         request.route_limit_ms = class.deadline_ms();
         request.sent_limit_ms = sent_limit_ms;
         request.queue_terms = self.has_queue.then(|| QueueTerms {
-            fingerprint: RequestFingerprint::new(number as u128),
+            fingerprint: Fingerprint::new(number as u128),
             account: caller.source.account.to_owned(),
             rank: 0,
             deadline_ms: sent_limit_ms - waited_ms,
--- a/clayplank-admission/tests/queue.rs
+++ b/clayplank-admission/tests/queue.rs
@@ -7,7 +7,7 @@
     EngineModel, EngineSpec, Event, Fleet, PlacementId, PlacementOutcome, PlacementRequest,
     QueueTerms, RunningPlacement,
 };
-use clayplank_types::{DataCentre, RequestFingerprint, UpstreamId};
+use clayplank_types::{DataCentre, Fingerprint, UpstreamId};
 
 const SLOTS: u64 = 2;
 const GOAL_MS: f64 = 300.0;
@@ -32,7 +32,7 @@
     request.route_limit_ms = DEADLINE_MS;
     request.sent_limit_ms = DEADLINE_MS;
     request.queue_terms = Some(QueueTerms {
-        fingerprint: RequestFingerprint::new(u128::from(id.host * 1_000 + id.number)),
+        fingerprint: Fingerprint::new(u128::from(id.host * 1_000 + id.number)),
         account: "account".to_owned(),
         rank: 0,
         deadline_ms: DEADLINE_MS,
--- a/clayplank-admission/tests/random.rs
+++ b/clayplank-admission/tests/random.rs
@@ -13,7 +13,7 @@
     Assignment, EngineModel, EngineSpec, Event, MIN_GOAL_MS, PlacementId, PlacementOutcome,
     PlacementRequest, QueueTerms, RunningPlacement,
 };
-use clayplank_types::{DataCentre, RequestFingerprint, UpstreamId};
+use clayplank_types::{DataCentre, Fingerprint, UpstreamId};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
@@ -51,7 +51,7 @@
 #[derive(Clone, Debug)]
 struct Caller {
     id: PlacementId,
-    fingerprint: RequestFingerprint,
+    fingerprint: Fingerprint,
     first_try_ms: f64,
     asked_ms: f64,
     refusals: u32,
@@ -186,7 +186,7 @@
             let fingerprint = u128::from(self.next_number - self.next_number % 2);
             self.callers.push(Caller {
                 id,
-                fingerprint: RequestFingerprint::new(fingerprint),
+                fingerprint: Fingerprint::new(fingerprint),
                 first_try_ms: now_ms,
                 asked_ms: now_ms,
                 refusals: 0,
--- a/clayplank-ctl/src/options.rs
+++ b/clayplank-ctl/src/options.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 
 use bpaf::Bpaf;
-use clayplank_types::RequestFingerprint;
+use clayplank_types::Fingerprint;
 
 /// Parsed command line: a command, the hosts it applies to, and the output format.
 #[derive(Bpaf, Clone, Debug)]
@@ -201,7 +201,7 @@
     Lift {
         /// The request, as the list and the logs name it
         #[bpaf(positional("FINGERPRINT"))]
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
     },
 }
 
--- a/clayplank-forward/src/admit.rs
+++ b/clayplank-forward/src/admit.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use clayplank_clock::Instant;
 use clayplank_routes::{PlanIndex, Route};
-use clayplank_types::{RequestFingerprint, RequestIdentity};
+use clayplank_types::{Fingerprint, RequestIdentity};
 use http::request::Parts;
 use http::uri::PathAndQuery;
 use http::{Request, Response};
@@ -42,7 +42,7 @@
 /// A refusal before the request is forwarded, with what is known of the request by then.
 struct DoorRefusal {
     refusal: Refusal,
-    fingerprint: Option<RequestFingerprint>,
+    fingerprint: Option<Fingerprint>,
     /// Time from the request's arrival until its deadline, in ms.
     limit_ms: Option<u64>,
 }
@@ -182,7 +182,7 @@
     async fn check_quarantine(
         &self,
         attempt_id: &str,
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
     ) -> Result<bool, Refusal> {
         match self.quarantine.admit(fingerprint).await {
             Ok(passage) => Ok(passage == Admission::Trial),
@@ -203,20 +203,15 @@
         (Some(account), _) => account.to_owned(),
         (None, Some(key)) => {
             let key = RequestIdentity { caller: key, host: "", path: "", body: &[] };
-            format!("key {}", RequestFingerprint::of(&key))
+            format!("key {}", Fingerprint::of(&key))
         }
         (None, None) => String::new(),
     }
 }
 
-fn fingerprint(
-    head: &Parts,
-    metadata: &RequestMetadata,
-    caller: &str,
-    body: &[u8],
-) -> RequestFingerprint {
+fn fingerprint(head: &Parts, metadata: &RequestMetadata, caller: &str, body: &[u8]) -> Fingerprint {
     let path = head.uri.path_and_query().map_or("/", PathAndQuery::as_str);
-    RequestFingerprint::of(&RequestIdentity { caller, host: &metadata.host, path, body })
+    Fingerprint::of(&RequestIdentity { caller, host: &metadata.host, path, body })
 }
 
 fn find_account(
--- a/clayplank-forward/src/call.rs
+++ b/clayplank-forward/src/call.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use clayplank_clock::Instant;
 use clayplank_routes::{RequestKind, Route};
-use clayplank_types::{RequestFingerprint, UpstreamId};
+use clayplank_types::{Fingerprint, UpstreamId};
 use http::Response;
 use http::request::Parts;
 
@@ -56,7 +56,7 @@
     /// Account name or digest of the caller's key; empty if the caller sent neither.
     pub(crate) caller: String,
     /// Identical whenever the same caller repeats the request, at any host.
-    pub(crate) fingerprint: RequestFingerprint,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) head: Parts,
     pub(crate) body: Bytes,
     /// Counts the body towards a bound of the memory of this host.
--- a/clayplank-forward/src/entry.rs
+++ b/clayplank-forward/src/entry.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use clayplank_connect::Connector;
-use clayplank_types::{DataCentre, QuarantinedRequest};
+use clayplank_types::{DataCentre, QuarantineEntry};
 
 use crate::budget::{BudgetLimits, RetryBudget};
 use crate::buffer_quota::BufferQuota;
@@ -190,7 +190,7 @@
     }
 
     /// Replaces the set of quarantined requests.
-    pub fn set_quarantined(&self, requests: Vec<QuarantinedRequest>) {
+    pub fn set_quarantined(&self, requests: Vec<QuarantineEntry>) {
         self.quarantine.set_quarantined(requests);
     }
 
--- a/clayplank-forward/src/quarantine.rs
+++ b/clayplank-forward/src/quarantine.rs
@@ -7,7 +7,7 @@
 
 use arc_swap::ArcSwap;
 use clayplank_clock::Instant;
-use clayplank_types::{ObservedOutcome, QuarantinedRequest, RequestFingerprint};
+use clayplank_types::{Fingerprint, ObservedOutcome, QuarantineEntry};
 
 use crate::clock::millis;
 use crate::placer::BoxFuture;
@@ -37,7 +37,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Observation {
     /// Fingerprint of the request.
-    pub fingerprint: RequestFingerprint,
+    pub fingerprint: Fingerprint,
     /// Caller of the request; empty if unknown.
     pub caller: String,
     /// Observed outcome.
@@ -53,7 +53,7 @@
     fn report(&self, observation: Observation);
 
     /// Whether this host may send a quarantined request to an upstream, once.
-    fn claim_trial(&self, fingerprint: RequestFingerprint) -> BoxFuture<'_, bool>;
+    fn claim_trial(&self, fingerprint: Fingerprint) -> BoxFuture<'_, bool>;
 }
 
 /// Authority of a single host, as in tests: observations are dropped, and nothing is quarantined.
@@ -63,23 +63,23 @@
 impl QuarantineAuthority for NoAuthority {
     fn report(&self, _: Observation) {}
 
-    fn claim_trial(&self, _: RequestFingerprint) -> BoxFuture<'_, bool> {
+    fn claim_trial(&self, _: Fingerprint) -> BoxFuture<'_, bool> {
         Box::pin(std::future::ready(true))
     }
 }
 
 #[derive(Debug, Default)]
 struct LocalOutcomes {
-    terminated: HashSet<RequestFingerprint>,
+    terminated: HashSet<Fingerprint>,
     /// Oldest first.
-    answered: VecDeque<(RequestFingerprint, Instant)>,
+    answered: VecDeque<(Fingerprint, Instant)>,
 }
 
 /// This host's knowledge of requests under which upstreams terminate.
 pub struct RequestQuarantine {
     authority: Arc<dyn QuarantineAuthority>,
     /// Time of the next permitted trial of each quarantined request.
-    quarantined: ArcSwap<HashMap<RequestFingerprint, Instant>>,
+    quarantined: ArcSwap<HashMap<Fingerprint, Instant>>,
     outcomes: Mutex<LocalOutcomes>,
 }
 
@@ -102,7 +102,7 @@
     }
 
     /// Time until the next trial of a quarantined request; `None` if it is not quarantined.
-    pub fn time_to_trial(&self, fingerprint: RequestFingerprint) -> Option<Duration> {
+    pub fn time_to_trial(&self, fingerprint: Fingerprint) -> Option<Duration> {
         let next_trial = self.quarantined.load().get(&fingerprint).copied()?;
         Some(next_trial.saturating_duration_since(Instant::now()))
     }
@@ -117,7 +117,7 @@
     ///
     /// # Errors
     /// The request is quarantined.
-    pub async fn admit(&self, fingerprint: RequestFingerprint) -> Result<Admission, u64> {
+    pub async fn admit(&self, fingerprint: Fingerprint) -> Result<Admission, u64> {
         let Some(wait) = self.time_to_trial(fingerprint) else {
             return Ok(Admission::NotQuarantined);
         };
@@ -131,11 +131,11 @@
 
     /// Replaces the set of quarantined requests. Newly quarantined requests that were recently
     /// answered here are reported: they may have been quarantined because of other requests.
-    pub fn set_quarantined(&self, requests: Vec<QuarantinedRequest>) {
+    pub fn set_quarantined(&self, requests: Vec<QuarantineEntry>) {
         let now = Instant::now();
         let former = self.quarantined.load_full();
         let mut next = HashMap::new();
-        for QuarantinedRequest { fingerprint, caller, next_trial_in_ms, .. } in requests {
+        for QuarantineEntry { fingerprint, caller, next_trial_in_ms, .. } in requests {
             next.insert(fingerprint, now + millis(next_trial_in_ms));
             if former.contains_key(&fingerprint) {
                 continue;
@@ -157,14 +157,14 @@
     }
 
     /// Time of the last answer to a request at this host.
-    pub(crate) fn answered_at(&self, fingerprint: RequestFingerprint) -> Option<Instant> {
+    pub(crate) fn answered_at(&self, fingerprint: Fingerprint) -> Option<Instant> {
         let outcomes = self.lock();
         let newest = outcomes.answered.iter().rev().find(|(known, _)| *known == fingerprint);
         newest.map(|(_, at)| *at)
     }
 
     /// Records that an upstream answered a request completely.
-    pub fn record_answered(&self, fingerprint: RequestFingerprint, caller: &str) {
+    pub fn record_answered(&self, fingerprint: Fingerprint, caller: &str) {
         let at = Instant::now();
         let mut outcomes = self.lock();
         outcomes.answered.push_back((fingerprint, at));
--- a/clayplank-forward/src/termination.rs
+++ b/clayplank-forward/src/termination.rs
@@ -12,7 +12,7 @@
 use clayplank_clock::Instant;
 use clayplank_connect::Connector;
 use clayplank_registry::{Record, UpstreamStatus};
-use clayplank_types::{ObservedOutcome, RequestFingerprint, UpstreamId};
+use clayplank_types::{Fingerprint, ObservedOutcome, UpstreamId};
 
 use crate::call::Call;
 use crate::entry::Entry;
@@ -35,7 +35,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BrokenRequest {
     /// Fingerprint of the request.
-    pub fingerprint: RequestFingerprint,
+    pub fingerprint: Fingerprint,
     /// Caller of the request; empty if unknown.
     pub caller: String,
     /// Time of the break.
--- a/clayplank-forward/tests/entry/log_lines.rs
+++ b/clayplank-forward/tests/entry/log_lines.rs
@@ -8,7 +8,7 @@
 use clayplank_forward::{Directory, EntryBuilder, QueueLimits};
 use clayplank_placement::{Assignment, EngineModel, PlacementOutcome};
 use clayplank_routes::{RequestKind, Route, ServiceGroup};
-use clayplank_types::{QuarantinedRequest, UpstreamId};
+use clayplank_types::{QuarantineEntry, UpstreamId};
 use log::kv::{Key, Value, VisitSource};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -167,7 +167,7 @@
     assert_eq!(joining_fields(&decided), fingerprint);
     assert_eq!(queued["fingerprint"], fingerprint);
 
-    host.entry.set_quarantined(vec![QuarantinedRequest {
+    host.entry.set_quarantined(vec![QuarantineEntry {
         fingerprint: fingerprint.parse().unwrap(),
         caller: String::new(),
         ended: Vec::new(),
--- a/clayplank-forward/tests/entry/quarantine.rs
+++ b/clayplank-forward/tests/entry/quarantine.rs
@@ -9,7 +9,7 @@
 use clayplank_forward::{BoxFuture, Directory, EntryBuilder, Observation, QuarantineAuthority};
 use clayplank_registry::UpstreamStatus;
 use clayplank_routes::{RequestKind, Route};
-use clayplank_types::{ObservedOutcome, QuarantinedRequest, RequestFingerprint, RequestIdentity};
+use clayplank_types::{Fingerprint, ObservedOutcome, QuarantineEntry, RequestIdentity};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -34,7 +34,7 @@
         self.observations.lock().unwrap().push(observation);
     }
 
-    fn claim_trial(&self, _: RequestFingerprint) -> BoxFuture<'_, bool> {
+    fn claim_trial(&self, _: Fingerprint) -> BoxFuture<'_, bool> {
         let is_first = self.trial_claims.fetch_add(1, Ordering::SeqCst) == 0;
         Box::pin(std::future::ready(is_first))
     }
@@ -138,8 +138,8 @@
     }
 
     /// Quarantines one request, and no other.
-    fn quarantine(&self, fingerprint: RequestFingerprint, next_trial_in: Duration) {
-        self.host.entry.set_quarantined(vec![QuarantinedRequest {
+    fn quarantine(&self, fingerprint: Fingerprint, next_trial_in: Duration) {
+        self.host.entry.set_quarantined(vec![QuarantineEntry {
             fingerprint,
             caller: String::new(),
             ended: Vec::new(),
@@ -264,10 +264,10 @@
     fixture.send("popular").await;
     assert_eq!(fixture.reported_outcomes().await, []);
     // Quarantine of another fingerprint reports nothing about the answered request.
-    fixture.quarantine(RequestFingerprint::new(7), Duration::ZERO);
+    fixture.quarantine(Fingerprint::new(7), Duration::ZERO);
     let key = RequestIdentity { caller: API_KEY, host: "", path: "", body: b"" };
-    let fingerprint = RequestFingerprint::of(&RequestIdentity {
-        caller: &format!("key {}", RequestFingerprint::of(&key)),
+    let fingerprint = Fingerprint::of(&RequestIdentity {
+        caller: &format!("key {}", Fingerprint::of(&key)),
         host: "dala.example",
         path: "/x",
         body: b"popular",
--- a/clayplank-placement/src/request.rs
+++ b/clayplank-placement/src/request.rs
@@ -1,6 +1,6 @@
 //! The placement request that a host sends for one prompt, and its possible outcomes.
 
-use clayplank_types::{DataCentre, RequestFingerprint, UpstreamId};
+use clayplank_types::{DataCentre, Fingerprint, UpstreamId};
 use serde::{Deserialize, Serialize};
 
 /// Identifies a placement by the incarnation of the requesting host and a sequence number.
@@ -60,7 +60,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct QueueTerms {
     /// Identifies the caller's request over all of its tries, at any host.
-    pub fingerprint: RequestFingerprint,
+    pub fingerprint: Fingerprint,
     /// Client account; empty if the caller has none.
     pub account: String,
     /// Urgency; 0 is the most urgent.
--- a/clayplank-state/src/command.rs
+++ b/clayplank-state/src/command.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use clayplank_types::{
-    AttemptId, DataCentre, HostId, Incarnation, Partner, RequestFingerprint, RequestObservation,
+    AttemptId, DataCentre, Fingerprint, HostId, Incarnation, Partner, SuspectObservation,
     UpstreamId,
 };
 use serde::de::DeserializeOwned;
@@ -78,11 +78,11 @@
         lease_ms: u64,
     },
     /// A host reports upstreams that terminated or survived while they ran certain requests.
-    NoteSightings(Vec<RequestObservation>),
+    NoteSightings(Vec<SuspectObservation>),
     /// A host requests permission to send a quarantined request to an upstream once, as a trial.
-    ClaimTrial(RequestFingerprint),
+    ClaimTrial(Fingerprint),
     /// An operator lifts the quarantine of a request.
-    Lift(RequestFingerprint),
+    Lift(Fingerprint),
     /// An operator cordons a data centre: no requests are sent to its upstreams.
     Cordon(DataCentre),
     /// An operator removes the cordon of a data centre.
--- a/clayplank-state/src/machine.rs
+++ b/clayplank-state/src/machine.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use clayplank_types::{
-    DataCentre, HostId, QuarantinedRequest, RequestFingerprint, RequestObservation, UpstreamId,
+    DataCentre, Fingerprint, HostId, QuarantineEntry, SuspectObservation, UpstreamId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -75,7 +75,7 @@
         }
     }
 
-    fn apply_observations(&mut self, observations: &[RequestObservation]) -> Reply {
+    fn apply_observations(&mut self, observations: &[SuspectObservation]) -> Reply {
         let changes = self.suspects.apply(self.now_ms, observations);
         if !changes.is_empty() {
             self.bump_quarantine_revision();
@@ -83,7 +83,7 @@
         Reply::Noted(changes)
     }
 
-    fn claim_trial(&mut self, fingerprint: RequestFingerprint) -> Reply {
+    fn claim_trial(&mut self, fingerprint: Fingerprint) -> Reply {
         let trial = self.suspects.claim_trial(self.now_ms, fingerprint);
         if trial == TrialReply::Granted {
             // The other hosts receive the time of the next trial.
@@ -92,7 +92,7 @@
         Reply::Trial(trial)
     }
 
-    fn lift(&mut self, fingerprint: RequestFingerprint) -> Reply {
+    fn lift(&mut self, fingerprint: Fingerprint) -> Reply {
         let was_held_back = self.suspects.lift(fingerprint);
         if was_held_back {
             self.bump_quarantine_revision();
@@ -152,7 +152,7 @@
     }
 
     /// All quarantined requests.
-    pub fn quarantined(&self) -> Vec<QuarantinedRequest> {
+    pub fn quarantined(&self) -> Vec<QuarantineEntry> {
         self.suspects.quarantined(self.now_ms)
     }
 
--- a/clayplank-state/src/quarantine.rs
+++ b/clayplank-state/src/quarantine.rs
@@ -19,8 +19,7 @@
 use std::collections::BTreeMap;
 
 use clayplank_types::{
-    HostTimestamp, ObservedOutcome, QuarantinedRequest, RequestFingerprint, RequestObservation,
-    UpstreamId,
+    Fingerprint, HostTimestamp, ObservedOutcome, QuarantineEntry, SuspectObservation, UpstreamId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -124,9 +123,9 @@
     }
 
     /// The entry sent to hosts if the request is quarantined, otherwise `None`.
-    fn to_entry(&self, now_ms: u64, fingerprint: RequestFingerprint) -> Option<QuarantinedRequest> {
+    fn to_entry(&self, now_ms: u64, fingerprint: Fingerprint) -> Option<QuarantineEntry> {
         let quarantine = self.held?;
-        Some(QuarantinedRequest {
+        Some(QuarantineEntry {
             fingerprint,
             caller: self.caller.clone(),
             ended: self.terminated_upstreams(),
@@ -166,9 +165,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineChanges {
     /// Requests that are now quarantined and were not before.
-    pub held_back: Vec<QuarantinedRequest>,
+    pub held_back: Vec<QuarantineEntry>,
     /// Requests whose quarantine was lifted.
-    pub lifted: Vec<RequestFingerprint>,
+    pub lifted: Vec<Fingerprint>,
 }
 
 impl QuarantineChanges {
@@ -183,7 +182,7 @@
 pub(crate) struct Suspects {
     /// Revision that last changed the list of quarantined requests or their trial times.
     pub(crate) revision: u64,
-    suspects: BTreeMap<RequestFingerprint, Suspect>,
+    suspects: BTreeMap<Fingerprint, Suspect>,
     /// Upstreams whose termination is attributed to a quarantined request, with the time of the
     /// attribution. Other requests that were running there do not become suspects.
     explained: BTreeMap<UpstreamId, u64>,
@@ -194,7 +193,7 @@
     pub(crate) fn apply(
         &mut self,
         now_ms: u64,
-        observations: &[RequestObservation],
+        observations: &[SuspectObservation],
     ) -> QuarantineChanges {
         self.remove_expired(now_ms);
         let mut changes = QuarantineChanges::default();
@@ -219,7 +218,7 @@
     fn apply_termination(
         &mut self,
         now_ms: u64,
-        observation: &RequestObservation,
+        observation: &SuspectObservation,
         termination: Termination,
         changes: &mut QuarantineChanges,
     ) {
@@ -258,7 +257,7 @@
 
     /// Attributes the termination of upstreams to the quarantined request `by`, and removes these
     /// terminations from the other suspects.
-    fn explain(&mut self, now_ms: u64, by: RequestFingerprint, upstreams: Vec<UpstreamId>) {
+    fn explain(&mut self, now_ms: u64, by: Fingerprint, upstreams: Vec<UpstreamId>) {
         for (fingerprint, suspect) in &mut self.suspects {
             if *fingerprint != by && suspect.held.is_none() {
                 suspect.ends.retain(|termination| !upstreams.contains(&termination.upstream));
@@ -280,7 +279,7 @@
     fn apply_survival(
         &mut self,
         at_ms: u64,
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
         changes: &mut QuarantineChanges,
     ) {
         let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
@@ -297,11 +296,7 @@
     }
 
     /// Grants a trial of a quarantined request if one is due, and schedules the next.
-    pub(crate) fn claim_trial(
-        &mut self,
-        now_ms: u64,
-        fingerprint: RequestFingerprint,
-    ) -> TrialReply {
+    pub(crate) fn claim_trial(&mut self, now_ms: u64, fingerprint: Fingerprint) -> TrialReply {
         let suspect = self.suspects.get_mut(&fingerprint);
         let Some(quarantine) = suspect.and_then(|suspect| suspect.held.as_mut()) else {
             return TrialReply::NotNeeded;
@@ -317,13 +312,13 @@
 
     /// Lifts the quarantine of a request and removes the terminations recorded under it. Returns
     /// whether it was quarantined.
-    pub(crate) fn lift(&mut self, fingerprint: RequestFingerprint) -> bool {
+    pub(crate) fn lift(&mut self, fingerprint: Fingerprint) -> bool {
         let removed = self.suspects.remove(&fingerprint);
         removed.is_some_and(|suspect| suspect.held.is_some())
     }
 
     /// All quarantined requests, ordered by fingerprint.
-    pub(crate) fn quarantined(&self, now_ms: u64) -> Vec<QuarantinedRequest> {
+    pub(crate) fn quarantined(&self, now_ms: u64) -> Vec<QuarantineEntry> {
         self.suspects
             .iter()
             .filter_map(|(fingerprint, suspect)| suspect.to_entry(now_ms, *fingerprint))
--- a/clayplank-state/src/settings.rs
+++ b/clayplank-state/src/settings.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use clayplank_settings::{ClientAccount, Template};
-use clayplank_types::{DataCentre, Partner, QuarantinedRequest};
+use clayplank_types::{DataCentre, Partner, QuarantineEntry};
 use serde::{Deserialize, Serialize};
 
 use crate::command::{PlanDocument, Reply, SettingChange};
@@ -79,7 +79,7 @@
     /// The serving plan, if it changed; otherwise `None`.
     pub plan: Option<PlanDocument>,
     /// All quarantined requests, if the list changed; otherwise `None`.
-    pub held_back: Option<Vec<QuarantinedRequest>>,
+    pub held_back: Option<Vec<QuarantineEntry>>,
     /// All cordoned data centres, if the set changed; otherwise `None`.
     pub cordoned: Option<BTreeSet<DataCentre>>,
 }
--- a/clayplank-state/tests/quarantine.rs
+++ b/clayplank-state/tests/quarantine.rs
@@ -5,7 +5,7 @@
 
 use clayplank_state::{Command, CommandBody, Machine, QuarantineChanges, Reply, TrialReply};
 use clayplank_types::{
-    HostTimestamp, ObservedOutcome, RequestFingerprint, RequestObservation, UpstreamId,
+    Fingerprint, HostTimestamp, ObservedOutcome, SuspectObservation, UpstreamId,
 };
 use proptest::prelude::*;
 
@@ -13,9 +13,9 @@
 /// Fingerprint of the request that terminates each upstream that runs it.
 const CRASHING: u128 = 1;
 
-fn terminated(request: u128, caller: &str, upstream: &str) -> RequestObservation {
-    RequestObservation {
-        fingerprint: RequestFingerprint::new(request),
+fn terminated(request: u128, caller: &str, upstream: &str) -> SuspectObservation {
+    SuspectObservation {
+        fingerprint: Fingerprint::new(request),
         caller: caller.to_owned(),
         outcome: ObservedOutcome::Ended(UpstreamId::new(upstream)),
         ago_ms: 0,
@@ -32,14 +32,14 @@
     for (number, reported_ms) in [(0, 1_090), (1, 1_095), (2, 1_145)] {
         let seen = Some(HostTimestamp { life: 7, at_ms: 500 + 70 * number });
         let observation =
-            RequestObservation { seen, ..terminated(CRASHING, "clubs", &format!("u{number}")) };
+            SuspectObservation { seen, ..terminated(CRASHING, "clubs", &format!("u{number}")) };
         quarantined += report(&mut machine, reported_ms, &[observation]).held_back.len();
     }
     assert_eq!(quarantined, 1);
 }
 
-fn survived(request: u128) -> RequestObservation {
-    RequestObservation { outcome: ObservedOutcome::Survived, ..terminated(request, "clubs", "") }
+fn survived(request: u128) -> SuspectObservation {
+    SuspectObservation { outcome: ObservedOutcome::Survived, ..terminated(request, "clubs", "") }
 }
 
 fn apply(machine: &mut Machine, at_ms: u64, body: CommandBody) -> Reply {
@@ -49,7 +49,7 @@
 fn report(
     machine: &mut Machine,
     at_ms: u64,
-    observations: &[RequestObservation],
+    observations: &[SuspectObservation],
 ) -> QuarantineChanges {
     match apply(machine, at_ms, CommandBody::NoteSightings(observations.to_vec())) {
         Reply::Noted(changes) => changes,
@@ -58,13 +58,13 @@
 }
 
 fn claim_trial(machine: &mut Machine, at_ms: u64, request: u128) -> TrialReply {
-    match apply(machine, at_ms, CommandBody::ClaimTrial(RequestFingerprint::new(request))) {
+    match apply(machine, at_ms, CommandBody::ClaimTrial(Fingerprint::new(request))) {
         Reply::Trial(trial) => trial,
         reply => panic!("{reply:?}"),
     }
 }
 
-fn quarantined(machine: &Machine) -> Vec<RequestFingerprint> {
+fn quarantined(machine: &Machine) -> Vec<Fingerprint> {
     machine.quarantined().iter().map(|one| one.fingerprint).collect()
 }
 
@@ -92,7 +92,7 @@
     );
     let changes = report(&mut machine, 3_000, &[terminated(CRASHING, "clubs", "u3")]);
     let [one] = changes.held_back.as_slice() else { panic!("{changes:?}") };
-    assert_eq!(one.fingerprint, RequestFingerprint::new(CRASHING));
+    assert_eq!(one.fingerprint, Fingerprint::new(CRASHING));
     assert_eq!(one.ended, ["u1", "u2", "u3"].map(UpstreamId::new));
 }
 
@@ -122,7 +122,7 @@
     let all: Vec<_> = (0..6).map(|number| terminated(7, "clubs", &format!("u{number}"))).collect();
     assert!(report(&mut machine, 1_000, &all).is_empty());
     // Another host reports a termination of about the same time 20 ms later.
-    let late = RequestObservation { ago_ms: 15, ..terminated(7, "clubs", "u9") };
+    let late = SuspectObservation { ago_ms: 15, ..terminated(7, "clubs", "u9") };
     assert!(report(&mut machine, 1_020, &[late]).is_empty());
 }
 
@@ -132,12 +132,12 @@
     for number in 1..=3 {
         let upstream = format!("u{number}");
         // The other request was running by chance at the second and third upstream.
-        let others: &[RequestObservation] =
+        let others: &[SuspectObservation] =
             if number == 1 { &[] } else { &[terminated(8, "halls", &upstream)] };
         report(&mut machine, number * SECOND_MS, &[terminated(CRASHING, "clubs", &upstream)]);
         report(&mut machine, number * SECOND_MS + 10, others);
     }
-    assert_eq!(quarantined(&machine), [RequestFingerprint::new(CRASHING)]);
+    assert_eq!(quarantined(&machine), [Fingerprint::new(CRASHING)]);
     // A third termination, for another reason, counts as the first of the other request.
     assert!(report(&mut machine, 9_000, &[terminated(8, "halls", "v1")]).is_empty());
     assert!(report(&mut machine, 9_500, &[terminated(8, "halls", "v2")]).is_empty());
@@ -147,11 +147,11 @@
 fn a_request_quarantined_by_mistake_is_cleared_by_its_first_answer() {
     let mut machine = with_one_quarantined();
     assert!(
-        report(&mut machine, 4_000, &[RequestObservation { ago_ms: 3_500, ..survived(CRASHING) }])
+        report(&mut machine, 4_000, &[SuspectObservation { ago_ms: 3_500, ..survived(CRASHING) }])
             .is_empty()
     );
     let changes = report(&mut machine, 4_000, &[survived(CRASHING)]);
-    assert_eq!(changes.lifted, [RequestFingerprint::new(CRASHING)]);
+    assert_eq!(changes.lifted, [Fingerprint::new(CRASHING)]);
     assert_eq!(machine.delta_after(0).held_back, Some(Vec::new()));
 }
 
@@ -182,7 +182,7 @@
 #[test]
 fn a_request_lifted_by_an_operator_can_be_quarantined_again() {
     let mut machine = with_one_quarantined();
-    let lift = CommandBody::Lift(RequestFingerprint::new(CRASHING));
+    let lift = CommandBody::Lift(Fingerprint::new(CRASHING));
     assert_eq!(apply(&mut machine, 4_000, lift.clone()), Reply::Lifted { was_held_back: true });
     assert_eq!(apply(&mut machine, 4_100, lift), Reply::Lifted { was_held_back: false });
     assert_eq!(quarantined(&machine), []);
@@ -254,11 +254,11 @@
                 report(&mut machine, at_ms, &[terminated(CRASHING, "clubs", &upstream)]);
             } else if is_answered {
                 report(&mut machine, at_ms, &[survived(request)]);
-                prop_assert!(!quarantined(&machine).contains(&RequestFingerprint::new(request)));
+                prop_assert!(!quarantined(&machine).contains(&Fingerprint::new(request)));
             } else {
                 report(&mut machine, at_ms, &[terminated(request, "halls", &upstream)]);
             }
-            let is_quarantined = quarantined(&machine).contains(&RequestFingerprint::new(CRASHING));
+            let is_quarantined = quarantined(&machine).contains(&Fingerprint::new(CRASHING));
             prop_assert_eq!(is_quarantined, crashing_terminations >= 3);
             let bytes = machine.to_snapshot().unwrap();
             prop_assert_eq!(&Machine::from_snapshot(&bytes).unwrap(), &machine);
--- a/clayplank-turns/tests/turns/common.rs
+++ b/clayplank-turns/tests/turns/common.rs
@@ -15,7 +15,7 @@
     AWAIT_HOLD_MS, AdmissionControl, Decisions, KeeperQueue, TurnKeepers, WaitingTurns, await_turn,
     run_await_loop,
 };
-use clayplank_types::{HostId, RequestFingerprint, UpstreamId};
+use clayplank_types::{Fingerprint, HostId, UpstreamId};
 use tokio::sync::watch;
 
 /// Incarnation of the host.
@@ -43,7 +43,7 @@
     let mut request = PlacementRequest::new(id(number), "main", 1_000, 300.0);
     request.limit_ms = LIMIT_MS;
     request.queue_terms = Some(QueueTerms {
-        fingerprint: format!("{number:032x}").parse::<RequestFingerprint>().unwrap(),
+        fingerprint: format!("{number:032x}").parse::<Fingerprint>().unwrap(),
         account: String::new(),
         rank: 0,
         deadline_ms: DEADLINE_MS,
--- a/clayplank-types/benches/fingerprint.rs
+++ b/clayplank-types/benches/fingerprint.rs
@@ -2,7 +2,7 @@
 
 #![allow(missing_docs, reason = "criterion's macros write undocumented functions")]
 
-use clayplank_types::{RequestFingerprint, RequestIdentity};
+use clayplank_types::{Fingerprint, RequestIdentity};
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 
 /// Sizes of a small request, a prompt of 5,000 tokens and a prompt of a million tokens, in bytes.
@@ -22,7 +22,7 @@
             BenchmarkId::from_parameter(size),
             &identity,
             |bencher, identity| {
-                bencher.iter(|| RequestFingerprint::of(identity));
+                bencher.iter(|| Fingerprint::of(identity));
             },
         );
     }
--- a/clayplank-types/src/fingerprint.rs
+++ b/clayplank-types/src/fingerprint.rs
@@ -27,9 +27,9 @@
 /// find another request with the same digest, or to recover the body from it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
-pub struct RequestFingerprint(u128);
+pub struct Fingerprint(u128);
 
-impl RequestFingerprint {
+impl Fingerprint {
     /// Wraps a number, for tests and for fingerprints decoded from elsewhere.
     pub const fn new(number: u128) -> Self {
         Self(number)
@@ -50,7 +50,7 @@
     }
 }
 
-impl fmt::Display for RequestFingerprint {
+impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:032x}", self.0)
     }
@@ -61,7 +61,7 @@
 #[error("a fingerprint has 32 hex digits")]
 pub struct ParseFingerprintError;
 
-impl FromStr for RequestFingerprint {
+impl FromStr for Fingerprint {
     type Err = ParseFingerprintError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
--- a/clayplank-types/src/lib.rs
+++ b/clayplank-types/src/lib.rs
@@ -18,12 +18,12 @@
 mod ratio;
 
 pub use band::{LengthBands, UnorderedBandsError};
-pub use fingerprint::{ParseFingerprintError, RequestFingerprint, RequestIdentity};
+pub use fingerprint::{Fingerprint, ParseFingerprintError, RequestIdentity};
 pub use id::{
     AccountId, AttemptId, DataCentre, HostId, Incarnation, ParseIdError, Partner, PoolId,
     RequestId, UpstreamId,
 };
-pub use observation::{HostTimestamp, ObservedOutcome, QuarantinedRequest, RequestObservation};
+pub use observation::{HostTimestamp, ObservedOutcome, QuarantineEntry, SuspectObservation};
 pub use outcome::{Outcome, Refusal, RefusalReason};
 pub use prefix::{MAX_PREFIX_BLOCKS, PREFIX_BLOCK_TOKENS, prefix_hashes};
 pub use priority::{EnginePriority, Priority};
--- a/clayplank-types/src/observation.rs
+++ b/clayplank-types/src/observation.rs
@@ -3,7 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::fingerprint::RequestFingerprint;
+use crate::fingerprint::Fingerprint;
 use crate::id::UpstreamId;
 
 /// Outcome of a request at an upstream.
@@ -27,9 +27,9 @@
 
 /// Observation of a request by a host.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RequestObservation {
+pub struct SuspectObservation {
     /// Fingerprint of the request.
-    pub fingerprint: RequestFingerprint,
+    pub fingerprint: Fingerprint,
     /// Caller of the request. The number of remembered observations is limited per caller.
     pub caller: String,
     /// Outcome of the request.
@@ -42,9 +42,9 @@
 
 /// A quarantined request, as it is reported to hosts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct QuarantinedRequest {
+pub struct QuarantineEntry {
     /// Fingerprint of the request.
-    pub fingerprint: RequestFingerprint,
+    pub fingerprint: Fingerprint,
     /// Caller of the request.
     pub caller: String,
     /// Upstreams that terminated while they ran the request.
--- a/clayplank-types/tests/fingerprints.rs
+++ b/clayplank-types/tests/fingerprints.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
-use clayplank_types::{RequestFingerprint, RequestIdentity};
+use clayplank_types::{Fingerprint, RequestIdentity};
 use rstest::rstest;
 
 const BASE_REQUEST: RequestIdentity<'_> =
@@ -10,10 +10,7 @@
 
 #[test]
 fn the_same_request_has_the_same_fingerprint() {
-    assert_eq!(
-        RequestFingerprint::of(&BASE_REQUEST),
-        RequestFingerprint::of(&BASE_REQUEST.clone())
-    );
+    assert_eq!(Fingerprint::of(&BASE_REQUEST), Fingerprint::of(&BASE_REQUEST.clone()));
 }
 
 #[rstest]
@@ -25,14 +22,14 @@
 #[case::bytes_moved_from_body_to_path(RequestIdentity { path: "/results/2?a=1a", body: b"b", ..BASE_REQUEST })]
 #[case::no_caller(RequestIdentity { caller: "", ..BASE_REQUEST })]
 fn another_request_has_another_fingerprint(#[case] other: RequestIdentity<'_>) {
-    assert_ne!(RequestFingerprint::of(&BASE_REQUEST), RequestFingerprint::of(&other));
+    assert_ne!(Fingerprint::of(&BASE_REQUEST), Fingerprint::of(&other));
 }
 
 #[test]
 fn a_fingerprint_is_parsed_from_its_text() {
-    let fingerprint = RequestFingerprint::of(&BASE_REQUEST);
+    let fingerprint = Fingerprint::of(&BASE_REQUEST);
     assert_eq!(fingerprint.to_string().parse(), Ok(fingerprint));
-    assert_eq!(RequestFingerprint::new(7).to_string(), "00000000000000000000000000000007");
-    assert!("7".parse::<RequestFingerprint>().is_err());
-    assert!("0000000000000000000000000000000g".parse::<RequestFingerprint>().is_err());
+    assert_eq!(Fingerprint::new(7).to_string(), "00000000000000000000000000000007");
+    assert!("7".parse::<Fingerprint>().is_err());
+    assert!("0000000000000000000000000000000g".parse::<Fingerprint>().is_err());
 }
--- a/clayplank-wire/tests/broken_bytes.rs
+++ b/clayplank-wire/tests/broken_bytes.rs
@@ -15,7 +15,7 @@
     unpack,
 };
 use clayplank_types::{
-    ObservedOutcome, QuarantinedRequest, RequestFingerprint, RequestObservation, UpstreamId,
+    Fingerprint, ObservedOutcome, QuarantineEntry, SuspectObservation, UpstreamId,
 };
 use proptest::prelude::*;
 use serde::de::DeserializeOwned;
@@ -44,14 +44,14 @@
     read::<Command>(bytes);
     read::<Reply>(bytes);
     read::<Delta>(bytes);
-    read::<Vec<QuarantinedRequest>>(bytes);
+    read::<Vec<QuarantineEntry>>(bytes);
     Machine::from_snapshot(bytes).ok();
     PlanEdit::unpack(bytes).ok();
 }
 
-fn observation(number: u64) -> RequestObservation {
-    RequestObservation {
-        fingerprint: RequestFingerprint::new(u128::from(number) << 70),
+fn observation(number: u64) -> SuspectObservation {
+    SuspectObservation {
+        fingerprint: Fingerprint::new(u128::from(number) << 70),
         caller: "clubs".to_owned(),
         outcome: ObservedOutcome::Ended(UpstreamId::new(format!("u{number}"))),
         ago_ms: number * 40,
@@ -64,8 +64,8 @@
     let mut machine = Machine::default();
     let document = PlanDocument { version: 7, text: "{\"version\":7}".into() };
     machine.apply(&Command { at_ms: 9, body: CommandBody::Publish(document) });
-    let repeated = (0..3).map(|number| RequestObservation {
-        fingerprint: RequestFingerprint::new(1),
+    let repeated = (0..3).map(|number| SuspectObservation {
+        fingerprint: Fingerprint::new(1),
         ..observation(number)
     });
     let body = CommandBody::NoteSightings(repeated.collect());
--- a/clayplankd/src/doors/callers.rs
+++ b/clayplankd/src/doors/callers.rs
@@ -6,7 +6,7 @@
 use clayplank_clock::Instant;
 use clayplank_settings::EffectiveSettings;
 use clayplank_state::SettingsView;
-use clayplank_types::{AccountId, Refusal, RefusalReason, RequestFingerprint, RequestIdentity};
+use clayplank_types::{AccountId, Fingerprint, Refusal, RefusalReason, RequestIdentity};
 use clayplank_upstream::ServiceRequest;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -215,8 +215,7 @@
 /// The identity by which a repeat of the request is recognized.
 fn identity(caller: &Caller, path: &str, body: &[u8]) -> Identity {
     let caller = caller.account.to_string();
-    let fingerprint =
-        RequestFingerprint::of(&RequestIdentity { caller: &caller, host: "", path, body });
+    let fingerprint = Fingerprint::of(&RequestIdentity { caller: &caller, host: "", path, body });
     Identity { fingerprint, caller }
 }
 
--- a/clayplankd/src/doors/contract.rs
+++ b/clayplankd/src/doors/contract.rs
@@ -7,7 +7,7 @@
 use clayplank_registry::Heartbeat;
 use clayplank_routes::ServingPlan;
 use clayplank_settings::Faults;
-use clayplank_types::{DataCentre, RequestFingerprint};
+use clayplank_types::{DataCentre, Fingerprint};
 use http::{Method, Request};
 use http_body_util::Full;
 use serde::Deserialize;
@@ -26,7 +26,7 @@
     /// An operator lists the quarantined requests.
     ListQuarantined,
     /// An operator lifts the quarantine of a request.
-    LiftQuarantine(RequestFingerprint),
+    LiftQuarantine(Fingerprint),
     /// An operator lists the cordoned data centres.
     ListCordons,
     /// An operator cordons a data centre: its upstreams get no more requests.
--- a/clayplankd/src/doors/control_endpoint.rs
+++ b/clayplankd/src/doors/control_endpoint.rs
@@ -12,7 +12,7 @@
 use clayplank_routes::ServingPlan;
 use clayplank_settings::Faults;
 use clayplank_state::{CommandBody, Delta, PlanDocument, Reply};
-use clayplank_types::{DataCentre, HostId, QuarantinedRequest, RequestFingerprint};
+use clayplank_types::{DataCentre, Fingerprint, HostId, QuarantineEntry};
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -154,7 +154,7 @@
         }
     }
 
-    async fn lift_quarantine(&self, fingerprint: RequestFingerprint) -> Answer {
+    async fn lift_quarantine(&self, fingerprint: Fingerprint) -> Answer {
         let reply = self.keepers.execute(&CommandBody::Lift(fingerprint), QUORUM_TIMEOUT).await;
         let (answer, outcome) = match &reply {
             Ok(Reply::Lifted { was_held_back: true }) => (empty(StatusCode::OK), "lifted"),
@@ -218,7 +218,7 @@
     }
 }
 
-fn quarantined_json(quarantined: &QuarantinedRequest) -> Value {
+fn quarantined_json(quarantined: &QuarantineEntry) -> Value {
     serde_json::json!({
         "fingerprint": quarantined.fingerprint.to_string(),
         "caller": quarantined.caller,
--- a/clayplankd/src/doors/quarantine.rs
+++ b/clayplankd/src/doors/quarantine.rs
@@ -9,7 +9,7 @@
 use clayplank_clock::Instant;
 use clayplank_connect::Connector;
 use clayplank_forward::{BrokenRequest, TerminationEvidence, has_stopped_listening};
-use clayplank_types::{Refusal, RefusalReason, RequestFingerprint, UpstreamId};
+use clayplank_types::{Fingerprint, Refusal, RefusalReason, UpstreamId};
 
 use crate::process::host_state::Host;
 use crate::process::logging::log_target;
@@ -17,7 +17,7 @@
 /// Identity of a request, by which a repeat of it is recognized.
 #[derive(Clone, Debug)]
 pub(crate) struct Identity {
-    pub(crate) fingerprint: RequestFingerprint,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) caller: String,
 }
 
--- a/clayplankd/src/fleet/termination_reports.rs
+++ b/clayplankd/src/fleet/termination_reports.rs
@@ -8,7 +8,7 @@
 
 use clayplank_forward::{BoxFuture, Observation, QuarantineAuthority, now_ms};
 use clayplank_state::{CommandBody, QuarantineChanges, Reply, TrialReply};
-use clayplank_types::{HostTimestamp, QuarantinedRequest, RequestFingerprint, RequestObservation};
+use clayplank_types::{Fingerprint, HostTimestamp, QuarantineEntry, SuspectObservation};
 use tokio::sync::mpsc;
 
 use crate::keepers::keeper_client::KeeperClient;
@@ -55,7 +55,7 @@
         }
     }
 
-    fn claim_trial(&self, fingerprint: RequestFingerprint) -> BoxFuture<'_, bool> {
+    fn claim_trial(&self, fingerprint: Fingerprint) -> BoxFuture<'_, bool> {
         Box::pin(async move {
             match self.keepers.execute(&CommandBody::ClaimTrial(fingerprint), TRIAL_TIMEOUT).await {
                 Ok(Reply::Trial(TrialReply::Granted | TrialReply::NotNeeded)) => true,
@@ -115,10 +115,10 @@
 }
 
 /// Converts an observation to its form in keeper commands. `incarnation` is that of this task.
-fn to_observation(incarnation: u64, observation: &Observation) -> RequestObservation {
+fn to_observation(incarnation: u64, observation: &Observation) -> SuspectObservation {
     let ago_ms = observation.at.elapsed().as_millis() as u64;
     let observed = HostTimestamp { life: incarnation, at_ms: now_ms().saturating_sub(ago_ms) };
-    RequestObservation {
+    SuspectObservation {
         fingerprint: observation.fingerprint,
         caller: observation.caller.clone(),
         outcome: observation.outcome.clone(),
@@ -128,7 +128,7 @@
 }
 
 fn log_quarantine_changes(changes: &QuarantineChanges) {
-    for QuarantinedRequest { fingerprint, caller, ended, .. } in &changes.held_back {
+    for QuarantineEntry { fingerprint, caller, ended, .. } in &changes.held_back {
         let ended: Vec<_> = ended.iter().map(ToString::to_string).collect();
         log::warn!(target: log_target::KEEPER,
             fingerprint:% = fingerprint, caller = caller, ended = ended.join(" ");
