Observe the prompt parts under which upstreams end

The logs could not tell which parts the prompts had that ran at an engine when it ended, nor which of them it had only begun to answer. No decision depends on it yet.

--- a/clayplank-forward/src/attempt.rs
+++ b/clayplank-forward/src/attempt.rs
@@ -23,6 +23,7 @@
 use crate::headers::{UpstreamHeaders, upstream_headers};
 use crate::load::{LoadGuard, Outcome};
 use crate::request_metadata::header_text;
+use crate::survivals::AnswerProgress;
 
 /// Highest rank (the least urgent) that engines accept.
 const MAX_RANK: u8 = 9;
@@ -308,7 +309,7 @@
         cause: &str,
     ) -> Attempt {
         load.record_outcome(Outcome::Broken);
-        self.record_break(upstream);
+        self.record_break(upstream, AnswerProgress::default());
         self.log_attempt(upstream, outcome, cause);
         Attempt::MayHaveRun
     }
--- a/clayplank-forward/src/lib.rs
+++ b/clayplank-forward/src/lib.rs
@@ -50,6 +50,7 @@
 mod reserve;
 mod source;
 mod stream;
+mod survivals;
 mod termination;
 mod tunnel_access;
 mod unary;
--- a/clayplank-forward/src/names.rs
+++ b/clayplank-forward/src/names.rs
@@ -13,6 +13,9 @@
     pub last_event_id: HeaderName,
     /// Tokens of the prompt and maximum tokens of the answer, separated by a comma.
     pub token_counts: HeaderName,
+    /// Parts of the prompt in order, as `id:tokens` separated by commas, with hexadecimal ids. Other
+    /// requests may share all parts but the last.
+    pub prompt_parts: HeaderName,
     /// Client account, sent to upstreams.
     pub account: HeaderName,
     /// Incarnation of the upstream that may run the request; no other may.
@@ -42,6 +45,7 @@
             deadline_ms: HeaderName::from_static("x-clayplank-deadline-ms"),
             last_event_id: HeaderName::from_static("last-event-id"),
             token_counts: HeaderName::from_static("x-clayplank-tokens"),
+            prompt_parts: HeaderName::from_static("x-clayplank-prompt-parts"),
             account: HeaderName::from_static("x-clayplank-account"),
             expect_upstream: HeaderName::from_static("x-clayplank-expect-upstream"),
             at_fault: HeaderName::from_static("x-clayplank-at-fault"),
--- a/clayplank-forward/src/opening.rs
+++ b/clayplank-forward/src/opening.rs
@@ -117,7 +117,10 @@
     }
     let mut source = EventSource::new(upstream, body, connection, load);
     let first = match source.next(timeout.saturating_sub(started_at.elapsed())).await {
-        Next::Event(event) => Some(event),
+        Next::Event(event) => {
+            source.progress.record_event(Instant::now());
+            Some(event)
+        }
         Next::End => None,
         Next::Broken(cause) => return record_broken(call, source, cause, last_event_id),
         Next::TimedOut => return record_broken(call, source, "silent", last_event_id),
@@ -135,7 +138,7 @@
     last_event_id: Option<u64>,
 ) -> OpenResult {
     source.record_broken();
-    log_broken(call, &source.upstream, cause, last_event_id);
+    log_broken(call, &source, cause, last_event_id);
     OpenResult::MayHaveRun
 }
 
@@ -170,11 +173,16 @@
 }
 
 /// Records and logs that an upstream did not complete its stream.
-pub(crate) fn log_broken(call: &Call, upstream: &str, cause: &str, last_event_id: Option<u64>) {
-    call.record_break(&UpstreamId::new(upstream));
+pub(crate) fn log_broken(
+    call: &Call,
+    source: &EventSource,
+    cause: &str,
+    last_event_id: Option<u64>,
+) {
+    call.record_break(&UpstreamId::new(source.upstream.as_str()), source.progress);
     call.entry.metrics.count_attempt("broken");
     log::info!(target: "forward",
-        request = call.metadata.attempt_id, route = call.route.name, upstream = upstream,
+        request = call.metadata.attempt_id, route = call.route.name, upstream = source.upstream,
         cause = cause, last_event = last_event_id.unwrap_or_default(),
         waited_ms = call.waited_ms(), fingerprint:% = call.fingerprint;
         "A stream broke off at its upstream");
--- a/clayplank-forward/src/pump.rs
+++ b/clayplank-forward/src/pump.rs
@@ -136,7 +136,7 @@
     /// Records that the upstream failed to complete the stream.
     fn record_broken(&mut self, cause: &'static str) {
         self.source.record_broken();
-        log_broken(&self.call, &self.source.upstream, cause, self.last_event_id);
+        log_broken(&self.call, &self.source, cause, self.last_event_id);
     }
 
     /// Tries another upstream while the current one is unresponsive, and uses whichever sends an
@@ -181,6 +181,7 @@
         self.longest_pause = self.longest_pause.max(self.sent_at.elapsed());
         self.sent_at = Instant::now();
         self.call.last_event_at = Some(self.sent_at);
+        self.source.progress.record_event(self.sent_at);
         self.queue.send(event.bytes).await
     }
 
--- a/clayplank-forward/src/request_metadata.rs
+++ b/clayplank-forward/src/request_metadata.rs
@@ -1,10 +1,14 @@
 //! Properties of a request that are parsed from its head.
 
+use clayplank_types::Fingerprint;
 use http::request::Parts;
 use http::{HeaderMap, HeaderName};
 
 use crate::names::HeaderNames;
 
+/// Maximum number of prompt parts that are read; a request with more is rejected.
+const MAX_PROMPT_PARTS: usize = 256;
+
 /// Properties of a request that a host needs to forward it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RequestMetadata {
@@ -20,6 +24,11 @@
     pub prompt_tokens: u64,
     /// Maximum number of tokens of the answer; 0 if not given.
     pub output_tokens: u64,
+    /// Fingerprints of the prompt parts that other requests may share, without repetitions: all but
+    /// the last one.
+    pub prompt_parts: Vec<Fingerprint>,
+    /// Whether there are more prompt parts than a host reads.
+    pub has_too_many_parts: bool,
     /// Key of the client account.
     pub key: Option<String>,
 }
@@ -30,6 +39,7 @@
         let headers = &head.headers;
         let (prompt_tokens, output_tokens) = parse_token_counts(headers, &names.token_counts);
         let host = header_text(headers, &http::header::HOST).or(head.uri.host());
+        let (prompt_parts, has_too_many_parts) = parse_prompt_parts(headers, &names.prompt_parts);
         Self {
             attempt_id: header_text(headers, &names.attempt_id).unwrap_or_default().to_owned(),
             host: host.unwrap_or_default().to_owned(),
@@ -37,6 +47,8 @@
             last_event_id: header_number(headers, &names.last_event_id),
             prompt_tokens,
             output_tokens,
+            prompt_parts,
+            has_too_many_parts,
             key: parse_bearer_key(headers),
         }
     }
@@ -59,6 +71,25 @@
     (read(prompt), read(output))
 }
 
+/// Returns the fingerprints of all prompt parts but the last, and whether there are too many parts.
+/// Several header lines count as one list (RFC 9110, section 5.3).
+fn parse_prompt_parts(headers: &HeaderMap, name: &HeaderName) -> (Vec<Fingerprint>, bool) {
+    let lines = headers.get_all(name).iter().filter_map(|line| line.to_str().ok());
+    let ids: Vec<_> = lines
+        .flat_map(|line| line.split(','))
+        .map(|part| part.split(':').next().unwrap_or_default().trim())
+        .filter(|id| !id.is_empty())
+        .take(MAX_PROMPT_PARTS + 1)
+        .collect();
+    let (Some((_, shared)), false) = (ids.split_last(), ids.len() > MAX_PROMPT_PARTS) else {
+        return (Vec::new(), ids.len() > MAX_PROMPT_PARTS);
+    };
+    let mut parts: Vec<_> = shared.iter().map(|id| Fingerprint::of_prompt_part(id)).collect();
+    parts.sort_unstable();
+    parts.dedup();
+    (parts, false)
+}
+
 /// Returns the bearer key (RFC 6750, section 2.1).
 fn parse_bearer_key(headers: &HeaderMap) -> Option<String> {
     let value = header_text(headers, &http::header::AUTHORIZATION)?;
--- a/clayplank-forward/src/source.rs
+++ b/clayplank-forward/src/source.rs
@@ -9,6 +9,7 @@
 use crate::events::{EventSplitter, StreamEvent};
 use crate::exchange::Connection;
 use crate::load::{LoadGuard, Outcome};
+use crate::survivals::AnswerProgress;
 
 /// Maximum size of an event, in bytes.
 const MAX_EVENT_BYTES: usize = 256 << 10;
@@ -28,6 +29,7 @@
 pub(crate) struct EventSource {
     pub(crate) load: LoadGuard,
     pub(crate) upstream: String,
+    pub(crate) progress: AnswerProgress,
     body: Incoming,
     splitter: EventSplitter,
     /// Closes the connection when the stream is dropped.
@@ -43,7 +45,8 @@
         load: LoadGuard,
     ) -> Self {
         let splitter = EventSplitter::default();
-        Self { load, upstream, body, splitter, _connection: connection }
+        let progress = AnswerProgress::default();
+        Self { load, upstream, progress, body, splitter, _connection: connection }
     }
 
     /// Reads the next event, or the reason why there is none.
--- a/clayplank-forward/src/termination.rs
+++ b/clayplank-forward/src/termination.rs
@@ -18,6 +18,7 @@
 use crate::entry::Entry;
 use crate::exchange::is_refused;
 use crate::quarantine::{Observation, RequestQuarantine};
+use crate::survivals::AnswerProgress;
 
 /// Delay between a broken connection and the check whether the upstream still listens: nearly all
 /// connections of a terminating upstream break within this time.
@@ -36,6 +37,8 @@
 pub struct BrokenRequest {
     /// Fingerprint of the request.
     pub fingerprint: Fingerprint,
+    /// Fingerprints of those parts of its prompt that may have terminated the upstream.
+    pub prompt_parts: Vec<Fingerprint>,
     /// Caller of the request; empty if unknown.
     pub caller: String,
     /// Time of the break.
@@ -66,6 +69,13 @@
     is_refused(connector, address).await
 }
 
+/// The first fingerprints as text for a log line.
+fn loggable(fingerprints: &BTreeSet<Fingerprint>) -> String {
+    let logged: Vec<_> =
+        fingerprints.iter().take(MAX_LOGGED_FINGERPRINTS).map(ToString::to_string).collect();
+    logged.join(" ")
+}
+
 impl RequestQuarantine {
     /// Logs that an upstream terminated under requests, and reports each of them.
     pub fn report_termination(
@@ -74,14 +84,13 @@
         cause: TerminationEvidence,
         breaks: Vec<BrokenRequest>,
     ) {
-        let fingerprints: BTreeSet<_> = breaks.iter().map(|one| one.fingerprint).collect();
-        let logged: Vec<_> =
-            fingerprints.iter().take(MAX_LOGGED_FINGERPRINTS).map(ToString::to_string).collect();
+        let requests = breaks.iter().map(|one| one.fingerprint).collect();
+        let parts = breaks.iter().flat_map(|one| one.prompt_parts.iter().copied()).collect();
         log::info!(target: "forward",
             upstream = upstream.as_str(), cause = cause.as_str(), requests = breaks.len(),
-            fingerprints = logged.join(" ");
+            fingerprints = loggable(&requests), prompt_parts = loggable(&parts);
             "An upstream ended under requests");
-        for BrokenRequest { fingerprint, caller, at } in breaks {
+        for BrokenRequest { fingerprint, caller, at, .. } in breaks {
             let outcome = ObservedOutcome::Ended(upstream.clone());
             self.record_terminated(Observation { fingerprint, caller, outcome, at });
         }
@@ -110,8 +119,8 @@
 }
 
 impl Call {
-    /// Records that an upstream did not complete its answer to this request.
-    pub(crate) fn record_break(&self, upstream: &UpstreamId) {
+    /// Records that an upstream did not complete its answer to this request, which had come this far.
+    pub(crate) fn record_break(&self, upstream: &UpstreamId, progress: AnswerProgress) {
         let entry = &self.entry;
         let Some(record) = entry.directory.record(upstream) else {
             return;
@@ -122,7 +131,15 @@
             return;
         }
         let caller = self.caller.clone();
-        let broken = BrokenRequest { fingerprint: self.fingerprint, caller, at: Instant::now() };
+        let is_suspicious = progress.is_suspicious();
+        let prompt_parts =
+            if is_suspicious { self.metadata.prompt_parts.clone() } else { Vec::new() };
+        let broken = BrokenRequest {
+            fingerprint: self.fingerprint,
+            prompt_parts,
+            caller,
+            at: Instant::now(),
+        };
         if entry.pending_breaks.add(upstream, broken) {
             tokio::spawn(check_terminated(Arc::clone(entry), record));
         }
--- a/clayplank-forward/src/unary.rs
+++ b/clayplank-forward/src/unary.rs
@@ -19,6 +19,7 @@
 use crate::headers::strip_hop_by_hop;
 use crate::load::Outcome;
 use crate::refusal::{AnswerBody, Refusal};
+use crate::survivals::AnswerProgress;
 
 /// Maximum size of an answer, in bytes; callers' requests are no larger either.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -124,7 +125,7 @@
     drop(load);
     match read {
         Ok(Some(_)) => call.record_answered(),
-        Ok(None) | Err(_) => call.record_break(&upstream),
+        Ok(None) | Err(_) => call.record_break(&upstream, AnswerProgress::default()),
     }
     match read {
         Ok(Some((bytes, buffer_permit))) if is_good => {
--- a/clayplank-types/src/fingerprint.rs
+++ b/clayplank-types/src/fingerprint.rs
@@ -1,4 +1,4 @@
-//! Fingerprints of requests, by which repeated requests are recognized.
+//! Fingerprints of requests and parts of prompts, by which repetitions are recognized.
 
 use std::fmt;
 use std::str::FromStr;
@@ -23,8 +23,12 @@
     pub body: &'a [u8],
 }
 
-/// Digest of a [`RequestIdentity`]: the first 128 bits of its SHA-256 hash. It is infeasible to
-/// find another request with the same digest, or to recover the body from it.
+/// Distinguishes the digest of a prompt part from those of requests.
+const PROMPT_PART_DOMAIN: &[u8] = b"clayplank prompt part";
+
+/// Digest of a [`RequestIdentity`] or of the id of a prompt part: the first 128 bits of its SHA-256
+/// hash. It is infeasible to find another request with the same digest, or to recover the body from
+/// it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Fingerprint(u128);
@@ -44,6 +48,18 @@
             hasher.update(text.as_bytes());
         }
         hasher.update(identity.body);
+        Self::from_hash(hasher)
+    }
+
+    /// Computes the fingerprint of a prompt part from its id, a hexadecimal number.
+    pub fn of_prompt_part(id: &str) -> Self {
+        let mut hasher = Sha256::new();
+        hasher.update(PROMPT_PART_DOMAIN);
+        hasher.update(id.to_ascii_lowercase().as_bytes());
+        Self::from_hash(hasher)
+    }
+
+    fn from_hash(hasher: Sha256) -> Self {
         let digest: [u8; 32] = hasher.finalize().into();
         let (high_bytes, _) = digest.split_at(16);
         Self(high_bytes.iter().fold(0, |number, byte| number << 8 | u128::from(*byte)))
--- a/clayplankd/src/doors/quarantine.rs
+++ b/clayplankd/src/doors/quarantine.rs
@@ -56,7 +56,9 @@
             return;
         };
         let Identity { fingerprint, caller } = identity.clone();
-        let broken_attempt = BrokenRequest { fingerprint, caller, at: Instant::now() };
+        let prompt_parts = Vec::new();
+        let broken_attempt =
+            BrokenRequest { fingerprint, prompt_parts, caller, at: Instant::now() };
         let upstream_incarnation = UpstreamId::new(format!("{upstream}@{attempt}"));
         tokio::spawn(async move {
             if has_stopped_listening(&Connector::default(), address).await {
