--- a/clayplank-standin/src/bin/standin-upstream.rs
+++ b/clayplank-standin/src/bin/standin-upstream.rs
@@ -72,8 +72,11 @@
         serve_pass_engine(listener, options.id, model, signals).await;
     } else {
         let (started, crashes) = mpsc::unbounded_channel();
-        let crashing =
-            options.ends_on.map(|text| CrashingRequest { body: Bytes::from(text), started });
+        let crashing = options.ends_on.map(|text| CrashingRequest {
+            body: Bytes::from(text),
+            prompt_part: String::new(),
+            started,
+        });
         tokio::select! {
             () = serve_upstream(listener, options.id, SharedRuns::default(), crashing, signals) => {}
             () = wait_for_exit(crashes) => {}
--- a/clayplank-standin/src/upstream.rs
+++ b/clayplank-standin/src/upstream.rs
@@ -24,6 +24,7 @@
 const SEAL_HEADER: &str = "x-clayplank-seal";
 const NOT_RUN_HEADER: &str = "x-clayplank-not-run";
 const ACCOUNT_HEADER: &str = "x-clayplank-account";
+const PROMPT_PARTS_HEADER: &str = "x-clayplank-prompt-parts";
 
 /// Requests below this path get a stream; the rest of the path is its number of events.
 const EVENTS_PATH: &str = "/events/";
@@ -95,11 +96,13 @@
     }
 }
 
-/// A request that terminates every upstream that starts to run it.
+/// Requests that terminate every upstream that starts to run them.
 #[derive(Clone, Debug)]
 pub struct CrashingRequest {
     /// Body by which the request is recognised.
     pub body: Bytes,
+    /// Id of a prompt part by which it is recognised too, once an answer to it begins; may be empty.
+    pub prompt_part: String,
     /// Receives a message each time the request starts to run; the receiver terminates the upstream.
     pub started: mpsc::UnboundedSender<()>,
 }
@@ -144,10 +147,15 @@
         return Ok(not_run(&attempt));
     }
     record_run(&runs, &id, &attempt, &head.headers);
-    if let Some(crashing) = crashing.filter(|crashing| crashing.body == body) {
-        crashing.started.send(()).ok();
-        // There is no response: the upstream is terminated first.
-        std::future::pending::<()>().await;
+    if let Some(crashing) = crashing {
+        if crashing.body == body {
+            crashing.started.send(()).ok();
+            // There is no response: the upstream is terminated first.
+            std::future::pending::<()>().await;
+        }
+        if has_part(&text(PROMPT_PARTS_HEADER), &crashing.prompt_part) {
+            crashing.started.send(()).ok();
+        }
     }
     match fault {
         RequestedFault::Lose => return Err(ServeError::Broken),
@@ -180,6 +188,13 @@
     }
 }
 
+/// Whether a prompt has this part, not counting the last one, which belongs to the request alone.
+fn has_part(prompt_parts: &str, id: &str) -> bool {
+    let mut parts: Vec<_> = prompt_parts.split(',').collect();
+    parts.pop();
+    !id.is_empty() && parts.iter().any(|part| part.split(':').next() == Some(id))
+}
+
 fn record_run(runs: &SharedRuns, id: &str, attempt: &str, headers: &HeaderMap) {
     let mut runs = runs.lock();
     runs.by_attempt.entry(attempt.to_owned()).or_default().push(id.to_owned());
--- a/clayplankd/tests/seeded/crashing.rs
+++ b/clayplankd/tests/seeded/crashing.rs
@@ -28,10 +28,10 @@
 use crate::system::{System, Topology, call_with_key, plan, wait_for};
 
 /// Upstreams of the service.
-const UPSTREAMS: u8 = 18;
+pub const UPSTREAMS: u8 = 18;
 
 /// Entry hosts.
-const ENTRIES: usize = 4;
+pub const ENTRIES: usize = 4;
 
 /// Time during which the caller repeats its request.
 const RUN: Duration = Duration::from_secs(12);
@@ -68,7 +68,7 @@
     plan
 }
 
-fn start() -> (System, Fleet) {
+pub fn start() -> (System, Fleet) {
     let system = System::start_with(Topology { entries: ENTRIES, ..Topology::default() });
     let fleet = Fleet::start(&system, UPSTREAMS);
     system.wait_for_plan(&fleet_plan(2));
--- a/clayplankd/tests/seeded/crashing_upstreams.rs
+++ b/clayplankd/tests/seeded/crashing_upstreams.rs
@@ -19,8 +19,11 @@
 /// Body of the request that terminates every upstream that runs it.
 pub const CRASHING_BODY: &str = "a prompt that no engine survives";
 
-/// Time from the start of the crashing request to the termination of its upstream.
-const TERMINATION_DELAY: Duration = Duration::from_millis(80);
+/// Id of the prompt part that terminates every upstream that begins to answer a prompt with it.
+pub const CRASHING_PART: &str = "dead0f";
+
+/// Times from the start of a crashing request to the termination of its upstream, in turn.
+const TERMINATION_DELAYS_MS: [u64; 4] = [80, 30, 120, 50];
 
 /// Time from the termination of an upstream to its restart.
 const RESTART_DELAY: Duration = Duration::from_millis(1_500);
@@ -134,7 +137,11 @@
         let was_terminated_by_request = runtime.block_on(async {
             let listener = clayplank_standin::bind(self.address).await.unwrap();
             let id = format!("fleet-{}-{incarnation}", self.number);
-            let crashing = CrashingRequest { body: CRASHING_BODY.into(), started };
+            let crashing = CrashingRequest {
+                body: CRASHING_BODY.into(),
+                prompt_part: CRASHING_PART.to_owned(),
+                started,
+            };
             tokio::spawn(serve_upstream(
                 listener,
                 id.clone(),
@@ -156,7 +163,9 @@
                 _ = killed.recv() => return false,
             };
             self.record_start(first);
-            let end = tokio::time::sleep(TERMINATION_DELAY);
+            let delay_ms =
+                TERMINATION_DELAYS_MS[incarnation as usize % TERMINATION_DELAYS_MS.len()];
+            let end = tokio::time::sleep(Duration::from_millis(delay_ms));
             tokio::pin!(end);
             loop {
                 tokio::select! {
--- a/clayplankd/tests/seeded/main.rs
+++ b/clayplankd/tests/seeded/main.rs
@@ -11,6 +11,7 @@
 mod combined_roles;
 mod cordons;
 mod crashing;
+mod crashing_parts;
 mod crashing_upstreams;
 mod cut_off;
 mod failover;
