Quarantine parts of prompts under which upstreams end

Other prompts were broken off or refused.

Cause: evidence was kept by request only. The prompts were no two alike, so each ended at most the engines of its own retries, and nothing remembered what they had in common.

Change: the parts of a prompt, without the last, are suspects beside the request, with the same count, list and command of the tool. A part is charged if its upstream had begun to answer less than 400 ms before, if ends under it come from several requests, and if no other upstream has survived it in the last 2 s. An upstream that still works 400 ms after it began clears it, also of a quarantine. It has two trials. Prompts that wait are rejected as soon as a part is quarantined; the check before each send covers retries and resumed streams.

Why it works: only the deadly part is at every end and never survives, whatever else differs.

--- a/clayplank-forward/src/admit.rs
+++ b/clayplank-forward/src/admit.rs
@@ -17,7 +17,7 @@
 use crate::call::{BodyPermit, Call};
 use crate::clock::{millis, now_ms};
 use crate::entry::Entry;
-use crate::quarantine::Admission;
+use crate::quarantine::{Admission, QuarantineKeys};
 use crate::refusal::{AnswerBody, Refusal};
 use crate::request_metadata::RequestMetadata;
 
@@ -122,7 +122,12 @@
             fingerprint: Some(fingerprint),
             limit_ms: Some(limit_ms),
         };
-        let is_trial = self.check_quarantine(&metadata.attempt_id, fingerprint).await;
+        if metadata.has_too_many_parts {
+            return Err(refuse(Refusal::TooManyParts));
+        }
+        let prompt_parts = metadata.prompt_parts.clone();
+        let keys = QuarantineKeys { request: fingerprint, prompt_parts };
+        let is_trial = self.check_quarantine(&metadata.attempt_id, &keys).await;
         let is_trial = is_trial.map_err(refuse)?;
         let draw = rand::random::<f64>();
         let service = plan.choose_target(&route, draw).ok_or(refuse(Refusal::NoRoute))?.to_owned();
@@ -132,7 +137,7 @@
             entry: Arc::clone(self),
             metadata,
             caller,
-            fingerprint,
+            keys,
             head,
             body,
             body_permit: Mutex::new(BodyPermit { buffer: buffer_permit, queue: None }),
@@ -177,18 +182,18 @@
         Ok(read.freeze())
     }
 
-    /// Rejects a quarantined request unless this host may try it once; returns whether this is such
-    /// a trial.
+    /// Rejects a request that is quarantined, or has a quarantined part, unless this host may try it
+    /// once; returns whether this is such a trial.
     async fn check_quarantine(
         &self,
         attempt_id: &str,
-        fingerprint: Fingerprint,
+        keys: &QuarantineKeys,
     ) -> Result<bool, Refusal> {
-        match self.quarantine.admit(fingerprint).await {
-            Ok(passage) => Ok(passage == Admission::Trial),
+        match self.quarantine.admit(keys).await {
+            Ok(admission) => Ok(admission == Admission::Trial),
             Err(retry_after_ms) => {
                 log::info!(target: "forward",
-                    request = attempt_id, fingerprint:% = fingerprint;
+                    request = attempt_id, fingerprint:% = keys.request;
                     "Does not send a request that is held back");
                 Err(Refusal::Quarantined { retry_after_ms })
             }
--- a/clayplank-forward/src/attempt.rs
+++ b/clayplank-forward/src/attempt.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use clayplank_clock::Instant;
 use clayplank_connect::ConnectError;
 use clayplank_registry::{LimitObservation, LimitUpdateResult};
 use clayplank_types::UpstreamId;
@@ -53,6 +54,8 @@
     connection: Connection,
     /// Time at which the request was sent, in ms.
     sent_ms: u64,
+    /// The same time.
+    sent_at: Instant,
 }
 
 impl Call {
@@ -80,7 +83,7 @@
         let may_have_run_before = self.may_have_run;
         self.count_sent();
         self.log_limited(&upstream);
-        let sent_ms = now_ms();
+        let (sent_ms, sent_at) = (now_ms(), Instant::now());
         let entry = Arc::clone(&self.entry);
         let sent = exchange(&entry.connector, record.heartbeat.address, request);
         let sent = load.unless_replaced(clayplank_clock::timeout(timeout, sent)).await;
@@ -94,7 +97,7 @@
         };
         match sent {
             Ok(Ok((response, connection))) => {
-                let answer = Answer { response, connection, sent_ms };
+                let answer = Answer { response, connection, sent_ms, sent_at };
                 self.process_head(&upstream, load, answer, may_have_run_before)
             }
             Ok(Err(ExchangeError::Connect(error))) => {
@@ -119,7 +122,7 @@
         answer: Answer,
         may_have_run_before: bool,
     ) -> Attempt {
-        let Answer { response, connection, sent_ms } = answer;
+        let Answer { response, connection, sent_ms, sent_at } = answer;
         let (head, body) = response.into_parts();
         let names = &self.entry.names;
         if let Some((running, waiting)) = parse_load(&head.headers, names) {
@@ -128,6 +131,7 @@
         let verdict = classify_head(&head, names, &self.metadata.attempt_id);
         // Any other response may come from a different upstream.
         if matches!(verdict, Verdict::Valid | Verdict::NotRun) {
+            self.entry.quarantine.record_response(upstream, sent_at);
             self.record_limit(upstream, parse_limit(&head.headers, names), sent_ms);
             self.record_backoff(upstream, parse_backoff(&head), connection.tunnel_host());
             if is_leaving(&head.headers, names) {
@@ -347,7 +351,7 @@
         log::info!(target: "forward",
             request = self.metadata.attempt_id, route = self.route.name, upstream = upstream.as_str(),
             outcome = outcome, cause = cause, waited_ms = self.waited_ms(),
-            fingerprint:% = self.fingerprint;
+            fingerprint:% = self.fingerprint();
             "An attempt ended without an answer");
     }
 }
--- a/clayplank-forward/src/call.rs
+++ b/clayplank-forward/src/call.rs
@@ -13,6 +13,7 @@
 use crate::buffer_quota::BufferPermit;
 use crate::clock::{millis, now_ms};
 use crate::entry::Entry;
+use crate::quarantine::QuarantineKeys;
 use crate::queue_quota::QueuePermit;
 use crate::refusal::{AnswerBody, Refusal};
 use crate::request_metadata::RequestMetadata;
@@ -55,8 +56,9 @@
     pub(crate) metadata: RequestMetadata,
     /// Account name or digest of the caller's key; empty if the caller sent neither.
     pub(crate) caller: String,
-    /// Identical whenever the same caller repeats the request, at any host.
-    pub(crate) fingerprint: Fingerprint,
+    /// Fingerprints by which the request may be quarantined; that of the request is identical
+    /// whenever the same caller repeats it, at any host.
+    pub(crate) keys: QuarantineKeys,
     pub(crate) head: Parts,
     pub(crate) body: Bytes,
     /// Counts the body towards a bound of the memory of this host.
@@ -80,7 +82,8 @@
     pub(crate) may_have_run: bool,
     /// Whether the caller has received an answer, or the head of one.
     pub(crate) is_answered: bool,
-    /// Whether the request is quarantined but may be sent once as a trial.
+    /// Whether the request is quarantined, or has a quarantined part, but may be sent once as a
+    /// trial.
     pub(crate) is_trial: bool,
 }
 
@@ -95,7 +98,7 @@
             upstream = self.tried.last().map_or("", UpstreamId::as_str),
             sent = self.sent_count, prompt_tokens = self.metadata.prompt_tokens,
             waited_ms = self.waited_ms(), left_ms = self.remaining().as_millis() as u64,
-            fingerprint:% = self.fingerprint;
+            fingerprint:% = self.fingerprint();
             "The caller left before an answer");
         self.entry.metrics.count(&self.route.name, "caller_left_early");
         self.record_left();
@@ -103,11 +106,28 @@
 }
 
 impl Call {
-    /// Whether the request must not be sent because it is quarantined: upstreams terminated under
-    /// it.
+    /// Fingerprint of the request.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        self.keys.request
+    }
+
+    /// Whether the request may be sent although it is quarantined.
+    fn may_be_tried(&self) -> bool {
+        self.is_trial && self.sent_count == 0
+    }
+
+    /// Whether the request must not be sent because it is quarantined, or a part of its prompt:
+    /// upstreams terminated under it.
     pub(crate) fn is_quarantined(&self) -> bool {
-        let may_be_tried = self.is_trial && self.sent_count == 0;
-        !may_be_tried && self.entry.quarantine.time_to_trial(self.fingerprint).is_some()
+        !self.may_be_tried() && self.entry.quarantine.time_to_trial(&self.keys).is_some()
+    }
+
+    /// Waits until the request must not be sent any more because it is quarantined.
+    pub(crate) async fn wait_until_quarantined(&self) {
+        if self.may_be_tried() {
+            std::future::pending::<()>().await;
+        }
+        self.entry.quarantine.wait_until_quarantined(&self.keys).await;
     }
 
     /// Whether another attempt is allowed; takes a retry from the budget if so.
@@ -207,7 +227,7 @@
             Refusal::TimedOut
         } else if self.may_have_run {
             Refusal::Failed
-        } else if let Some(wait) = self.entry.quarantine.time_to_trial(self.fingerprint) {
+        } else if let Some(wait) = self.entry.quarantine.time_to_trial(&self.keys) {
             Refusal::Quarantined { retry_after_ms: wait.as_millis() as u64 }
         } else {
             self.with_backoff(refusal)
@@ -217,7 +237,7 @@
             tried = self.tried.len(), sent = self.sent_count, waited_ms = self.waited_ms(),
             retry_after_ms = reported.retry_after_ms().unwrap_or_default(),
             prompt_tokens = self.metadata.prompt_tokens, plan = self.entry.gate.plan_version(),
-            fingerprint:% = self.fingerprint,
+            fingerprint:% = self.fingerprint(),
             left_ms = self.remaining().as_millis() as u64;
             "Gave a request up");
         self.entry.metrics.count(&self.route.name, reported.as_str());
@@ -239,14 +259,23 @@
             | Refusal::TooSlow
             | Refusal::NoPlan { .. }
             | Refusal::Quarantined { .. }
+            | Refusal::TooManyParts
             | Refusal::TimedOut
             | Refusal::Failed => refusal,
         }
     }
 
-    /// Records that an upstream answered the request completely and survived it.
-    pub(crate) fn record_answered(&self) {
-        self.entry.quarantine.record_answered(self.fingerprint, &self.caller);
+    /// Records that an upstream, which began to answer at this time, answered the request
+    /// completely.
+    pub(crate) fn record_answered(&self, upstream: &UpstreamId, begun_at: Instant) {
+        let quarantine = &self.entry.quarantine;
+        quarantine.record_answered(self.keys.request, &self.caller);
+        quarantine.record_answer_complete(upstream, &self.keys, begun_at);
+    }
+
+    /// Records that an upstream, which began to answer at this time, survived the request so far.
+    pub(crate) fn record_survived(&self, begun_at: Instant) {
+        self.entry.quarantine.record_parts_survived(&self.keys.prompt_parts, begun_at);
     }
 
     pub(crate) fn kind(&self) -> RequestKind {
--- a/clayplank-forward/src/choice.rs
+++ b/clayplank-forward/src/choice.rs
@@ -8,6 +8,7 @@
 };
 use clayplank_registry::Record;
 
+use crate::attempt::BUSY_RETRY_MS;
 use crate::call::Call;
 use crate::clock::millis;
 use crate::load::LoadGuard;
@@ -52,8 +53,18 @@
 }
 
 impl Call {
-    /// Chooses an upstream for the next attempt.
+    /// Chooses an upstream for the next attempt; stops waiting for one as soon as the request is
+    /// quarantined.
     pub(crate) async fn choose(&self) -> Result<Chosen, Refusal> {
+        tokio::select! {
+            chosen = self.choose_upstream() => chosen,
+            () = self.wait_until_quarantined() => {
+                Err(Refusal::NotRun { retry_after_ms: BUSY_RETRY_MS })
+            }
+        }
+    }
+
+    async fn choose_upstream(&self) -> Result<Chosen, Refusal> {
         if self.is_engine { self.choose_engine().await } else { self.choose_service().await }
     }
 
--- a/clayplank-forward/src/entry.rs
+++ b/clayplank-forward/src/entry.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use clayplank_connect::Connector;
-use clayplank_types::{DataCentre, QuarantineEntry};
+use clayplank_types::{DataCentre, QuarantineEntry, SuspectKind};
 
 use crate::budget::{BudgetLimits, RetryBudget};
 use crate::buffer_quota::BufferQuota;
@@ -49,7 +49,7 @@
     pub(crate) data_centre: DataCentre,
     /// Broken requests whose upstreams may have terminated.
     pub(crate) pending_breaks: PendingBreaks,
-    /// Quarantine of requests under which upstreams terminate.
+    /// Quarantine of requests and prompt parts under which upstreams terminate.
     pub(crate) quarantine: RequestQuarantine,
 }
 
@@ -104,7 +104,8 @@
         self
     }
 
-    /// Sets the authority that decides which requests are quarantined; without one, none are.
+    /// Sets the authority that decides which requests and prompt parts are quarantined; without one,
+    /// none are.
     pub fn quarantine_authority(mut self, authority: Arc<dyn QuarantineAuthority>) -> Self {
         self.quarantine_authority = Some(authority);
         self
@@ -189,20 +190,22 @@
         self.queue_quota.set_limits(limits.into());
     }
 
-    /// Replaces the set of quarantined requests.
-    pub fn set_quarantined(&self, requests: Vec<QuarantineEntry>) {
-        self.quarantine.set_quarantined(requests);
+    /// Replaces the set of quarantined requests and prompt parts.
+    pub fn set_quarantined(&self, entries: Vec<QuarantineEntry>) {
+        self.quarantine.set_quarantined(entries);
     }
 
     /// All metrics in the Prometheus text format.
     pub fn metrics_text(&self) -> String {
-        let quarantined = self.quarantine.count();
+        let quarantined = self.quarantine.count(SuspectKind::Request);
+        let quarantined_parts = self.quarantine.count(SuspectKind::PromptPart);
         let buffered_bytes = self.buffer_quota.count();
         let limited = self.directory.count_limited();
         let in_backoff = self.directory.count_in_backoff();
         let leaving = self.directory.count_leaving();
         let mut text = format!(
-            "{}{}clayplank_entry_held_back {quarantined}\nclayplank_entry_held_bytes {buffered_bytes}\n\
+            "{}{}clayplank_entry_held_back {quarantined}\n\
+             clayplank_entry_held_back_parts {quarantined_parts}\nclayplank_entry_held_bytes {buffered_bytes}\n\
              clayplank_entry_limited_upstreams {limited}\n\
              clayplank_entry_upstreams_in_backoff {in_backoff}\n\
              clayplank_entry_leaving_upstreams {leaving}\n",
--- a/clayplank-forward/src/lib.rs
+++ b/clayplank-forward/src/lib.rs
@@ -68,7 +68,9 @@
 pub use listener::{serve_callers, serve_small_requests};
 pub use names::HeaderNames;
 pub use placer::{BoxFuture, PermitReply, Placer};
-pub use quarantine::{Admission, Observation, QuarantineAuthority, RequestQuarantine};
+pub use quarantine::{
+    Admission, Observation, QuarantineAuthority, QuarantineKeys, RequestQuarantine,
+};
 pub use queue_quota::QueueLimits;
 pub use request_metadata::RequestMetadata;
 pub use reserve::{CommandFormat, CommandSender, Reservation, Ticket};
--- a/clayplank-forward/src/opening.rs
+++ b/clayplank-forward/src/opening.rs
@@ -104,7 +104,7 @@
     let started_at = Instant::now();
     let expected_ms = chosen.expected_ms as u64;
     let helpers = chosen.helpers.split(',').filter(|helper| !helper.is_empty()).count();
-    let upstream = chosen.record.heartbeat.id.to_string();
+    let upstream = chosen.record.heartbeat.id.clone();
     let (response, connection, load) = match call.attempt(chosen, last_event_id, timeout).await {
         Attempt::Answered(response, connection, load) => (response, connection, load),
         Attempt::NotRun => return OpenResult::NotRun,
@@ -113,9 +113,9 @@
     };
     let (head, body) = response.into_parts();
     if !head.status.is_success() {
-        return read_other(call, head, body, load).await;
+        return read_other(call, &upstream, head, body, load).await;
     }
-    let mut source = EventSource::new(upstream, body, connection, load);
+    let mut source = EventSource::new(upstream.to_string(), body, connection, load);
     let first = match source.next(timeout.saturating_sub(started_at.elapsed())).await {
         Next::Event(event) => {
             source.progress.record_event(Instant::now());
@@ -153,6 +153,7 @@
 /// Reads a response that is not a stream, such as an error of the upstream.
 async fn read_other(
     call: &Call,
+    upstream: &UpstreamId,
     mut head: Parts,
     body: Incoming,
     mut load: LoadGuard,
@@ -162,7 +163,7 @@
     strip_hop_by_hop(&mut head.headers);
     match body.collect().await {
         Ok(collected) => {
-            call.record_answered();
+            call.record_answered(upstream, Instant::now());
             OpenResult::Other(Response::from_parts(head, full(collected.to_bytes())), !is_failure)
         }
         Err(error) => {
@@ -184,7 +185,7 @@
     log::info!(target: "forward",
         request = call.metadata.attempt_id, route = call.route.name, upstream = source.upstream,
         cause = cause, last_event = last_event_id.unwrap_or_default(),
-        waited_ms = call.waited_ms(), fingerprint:% = call.fingerprint;
+        waited_ms = call.waited_ms(), fingerprint:% = call.fingerprint();
         "A stream broke off at its upstream");
 }
 
--- a/clayplank-forward/src/pump.rs
+++ b/clayplank-forward/src/pump.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use clayplank_clock::Instant;
+use clayplank_types::UpstreamId;
 
 use crate::call::Call;
 use crate::caller_queue::CallerQueue;
@@ -80,7 +81,8 @@
             StreamEnd::Complete | StreamEnd::CallerLeft => {}
         }
         if matches!(end, StreamEnd::Complete) {
-            self.call.record_answered();
+            let begun_at = self.source.progress.first_event_at().unwrap_or_else(Instant::now);
+            self.call.record_answered(&UpstreamId::new(self.source.upstream.as_str()), begun_at);
         }
         self.log_end(end);
     }
@@ -95,7 +97,7 @@
             expected_ms = timing.expected_ms, first_event_ms = timing.first_event_ms,
             longest_pause_ms = self.longest_pause.as_millis() as u64,
             last_event = self.last_event_id.unwrap_or_default(), waited_ms = call.waited_ms(),
-            fingerprint:% = call.fingerprint, left_ms = call.remaining().as_millis() as u64;
+            fingerprint:% = call.fingerprint(), left_ms = call.remaining().as_millis() as u64;
             "A stream ended");
         call.entry.metrics.count(&call.route.name, end.as_str());
     }
@@ -181,10 +183,20 @@
         self.longest_pause = self.longest_pause.max(self.sent_at.elapsed());
         self.sent_at = Instant::now();
         self.call.last_event_at = Some(self.sent_at);
-        self.source.progress.record_event(self.sent_at);
+        self.record_progress();
         self.queue.send(event.bytes).await
     }
 
+    /// Records an event of the current upstream.
+    fn record_progress(&mut self) {
+        let progress = &mut self.source.progress;
+        if progress.record_event(Instant::now())
+            && let Some(begun_at) = progress.first_event_at()
+        {
+            self.call.record_survived(begun_at);
+        }
+    }
+
     /// Resumes the stream at another upstream, after the last forwarded event.
     async fn resume(&mut self) -> bool {
         while self.call.may_retry() {
--- a/clayplank-forward/src/queueing.rs
+++ b/clayplank-forward/src/queueing.rs
@@ -140,7 +140,7 @@
     /// Terms under which the request may wait in the admission queue.
     pub(crate) fn queue_terms(&self) -> QueueTerms {
         QueueTerms {
-            fingerprint: self.fingerprint,
+            fingerprint: self.fingerprint(),
             account: self.account.clone().unwrap_or_default(),
             rank: self.rank,
             deadline_ms: self.remaining().as_secs_f64() * 1e3,
@@ -211,7 +211,7 @@
     fn log_queued(&self, expected_ms: u64) {
         log::info!(target: "forward",
             request = self.metadata.attempt_id, route = self.route.name,
-            fingerprint:% = self.fingerprint, expected_ms = expected_ms,
+            fingerprint:% = self.fingerprint(), expected_ms = expected_ms,
             prompt_tokens = self.metadata.prompt_tokens,
             left_ms = self.remaining().as_millis() as u64;
             "The request was queued");
@@ -226,7 +226,7 @@
         };
         log::info!(target: "forward",
             request = self.metadata.attempt_id, route = self.route.name,
-            fingerprint:% = self.fingerprint, outcome = turn.outcome.as_str(),
+            fingerprint:% = self.fingerprint(), outcome = turn.outcome.as_str(),
             waited_ms = self.waited_ms(), queued_ms = turn.queued_ms(),
             retry_after_ms = retry_after_ms, left_ms = self.remaining().as_millis() as u64;
             "A queued request was decided");
--- a/clayplank-forward/src/refusal.rs
+++ b/clayplank-forward/src/refusal.rs
@@ -25,6 +25,8 @@
     NoRoute,
     /// The account's key is missing or unknown.
     NoAccount,
+    /// The prompt has more parts than are read.
+    TooManyParts,
     /// The body is larger than allowed.
     TooLarge,
     /// The body was not received within the time-out.
@@ -33,7 +35,8 @@
     NoPlan { retry_after_ms: u64 },
     /// Nothing was sent, or the upstream did not run the request.
     NotRun { retry_after_ms: u64 },
-    /// The request is quarantined because upstreams terminated under it; this time it was not sent.
+    /// The request, or a part of its prompt, is quarantined because upstreams terminated under it;
+    /// this time it was not sent.
     Quarantined { retry_after_ms: u64 },
     /// The time limit has passed; the request may have run.
     TimedOut,
@@ -44,7 +47,7 @@
 impl Refusal {
     pub(crate) fn status(self) -> StatusCode {
         match self {
-            Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::Malformed | Self::TooManyParts => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoAccount => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -62,6 +65,7 @@
             Self::Malformed => "malformed",
             Self::NoRoute => "no_route",
             Self::NoAccount => "no_account",
+            Self::TooManyParts => "too_many_prompt_parts",
             Self::TooLarge => "too_large",
             Self::TooSlow => "too_slow",
             Self::NoPlan { .. } => "no_plan",
@@ -81,6 +85,7 @@
             Self::Malformed
             | Self::NoRoute
             | Self::NoAccount
+            | Self::TooManyParts
             | Self::TooLarge
             | Self::TooSlow
             | Self::TimedOut
--- a/clayplank-forward/src/termination.rs
+++ b/clayplank-forward/src/termination.rs
@@ -12,12 +12,12 @@
 use clayplank_clock::Instant;
 use clayplank_connect::Connector;
 use clayplank_registry::{Record, UpstreamStatus};
-use clayplank_types::{Fingerprint, ObservedOutcome, UpstreamId};
+use clayplank_types::{Fingerprint, ObservedOutcome, SuspectKind, UpstreamId};
 
 use crate::call::Call;
 use crate::entry::Entry;
 use crate::exchange::is_refused;
-use crate::quarantine::{Observation, RequestQuarantine};
+use crate::quarantine::{Observation, QuarantineKeys, RequestQuarantine};
 use crate::survivals::AnswerProgress;
 
 /// Delay between a broken connection and the check whether the upstream still listens: nearly all
@@ -35,10 +35,9 @@
 /// A request that ran at an upstream when its connection broke or its time-out passed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BrokenRequest {
-    /// Fingerprint of the request.
-    pub fingerprint: Fingerprint,
-    /// Fingerprints of those parts of its prompt that may have terminated the upstream.
-    pub prompt_parts: Vec<Fingerprint>,
+    /// Fingerprints of the request, and of those parts of its prompt that may have terminated the
+    /// upstream.
+    pub keys: QuarantineKeys,
     /// Caller of the request; empty if unknown.
     pub caller: String,
     /// Time of the break.
@@ -84,15 +83,20 @@
         cause: TerminationEvidence,
         breaks: Vec<BrokenRequest>,
     ) {
-        let requests = breaks.iter().map(|one| one.fingerprint).collect();
-        let parts = breaks.iter().flat_map(|one| one.prompt_parts.iter().copied()).collect();
+        let requests = breaks.iter().map(|one| one.keys.request).collect();
+        let parts = breaks.iter().flat_map(|one| one.keys.prompt_parts.iter().copied()).collect();
         log::info!(target: "forward",
             upstream = upstream.as_str(), cause = cause.as_str(), requests = breaks.len(),
             fingerprints = loggable(&requests), prompt_parts = loggable(&parts);
             "An upstream ended under requests");
-        for BrokenRequest { fingerprint, caller, at, .. } in breaks {
-            let outcome = ObservedOutcome::Ended(upstream.clone());
-            self.record_terminated(Observation { fingerprint, caller, outcome, at });
+        for BrokenRequest { keys, caller, at } in breaks {
+            let request = keys.request;
+            let parts = keys.prompt_parts.into_iter().map(|part| (SuspectKind::PromptPart, part));
+            for (kind, fingerprint) in parts.chain([(SuspectKind::Request, request)]) {
+                let (caller, outcome) = (caller.clone(), ObservedOutcome::Ended(upstream.clone()));
+                let observation = Observation { kind, fingerprint, request, caller, outcome, at };
+                self.record_terminated(observation);
+            }
         }
     }
 }
@@ -130,16 +134,12 @@
         if is_leaving || record.heartbeat.standing != UpstreamStatus::Ready {
             return;
         }
-        let caller = self.caller.clone();
-        let is_suspicious = progress.is_suspicious();
-        let prompt_parts =
-            if is_suspicious { self.metadata.prompt_parts.clone() } else { Vec::new() };
-        let broken = BrokenRequest {
-            fingerprint: self.fingerprint,
-            prompt_parts,
-            caller,
-            at: Instant::now(),
+        let keys = if progress.is_suspicious() {
+            self.keys.clone()
+        } else {
+            QuarantineKeys::of_request(self.keys.request)
         };
+        let broken = BrokenRequest { keys, caller: self.caller.clone(), at: Instant::now() };
         if entry.pending_breaks.add(upstream, broken) {
             tokio::spawn(check_terminated(Arc::clone(entry), record));
         }
--- a/clayplank-forward/src/unary.rs
+++ b/clayplank-forward/src/unary.rs
@@ -111,6 +111,7 @@
             Attempt::CutOff => return AttemptResult::CutOff,
             Attempt::MayHaveRun => return AttemptResult::MayHaveRun,
         };
+    let begun_at = Instant::now();
     let (head, body) = response.into_parts();
     let read = clayplank_clock::timeout(timeout, read_complete(body, &call.entry.buffer_quota));
     // An answer of a replaced upstream counts as incomplete.
@@ -124,7 +125,7 @@
     });
     drop(load);
     match read {
-        Ok(Some(_)) => call.record_answered(),
+        Ok(Some(_)) => call.record_answered(&upstream, begun_at),
         Ok(None) | Err(_) => call.record_break(&upstream, AnswerProgress::default()),
     }
     match read {
@@ -185,7 +186,7 @@
     log::info!(target: "forward",
         request = call.metadata.attempt_id, route = call.route.name, upstream = upstream.as_str(),
         status = head.status.as_u16(), goal_ms = call.route.goal_ms, sent = call.sent_count,
-        waited_ms = call.waited_ms(), fingerprint:% = call.fingerprint,
+        waited_ms = call.waited_ms(), fingerprint:% = call.fingerprint(),
         left_ms = call.remaining().as_millis() as u64;
         "Answered");
     call.entry.metrics.count(&call.route.name, "answered");
--- a/clayplank-forward/tests/entry/log_lines.rs
+++ b/clayplank-forward/tests/entry/log_lines.rs
@@ -8,7 +8,7 @@
 use clayplank_forward::{Directory, EntryBuilder, QueueLimits};
 use clayplank_placement::{Assignment, EngineModel, PlacementOutcome};
 use clayplank_routes::{RequestKind, Route, ServiceGroup};
-use clayplank_types::{QuarantineEntry, UpstreamId};
+use clayplank_types::{QuarantineEntry, SuspectKind, UpstreamId};
 use log::kv::{Key, Value, VisitSource};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -168,10 +168,11 @@
     assert_eq!(queued["fingerprint"], fingerprint);
 
     host.entry.set_quarantined(vec![QuarantineEntry {
+        kind: SuspectKind::Request,
         fingerprint: fingerprint.parse().unwrap(),
         caller: String::new(),
         ended: Vec::new(),
-        next_trial_in_ms: 60_000,
+        next_trial_in_ms: Some(60_000),
     }]);
     assert!(call(&host, "second").await.starts_with("HTTP/1.1 503"));
     assert_eq!(joining_fields(&line("second", "Refused at the door").await), fingerprint);
--- a/clayplank-forward/tests/entry/main.rs
+++ b/clayplank-forward/tests/entry/main.rs
@@ -9,6 +9,7 @@
 mod delayed_commands;
 mod harness;
 mod log_lines;
+mod prompt_parts;
 mod quarantine;
 mod queueing;
 mod rate_limits;
--- a/clayplank-forward/tests/entry/quarantine.rs
+++ b/clayplank-forward/tests/entry/quarantine.rs
@@ -9,7 +9,9 @@
 use clayplank_forward::{BoxFuture, Directory, EntryBuilder, Observation, QuarantineAuthority};
 use clayplank_registry::UpstreamStatus;
 use clayplank_routes::{RequestKind, Route};
-use clayplank_types::{Fingerprint, ObservedOutcome, QuarantineEntry, RequestIdentity};
+use clayplank_types::{
+    Fingerprint, ObservedOutcome, QuarantineEntry, RequestIdentity, SuspectKind,
+};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -140,10 +142,11 @@
     /// Quarantines one request, and no other.
     fn quarantine(&self, fingerprint: Fingerprint, next_trial_in: Duration) {
         self.host.entry.set_quarantined(vec![QuarantineEntry {
+            kind: SuspectKind::Request,
             fingerprint,
             caller: String::new(),
             ended: Vec::new(),
-            next_trial_in_ms: next_trial_in.as_millis() as u64,
+            next_trial_in_ms: Some(next_trial_in.as_millis() as u64),
         }]);
     }
 
--- a/clayplank-state/src/quarantine.rs
+++ b/clayplank-state/src/quarantine.rs
@@ -1,11 +1,13 @@
-//! Quarantine of requests that make upstreams terminate.
+//! Quarantine of requests, and of parts of prompts, that make upstreams terminate.
 //!
 //! All requests that were running at an upstream when it terminated become suspects: one of them
-//! may have caused it, the others were running there by chance. A request that terminates upstreams
-//! does so at each upstream that runs it, so a complete answer by an upstream clears a request of
-//! all earlier terminations. A request is quarantined when three upstreams have terminated under
-//! it, one after the other, without a complete answer in between. Hosts do not send a quarantined
-//! request to any upstream, except for a few trials.
+//! may have caused it, the others were running there by chance. So do the parts of the prompts to
+//! which the upstream had just begun to write an answer: requests that have nothing in common but
+//! one part may each terminate an upstream. A suspect that terminates upstreams does so at each
+//! upstream that runs it, so an upstream that survives it clears it of all earlier terminations. It
+//! is quarantined when three upstreams have terminated under it, one after the other, and none has
+//! survived it in between. Hosts do not send a quarantined request, or one with a quarantined part,
+//! to any upstream, except for a few trials.
 //!
 //! The effect, with one request that terminates each upstream that runs it, sent 12 times a second
 //! beside 80 other requests a second to 18 upstreams for 12 s: without quarantine, there were 119
@@ -19,11 +21,12 @@
 use std::collections::BTreeMap;
 
 use clayplank_types::{
-    Fingerprint, HostTimestamp, ObservedOutcome, QuarantineEntry, SuspectObservation, UpstreamId,
+    Fingerprint, HostTimestamp, ObservedOutcome, QuarantineEntry, SuspectKind, SuspectObservation,
+    UpstreamId,
 };
 use serde::{Deserialize, Serialize};
 
-/// Number of separate terminations under a request after which it is quarantined. Two may coincide
+/// Number of separate terminations under a suspect after which it is quarantined. Two may coincide
 /// by chance with a request that is sent twice while upstreams are being killed for other reasons;
 /// the users' requirement limits the terminations after the third.
 const MIN_TERMINATIONS: usize = 3;
@@ -34,7 +37,7 @@
 const COINCIDENCE_WINDOW_MS: u64 = 30;
 
 /// Retention time of a suspect since its latest reported termination, and of an explained upstream
-/// since its attribution, in ms. Quarantined requests do not expire.
+/// since its attribution, in ms. Quarantined suspects do not expire.
 const SUSPECT_RETENTION_MS: u64 = 600_000;
 
 /// Intervals in ms before the first, second, … trial of a quarantined request; the last one
@@ -43,6 +46,10 @@
 /// on the first day, then one a day.
 const TRIAL_INTERVALS_MS: [u64; 4] = [60_000, 600_000, 14_400_000, 86_400_000];
 
+/// The same for a quarantined part, which is not tried again after the last one: callers do not
+/// repeat a part by chance, so whoever sends it would terminate an upstream at each trial.
+const PART_TRIAL_INTERVALS_MS: [u64; 2] = [60_000, 600_000];
+
 /// Maximum number of suspects of all callers: more than the requests that run at once at 300
 /// engines with ten slots each.
 const MAX_SUSPECTS: usize = 4_096;
@@ -50,21 +57,23 @@
 /// Maximum number of suspects of one caller: the largest caller sends a quarter of all requests.
 const MAX_SUSPECTS_PER_CALLER: usize = 1_024;
 
-/// Maximum number of quarantined requests of one caller; the one quarantined first is lifted to
+/// Maximum number of quarantined suspects of one caller; the one quarantined first is lifted to
 /// make room. The limit prevents one caller from using up [`MAX_QUARANTINED`].
 const MAX_QUARANTINED_PER_CALLER: usize = 64;
 
-/// Maximum number of quarantined requests of all callers: the list sent to a host then takes about
+/// Maximum number of quarantined suspects of all callers: the list sent to a host then takes about
 /// 10 kB.
 const MAX_QUARANTINED: usize = 512;
 
-/// Maximum number of upstreams whose termination is explained by a quarantined request.
+/// Maximum number of upstreams whose termination is explained by a quarantined suspect.
 const MAX_EXPLAINED_UPSTREAMS: usize = 1_024;
 
-/// The termination of an upstream while it was running a request.
+/// The termination of an upstream while it was running a suspect.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Termination {
     upstream: UpstreamId,
+    /// The request that was running.
+    request: Fingerprint,
     /// Time by the keepers' clocks, in ms since the Unix epoch.
     at_ms: u64,
     /// Time by the clock of the host that observed it, if reported.
@@ -85,26 +94,45 @@
     }
 }
 
-/// Quarantine state of one request.
+/// Interval before a trial of a quarantined suspect, if there is one after so many.
+fn trial_interval_ms(kind: SuspectKind, trials: usize) -> Option<u64> {
+    match kind {
+        SuspectKind::Request => {
+            let last = TRIAL_INTERVALS_MS.len() - 1;
+            Some(TRIAL_INTERVALS_MS[trials.min(last)])
+        }
+        SuspectKind::PromptPart => PART_TRIAL_INTERVALS_MS.get(trials).copied(),
+    }
+}
+
+/// Quarantine state of one suspect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct QuarantineState {
     /// Start of the quarantine, in ms since the Unix epoch.
     since_ms: u64,
     /// Number of trials granted so far.
     trials: usize,
-    /// Earliest time of the next trial, in ms since the Unix epoch.
-    next_trial_ms: u64,
+    /// Earliest time of the next trial, in ms since the Unix epoch; `None` if there is none.
+    next_trial_ms: Option<u64>,
+}
+
+impl QuarantineState {
+    fn new(now_ms: u64, kind: SuspectKind) -> Self {
+        let next_trial_ms = trial_interval_ms(kind, 0).map(|interval_ms| now_ms + interval_ms);
+        Self { since_ms: now_ms, trials: 0, next_trial_ms }
+    }
 }
 
-/// A request that was running at upstreams when they terminated.
+/// A request, or a part of prompts, that was running at upstreams when they terminated.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Suspect {
+    kind: SuspectKind,
     caller: String,
-    /// Terminations under the request, ordered by `at_ms`, one per upstream.
+    /// Terminations under the suspect, ordered by `at_ms`, one per upstream.
     ends: Vec<Termination>,
     /// Time of the latest report of a termination, in ms since the Unix epoch.
     heard_ms: u64,
-    /// `None` while the request is not quarantined.
+    /// `None` while the suspect is not quarantined.
     held: Option<QuarantineState>,
 }
 
@@ -122,17 +150,32 @@
         self.ends.iter().map(|termination| termination.upstream.clone()).collect()
     }
 
-    /// The entry sent to hosts if the request is quarantined, otherwise `None`.
+    /// The entry sent to hosts if the suspect is quarantined, otherwise `None`.
     fn to_entry(&self, now_ms: u64, fingerprint: Fingerprint) -> Option<QuarantineEntry> {
         let quarantine = self.held?;
         Some(QuarantineEntry {
+            kind: self.kind,
             fingerprint,
             caller: self.caller.clone(),
             ended: self.terminated_upstreams(),
-            next_trial_in_ms: quarantine.next_trial_ms.saturating_sub(now_ms),
+            next_trial_in_ms: quarantine.next_trial_ms.map(|at_ms| at_ms.saturating_sub(now_ms)),
         })
     }
 
+    /// Whether enough upstreams have terminated under a suspect that is not quarantined yet. A part
+    /// that was in one request only need not be the cause: it is enough to quarantine the request.
+    fn is_to_be_quarantined(&self) -> bool {
+        let is_of_several_requests = match self.kind {
+            SuspectKind::Request => true,
+            SuspectKind::PromptPart => {
+                self.ends.iter().any(|termination| termination.request != self.ends[0].request)
+            }
+        };
+        self.held.is_none()
+            && is_of_several_requests
+            && self.separate_terminations() >= MIN_TERMINATIONS
+    }
+
     /// Number of terminations, with those within [`COINCIDENCE_WINDOW_MS`] counted as one.
     fn separate_terminations(&self) -> usize {
         let mut count = 0;
@@ -154,19 +197,19 @@
     Granted,
     /// The request is not quarantined, so hosts may send it freely.
     NotNeeded,
-    /// The next trial is not due yet.
+    /// The next trial is not due yet, or there are no more.
     TooEarly {
-        /// Remaining time until a trial can be claimed, in ms.
-        next_in_ms: u64,
+        /// Remaining time until a trial can be claimed, in ms; `None` if there are no more.
+        next_in_ms: Option<u64>,
     },
 }
 
 /// Changes of the quarantine caused by reported observations.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineChanges {
-    /// Requests that are now quarantined and were not before.
+    /// Requests and parts that are now quarantined and were not before.
     pub held_back: Vec<QuarantineEntry>,
-    /// Requests whose quarantine was lifted.
+    /// Requests and parts whose quarantine was lifted.
     pub lifted: Vec<Fingerprint>,
 }
 
@@ -177,14 +220,14 @@
     }
 }
 
-/// All suspects, including the quarantined requests.
+/// All suspects, including the quarantined ones.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Suspects {
-    /// Revision that last changed the list of quarantined requests or their trial times.
+    /// Revision that last changed the list of quarantined suspects or their trial times.
     pub(crate) revision: u64,
     suspects: BTreeMap<Fingerprint, Suspect>,
-    /// Upstreams whose termination is attributed to a quarantined request, with the time of the
-    /// attribution. Other requests that were running there do not become suspects.
+    /// Upstreams whose termination is attributed to a quarantined suspect, with the time of the
+    /// attribution. What else was running there does not become a suspect.
     explained: BTreeMap<UpstreamId, u64>,
 }
 
@@ -201,31 +244,40 @@
             let at_ms = now_ms.saturating_sub(observation.ago_ms);
             match &observation.outcome {
                 ObservedOutcome::Ended(upstream) => {
-                    let termination =
-                        Termination { upstream: upstream.clone(), at_ms, seen: observation.seen };
-                    self.apply_termination(now_ms, observation, termination, &mut changes);
+                    let termination = Termination {
+                        upstream: upstream.clone(),
+                        request: observation.request,
+                        at_ms,
+                        seen: observation.seen,
+                    };
+                    self.apply_termination(now_ms, observation, termination);
                 }
                 ObservedOutcome::Survived => {
                     self.apply_survival(at_ms, observation.fingerprint, &mut changes);
                 }
             }
         }
+        loop {
+            let chosen = self.choose_for_quarantine(observations);
+            if chosen.is_empty() {
+                break;
+            }
+            self.quarantine(now_ms, &chosen, &mut changes);
+        }
         changes
     }
 
-    /// Records the termination of an upstream, and quarantines the request once
-    /// [`MIN_TERMINATIONS`] is reached.
+    /// Records the termination of an upstream under a suspect.
     fn apply_termination(
         &mut self,
         now_ms: u64,
         observation: &SuspectObservation,
         termination: Termination,
-        changes: &mut QuarantineChanges,
     ) {
         let fingerprint = observation.fingerprint;
         let suspect = self.suspects.get_mut(&fingerprint);
         if let Some(suspect) = suspect.filter(|suspect| suspect.held.is_some()) {
-            // The request stays quarantined, and this termination is attributed to it.
+            // The suspect stays quarantined, and this termination is attributed to it.
             suspect.heard_ms = now_ms;
             self.explain(now_ms, fingerprint, vec![termination.upstream]);
             return;
@@ -237,6 +289,7 @@
             self.make_room(&observation.caller);
         }
         let suspect = self.suspects.entry(fingerprint).or_insert_with(|| Suspect {
+            kind: observation.kind,
             caller: observation.caller.clone(),
             ends: Vec::new(),
             heard_ms: now_ms,
@@ -244,23 +297,60 @@
         });
         suspect.heard_ms = now_ms;
         suspect.record_termination(termination);
-        if suspect.separate_terminations() < MIN_TERMINATIONS {
-            return;
+    }
+
+    /// Chooses the observed suspects to quarantine next: those under which the most upstreams
+    /// terminated, as they may explain what happened to the others. One request is chosen, and all
+    /// parts: those that were always in the same prompts cannot be told apart.
+    fn choose_for_quarantine(&self, observations: &[SuspectObservation]) -> Vec<Fingerprint> {
+        let observed: BTreeMap<_, _> = observations
+            .iter()
+            .filter_map(|observation| self.suspects.get_key_value(&observation.fingerprint))
+            .filter(|(_, suspect)| suspect.is_to_be_quarantined())
+            .collect();
+        let most = observed.values().map(|suspect| suspect.ends.len()).max().unwrap_or_default();
+        let of_kind = |kind| {
+            let chosen = observed
+                .iter()
+                .filter(move |(_, suspect)| suspect.kind == kind && suspect.ends.len() == most);
+            chosen.map(|(fingerprint, _)| **fingerprint)
+        };
+        of_kind(SuspectKind::Request).take(1).chain(of_kind(SuspectKind::PromptPart)).collect()
+    }
+
+    /// Quarantines suspects and attributes the terminations under them to them.
+    fn quarantine(
+        &mut self,
+        now_ms: u64,
+        fingerprints: &[Fingerprint],
+        changes: &mut QuarantineChanges,
+    ) {
+        for fingerprint in fingerprints {
+            if let Some(suspect) = self.suspects.get_mut(fingerprint) {
+                suspect.held = Some(QuarantineState::new(now_ms, suspect.kind));
+                changes.held_back.extend(suspect.to_entry(now_ms, *fingerprint));
+            }
+        }
+        for fingerprint in fingerprints {
+            if let Some(suspect) = self.suspects.get(fingerprint) {
+                let (caller, terminated) = (suspect.caller.clone(), suspect.terminated_upstreams());
+                self.explain(now_ms, *fingerprint, terminated);
+                self.limit_quarantined(&caller, changes);
+            }
         }
-        let next_trial_ms = now_ms + TRIAL_INTERVALS_MS[0];
-        suspect.held = Some(QuarantineState { since_ms: now_ms, trials: 0, next_trial_ms });
-        let terminated = suspect.terminated_upstreams();
-        changes.held_back.extend(suspect.to_entry(now_ms, fingerprint));
-        self.explain(now_ms, fingerprint, terminated);
-        self.limit_quarantined(&observation.caller, changes);
     }
 
-    /// Attributes the termination of upstreams to the quarantined request `by`, and removes these
-    /// terminations from the other suspects.
+    /// Attributes the termination of upstreams to the quarantined suspect `by`, and removes these
+    /// terminations from the other suspects. The parts of a quarantined request stay suspects: they
+    /// may be what terminates upstreams, also in other requests.
     fn explain(&mut self, now_ms: u64, by: Fingerprint, upstreams: Vec<UpstreamId>) {
         for (fingerprint, suspect) in &mut self.suspects {
             if *fingerprint != by && suspect.held.is_none() {
-                suspect.ends.retain(|termination| !upstreams.contains(&termination.upstream));
+                suspect.ends.retain(|termination| {
+                    let is_part_of_cause =
+                        suspect.kind == SuspectKind::PromptPart && termination.request == by;
+                    is_part_of_cause || !upstreams.contains(&termination.upstream)
+                });
             }
         }
         self.suspects.retain(|_, suspect| suspect.held.is_some() || !suspect.ends.is_empty());
@@ -274,8 +364,8 @@
         }
     }
 
-    /// Clears a request of all terminations up to `at_ms`, the time at which an upstream answered
-    /// it completely, and lifts its quarantine if too few terminations remain.
+    /// Clears a suspect of all terminations up to `at_ms`, the time at which an upstream survived
+    /// it, and lifts its quarantine if too few terminations remain.
     fn apply_survival(
         &mut self,
         at_ms: u64,
@@ -295,29 +385,32 @@
         }
     }
 
-    /// Grants a trial of a quarantined request if one is due, and schedules the next.
+    /// Grants a trial of a quarantined suspect if one is due, and schedules the next.
     pub(crate) fn claim_trial(&mut self, now_ms: u64, fingerprint: Fingerprint) -> TrialReply {
         let suspect = self.suspects.get_mut(&fingerprint);
-        let Some(quarantine) = suspect.and_then(|suspect| suspect.held.as_mut()) else {
+        let Some((kind, quarantine)) =
+            suspect.and_then(|suspect| Some((suspect.kind, suspect.held.as_mut()?)))
+        else {
             return TrialReply::NotNeeded;
         };
-        if now_ms < quarantine.next_trial_ms {
-            return TrialReply::TooEarly { next_in_ms: quarantine.next_trial_ms - now_ms };
+        if quarantine.next_trial_ms.is_none_or(|next_trial_ms| now_ms < next_trial_ms) {
+            let next_in_ms = quarantine.next_trial_ms.map(|next_trial_ms| next_trial_ms - now_ms);
+            return TrialReply::TooEarly { next_in_ms };
         }
         quarantine.trials += 1;
-        let last = TRIAL_INTERVALS_MS.len() - 1;
-        quarantine.next_trial_ms = now_ms + TRIAL_INTERVALS_MS[quarantine.trials.min(last)];
+        let interval_ms = trial_interval_ms(kind, quarantine.trials);
+        quarantine.next_trial_ms = interval_ms.map(|interval_ms| now_ms + interval_ms);
         TrialReply::Granted
     }
 
-    /// Lifts the quarantine of a request and removes the terminations recorded under it. Returns
+    /// Lifts the quarantine of a suspect and removes the terminations recorded under it. Returns
     /// whether it was quarantined.
     pub(crate) fn lift(&mut self, fingerprint: Fingerprint) -> bool {
         let removed = self.suspects.remove(&fingerprint);
         removed.is_some_and(|suspect| suspect.held.is_some())
     }
 
-    /// All quarantined requests, ordered by fingerprint.
+    /// All quarantined suspects, ordered by fingerprint.
     pub(crate) fn quarantined(&self, now_ms: u64) -> Vec<QuarantineEntry> {
         self.suspects
             .iter()
@@ -331,9 +424,10 @@
         self.explained.retain(|_, explained_ms| is_fresh(*explained_ms));
     }
 
-    /// Removes the suspect whose latest reported termination is the oldest to make room for another
-    /// one, if there are too many suspects of the caller, or of all callers. Quarantined requests
-    /// do not count.
+    /// Removes a suspect to make room for another one, if there are too many of the caller, or of
+    /// all callers: of those with the fewest terminations, the one whose latest report is the
+    /// oldest, so that a flood of suspects does not remove the one that causes it. Quarantined
+    /// suspects do not count.
     fn make_room(&mut self, caller: &str) {
         if self.suspects.len() < MAX_SUSPECTS_PER_CALLER {
             return;
@@ -352,13 +446,15 @@
         let candidates = self.suspects.iter().filter(|(_, suspect)| {
             is_evictable(suspect) && (!is_caller_full || suspect.caller == caller)
         });
-        let oldest = candidates.min_by_key(|(_, suspect)| suspect.heard_ms).map(|(id, _)| *id);
-        if let Some(oldest) = oldest {
-            self.suspects.remove(&oldest);
+        let removed = candidates
+            .min_by_key(|(_, suspect)| (suspect.ends.len(), suspect.heard_ms))
+            .map(|(id, _)| *id);
+        if let Some(removed) = removed {
+            self.suspects.remove(&removed);
         }
     }
 
-    /// Lifts the quarantine that started first, of the caller's requests or of all, if there are
+    /// Lifts the quarantine that started first, of the caller's suspects or of all, if there are
     /// too many.
     fn limit_quarantined(&mut self, caller: &str, changes: &mut QuarantineChanges) {
         let quarantined = || self.suspects.iter().filter(|(_, suspect)| suspect.held.is_some());
--- a/clayplank-state/tests/quarantine.rs
+++ b/clayplank-state/tests/quarantine.rs
@@ -5,7 +5,7 @@
 
 use clayplank_state::{Command, CommandBody, Machine, QuarantineChanges, Reply, TrialReply};
 use clayplank_types::{
-    Fingerprint, HostTimestamp, ObservedOutcome, SuspectObservation, UpstreamId,
+    Fingerprint, HostTimestamp, ObservedOutcome, SuspectKind, SuspectObservation, UpstreamId,
 };
 use proptest::prelude::*;
 
@@ -15,7 +15,9 @@
 
 fn terminated(request: u128, caller: &str, upstream: &str) -> SuspectObservation {
     SuspectObservation {
+        kind: SuspectKind::Request,
         fingerprint: Fingerprint::new(request),
+        request: Fingerprint::new(request),
         caller: caller.to_owned(),
         outcome: ObservedOutcome::Ended(UpstreamId::new(upstream)),
         ago_ms: 0,
@@ -161,7 +163,7 @@
     let mut machine = with_one_quarantined();
     assert_eq!(
         claim_trial(&mut machine, 4_000, CRASHING),
-        TrialReply::TooEarly { next_in_ms: 59_000 }
+        TrialReply::TooEarly { next_in_ms: Some(59_000) }
     );
     let mut granted = Vec::new();
     for tenth in 0..36_000 {
--- a/clayplank-types/src/lib.rs
+++ b/clayplank-types/src/lib.rs
@@ -23,7 +23,9 @@
     AccountId, AttemptId, DataCentre, HostId, Incarnation, ParseIdError, Partner, PoolId,
     RequestId, UpstreamId,
 };
-pub use observation::{HostTimestamp, ObservedOutcome, QuarantineEntry, SuspectObservation};
+pub use observation::{
+    HostTimestamp, ObservedOutcome, QuarantineEntry, SuspectKind, SuspectObservation,
+};
 pub use outcome::{Outcome, Refusal, RefusalReason};
 pub use prefix::{MAX_PREFIX_BLOCKS, PREFIX_BLOCK_TOKENS, prefix_hashes};
 pub use priority::{EnginePriority, Priority};
--- a/clayplank-wire/tests/broken_bytes.rs
+++ b/clayplank-wire/tests/broken_bytes.rs
@@ -15,7 +15,7 @@
     unpack,
 };
 use clayplank_types::{
-    Fingerprint, ObservedOutcome, QuarantineEntry, SuspectObservation, UpstreamId,
+    Fingerprint, ObservedOutcome, QuarantineEntry, SuspectKind, SuspectObservation, UpstreamId,
 };
 use proptest::prelude::*;
 use serde::de::DeserializeOwned;
@@ -51,7 +51,9 @@
 
 fn observation(number: u64) -> SuspectObservation {
     SuspectObservation {
+        kind: SuspectKind::PromptPart,
         fingerprint: Fingerprint::new(u128::from(number) << 70),
+        request: Fingerprint::new(u128::from(number) << 70),
         caller: "clubs".to_owned(),
         outcome: ObservedOutcome::Ended(UpstreamId::new(format!("u{number}"))),
         ago_ms: number * 40,
--- a/clayplankd/src/doors/control_endpoint.rs
+++ b/clayplankd/src/doors/control_endpoint.rs
@@ -220,6 +220,7 @@
 
 fn quarantined_json(quarantined: &QuarantineEntry) -> Value {
     serde_json::json!({
+        "kind": quarantined.kind.as_str(),
         "fingerprint": quarantined.fingerprint.to_string(),
         "caller": quarantined.caller,
         "ended": quarantined.ended,
--- a/clayplankd/src/doors/quarantine.rs
+++ b/clayplankd/src/doors/quarantine.rs
@@ -8,7 +8,9 @@
 
 use clayplank_clock::Instant;
 use clayplank_connect::Connector;
-use clayplank_forward::{BrokenRequest, TerminationEvidence, has_stopped_listening};
+use clayplank_forward::{
+    BrokenRequest, QuarantineKeys, TerminationEvidence, has_stopped_listening,
+};
 use clayplank_types::{Fingerprint, Refusal, RefusalReason, UpstreamId};
 
 use crate::process::host_state::Host;
@@ -29,16 +31,16 @@
         identity: &Identity,
         is_first_attempt: bool,
     ) -> Result<(), Refusal> {
-        let fingerprint = identity.fingerprint;
+        let keys = QuarantineKeys::of_request(identity.fingerprint);
         let quarantined_for_ms = match is_first_attempt {
-            true => self.quarantine.admit(fingerprint).await.err(),
-            false => self.quarantine.time_to_trial(fingerprint).map(|span| span.as_millis() as u64),
+            true => self.quarantine.admit(&keys).await.err(),
+            false => self.quarantine.time_to_trial(&keys).map(|span| span.as_millis() as u64),
         };
         let Some(retry_after_ms) = quarantined_for_ms else {
             return Ok(());
         };
         log::info!(target: log_target::CALLERS,
-            fingerprint:% = fingerprint;
+            fingerprint:% = identity.fingerprint;
             "Does not send a request that is held back");
         Err(Refusal::new(RefusalReason::HeldBack, retry_after_ms))
     }
@@ -56,9 +58,8 @@
             return;
         };
         let Identity { fingerprint, caller } = identity.clone();
-        let prompt_parts = Vec::new();
-        let broken_attempt =
-            BrokenRequest { fingerprint, prompt_parts, caller, at: Instant::now() };
+        let keys = QuarantineKeys::of_request(fingerprint);
+        let broken_attempt = BrokenRequest { keys, caller, at: Instant::now() };
         let upstream_incarnation = UpstreamId::new(format!("{upstream}@{attempt}"));
         tokio::spawn(async move {
             if has_stopped_listening(&Connector::default(), address).await {
--- a/clayplankd/src/fleet/termination_reports.rs
+++ b/clayplankd/src/fleet/termination_reports.rs
@@ -1,5 +1,5 @@
-//! Reports to the keepers which requests were running when an upstream terminated, and claims
-//! trials.
+//! Reports to the keepers which requests and prompt parts were running when an upstream terminated,
+//! and claims trials.
 //!
 //! The keepers quarantine a request that terminates several upstreams in succession. A trial is the
 //! permission to run a quarantined request once, which shows whether upstreams survive it now.
@@ -119,7 +119,9 @@
     let ago_ms = observation.at.elapsed().as_millis() as u64;
     let observed = HostTimestamp { life: incarnation, at_ms: now_ms().saturating_sub(ago_ms) };
     SuspectObservation {
+        kind: observation.kind,
         fingerprint: observation.fingerprint,
+        request: observation.request,
         caller: observation.caller.clone(),
         outcome: observation.outcome.clone(),
         ago_ms,
@@ -128,10 +130,11 @@
 }
 
 fn log_quarantine_changes(changes: &QuarantineChanges) {
-    for QuarantineEntry { fingerprint, caller, ended, .. } in &changes.held_back {
+    for QuarantineEntry { kind, fingerprint, caller, ended, .. } in &changes.held_back {
         let ended: Vec<_> = ended.iter().map(ToString::to_string).collect();
         log::warn!(target: log_target::KEEPER,
-            fingerprint:% = fingerprint, caller = caller, ended = ended.join(" ");
+            fingerprint:% = fingerprint, kind = kind.as_str(), caller = caller,
+            ended = ended.join(" ");
             "A request terminated several upstreams in succession and is quarantined");
     }
     for fingerprint in &changes.lifted {
