Answers without a length: check whether the upstream ended before calling them complete

What callers would see: an answer that has neither a length nor chunks ends with its connection. If the upstream ended after a whole event, or in the middle of a plain answer, the part was delivered as a complete success.

Cause: the end of a body was taken from the connection alone, which the end of a process closes in the same way.

Change: where the end of the connection is the only mark, the host checks whether the upstream still listens. If not, the answer is broken off: a stream is resumed or breaks, a plain answer is tried again or fails, and it counts as a termination. An upstream that is leaving may end after its answer.

Evidence: a table of 19 ways in which an answer may end, over sockets. Three of its rows failed without the check: a stream that ends after an event, one without any, and a plain answer.

--- a/clayplank-forward/src/answer.rs
+++ b/clayplank-forward/src/answer.rs
@@ -41,6 +41,24 @@
     Verdict::Valid
 }
 
+/// How the end of a response body is marked (RFC 9112, section 6.3).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// By a length, or by the last chunk.
+    Explicit,
+    /// By the end of the connection, which also ends if the upstream terminates.
+    UntilClose,
+}
+
+/// Determines from its head how the body of a response ends.
+pub(crate) fn parse_framing(status: StatusCode, headers: &HeaderMap) -> Framing {
+    let has_no_body = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    let is_explicit = has_no_body
+        || headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING);
+    if is_explicit { Framing::Explicit } else { Framing::UntilClose }
+}
+
 /// Rate limit that a response declares for its upstream, over all hosts together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum DeclaredLimit {
--- a/clayplank-forward/src/load.rs
+++ b/clayplank-forward/src/load.rs
@@ -5,10 +5,13 @@
 
 use clayplank_clock::Instant;
 use clayplank_placement::{Event, PlacementId};
+use clayplank_registry::UpstreamStatus;
 use clayplank_types::UpstreamId;
 
+use crate::answer::Framing;
 use crate::entry::Entry;
 use crate::reserve::Reservation;
+use crate::termination::has_stopped_listening;
 
 /// Result of an attempt, as far as it tells about the upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -83,6 +86,24 @@
         }
     }
 
+    /// Whether the end of the connection completes a body, as opposed to a termination of the
+    /// upstream that cut it short. An upstream that is leaving ends after its last answer.
+    pub(crate) async fn is_complete_at_close(&self, framing: Framing) -> bool {
+        let directory = &self.entry.directory;
+        let Some(record) = directory.record(&self.upstream) else {
+            return true;
+        };
+        let is_leaving = directory.is_leaving(&self.upstream)
+            || record.heartbeat.standing != UpstreamStatus::Ready;
+        match framing {
+            Framing::Explicit => true,
+            Framing::UntilClose if is_leaving => true,
+            Framing::UntilClose => {
+                !has_stopped_listening(&self.entry.connector, record.heartbeat.address).await
+            }
+        }
+    }
+
     /// Keeps memory of other engines reserved for the duration of the attempt.
     pub(crate) fn set_reservation(&mut self, reservation: Reservation) {
         self.reservation = Some(reservation);
--- a/clayplank-forward/src/opening.rs
+++ b/clayplank-forward/src/opening.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use crate::answer::parse_framing;
 use crate::attempt::{Attempt, BUSY_RETRY_MS, CUT_OFF_RETRY_MS};
 use crate::call::Call;
 use crate::choice::Chosen;
@@ -18,6 +19,7 @@
 use crate::load::{LoadGuard, Outcome};
 use crate::refusal::{AnswerBody, Refusal, full};
 use crate::source::{EventSource, Next};
+use crate::survivals::AnswerProgress;
 
 /// The time-out for the first event is the expected time multiplied by this factor, plus a margin.
 const FIRST_EVENT_FACTOR: f64 = 4.0;
@@ -115,7 +117,8 @@
     if !head.status.is_success() {
         return read_other(call, &upstream, head, body, load).await;
     }
-    let mut source = EventSource::new(upstream.to_string(), body, connection, load);
+    let framing = parse_framing(head.status, &head.headers);
+    let mut source = EventSource::new(upstream.to_string(), framing, body, connection, load);
     let first = match source.next(timeout.saturating_sub(started_at.elapsed())).await {
         Next::Event(event) => {
             source.progress.record_event(Instant::now());
@@ -159,9 +162,15 @@
     mut load: LoadGuard,
 ) -> OpenResult {
     let is_failure = head.status.is_server_error();
+    let framing = parse_framing(head.status, &head.headers);
     load.record_outcome(if is_failure { Outcome::Failed } else { Outcome::Good });
     strip_hop_by_hop(&mut head.headers);
     match body.collect().await {
+        Ok(_) if !load.is_complete_at_close(framing).await => {
+            load.record_outcome(Outcome::Broken);
+            call.record_break(upstream, AnswerProgress::default());
+            OpenResult::MayHaveRun
+        }
         Ok(collected) => {
             call.record_answered(upstream, Instant::now());
             OpenResult::Other(Response::from_parts(head, full(collected.to_bytes())), !is_failure)
--- a/clayplank-forward/src/source.rs
+++ b/clayplank-forward/src/source.rs
@@ -6,6 +6,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use crate::answer::Framing;
 use crate::events::{EventSplitter, StreamEvent};
 use crate::exchange::Connection;
 use crate::load::{LoadGuard, Outcome};
@@ -30,6 +31,7 @@
     pub(crate) load: LoadGuard,
     pub(crate) upstream: String,
     pub(crate) progress: AnswerProgress,
+    framing: Framing,
     body: Incoming,
     splitter: EventSplitter,
     /// Closes the connection when the stream is dropped.
@@ -40,20 +42,26 @@
     /// Creates the stream of events in a response body.
     pub(crate) fn new(
         upstream: String,
+        framing: Framing,
         body: Incoming,
         connection: Connection,
         load: LoadGuard,
     ) -> Self {
         let splitter = EventSplitter::default();
         let progress = AnswerProgress::default();
-        Self { load, upstream, progress, body, splitter, _connection: connection }
+        Self { load, upstream, progress, framing, body, splitter, _connection: connection }
     }
 
     /// Reads the next event, or the reason why there is none.
     pub(crate) async fn next(&mut self, timeout: Duration) -> Next {
-        let Self { load, body, splitter, .. } = self;
+        let Self { load, framing, body, splitter, .. } = self;
         let next = load.unless_replaced(read_next(body, splitter, timeout)).await;
-        next.unwrap_or(Next::Broken("replaced"))
+        match next.unwrap_or(Next::Broken("replaced")) {
+            Next::End if !load.is_complete_at_close(*framing).await => {
+                Next::Broken("the upstream ended")
+            }
+            next @ (Next::Event(_) | Next::End | Next::Broken(_) | Next::TimedOut) => next,
+        }
     }
 
     /// Records that the upstream did not complete its stream, and releases the attempt's load.
--- a/clayplank-forward/src/unary.rs
+++ b/clayplank-forward/src/unary.rs
@@ -10,6 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use crate::answer::parse_framing;
 use crate::attempt::{Attempt, BUSY_RETRY_MS, CUT_OFF_RETRY_MS};
 use crate::buffer_quota::{BufferPermit, BufferQuota, CountedBody};
 use crate::call::Call;
@@ -112,10 +113,14 @@
             Attempt::MayHaveRun => return AttemptResult::MayHaveRun,
         };
     let begun_at = Instant::now();
+    let framing = parse_framing(response.status(), response.headers());
     let (head, body) = response.into_parts();
     let read = clayplank_clock::timeout(timeout, read_complete(body, &call.entry.buffer_quota));
     // An answer of a replaced upstream counts as incomplete.
-    let read = load.unless_replaced(read).await.unwrap_or(Ok(None));
+    let mut read = load.unless_replaced(read).await.unwrap_or(Ok(None));
+    if matches!(read, Ok(Some(_))) && !load.is_complete_at_close(framing).await {
+        read = Ok(None);
+    }
     drop(connection);
     let is_good = matches!(read, Ok(Some(_))) && !head.status.is_server_error();
     load.record_outcome(match &read {
--- a/clayplank-forward/tests/entry/main.rs
+++ b/clayplank-forward/tests/entry/main.rs
@@ -3,6 +3,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+mod answer_ends;
 mod backoff;
 mod broken_stream;
 mod connection_limit;
