Close new connections unread while the event loop is late

What callers would see: while the balancer hands most new connections to one host, that host accepts all of them and serves them late; it answers keepers late too, takes them for gone and places prompts by itself, so that others are refused.

Cause: a host limited its connections by number only, never by what it can process.

Change: the host measures how late its event loop is. From 15 ms on, the shortest delay of the last six measurements, it closes a growing share of new connections before it reads from them, so that their callers may repeat them at once elsewhere, whatever they are; at 60 ms all, and it is not ready until the delay is short again. Open connections are served on. A single long computation, such as a large plan, changes nothing.

--- a/clayplank-forward/src/entry.rs
+++ b/clayplank-forward/src/entry.rs
@@ -11,6 +11,7 @@
 use crate::directory::Directory;
 use crate::gate::Gate;
 use crate::leaving_times::LeavingTimes;
+use crate::loop_delay::LoopDelay;
 use crate::metrics::Metrics;
 use crate::names::HeaderNames;
 use crate::placer::Placer;
@@ -44,6 +45,7 @@
     pub(crate) commands: Option<Arc<dyn CommandFormat>>,
     pub(crate) budget: Mutex<RetryBudget>,
     pub(crate) metrics: Metrics,
+    pub(crate) loop_delay: LoopDelay,
     /// Times after which callers leave, by route.
     pub(crate) leaving_times: LeavingTimes,
     pub(crate) data_centre: DataCentre,
@@ -159,6 +161,7 @@
             commands: self.command_format,
             budget: Mutex::new(budget),
             metrics: Metrics::default(),
+            loop_delay: LoopDelay::default(),
             leaving_times: LeavingTimes::default(),
             data_centre: self.data_centre,
             pending_breaks: PendingBreaks::default(),
@@ -203,12 +206,14 @@
         let limited = self.directory.count_limited();
         let in_backoff = self.directory.count_in_backoff();
         let leaving = self.directory.count_leaving();
+        let loop_delay_ms = self.loop_delay.shortest().as_millis();
         let mut text = format!(
             "{}{}clayplank_entry_held_back {quarantined}\n\
              clayplank_entry_held_back_parts {quarantined_parts}\nclayplank_entry_held_bytes {buffered_bytes}\n\
              clayplank_entry_limited_upstreams {limited}\n\
              clayplank_entry_upstreams_in_backoff {in_backoff}\n\
-             clayplank_entry_leaving_upstreams {leaving}\n",
+             clayplank_entry_leaving_upstreams {leaving}\n\
+             clayplank_entry_loop_delay_ms {loop_delay_ms}\n",
             self.metrics.to_text(),
             self.connector.metrics_text()
         );
--- a/clayplank-forward/src/gate.rs
+++ b/clayplank-forward/src/gate.rs
@@ -23,6 +23,7 @@
     is_shutting_down: AtomicBool,
     is_closed: AtomicBool,
     is_full: AtomicBool,
+    is_overloaded: AtomicBool,
     in_progress: AtomicU64,
 }
 
@@ -37,6 +38,7 @@
             is_shutting_down: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
             is_full: AtomicBool::new(false),
+            is_overloaded: AtomicBool::new(false),
             in_progress: AtomicU64::new(0),
         }
     }
@@ -96,7 +98,9 @@
     /// Whether the load balancer should send new connections to this host.
     pub fn is_ready(&self) -> bool {
         let has_plan = self.is_confirmed() && self.plan.load().is_some();
-        has_plan && !self.is_shutting_down() && !self.is_full.load(Ordering::SeqCst)
+        let has_room =
+            !self.is_full.load(Ordering::SeqCst) && !self.is_overloaded.load(Ordering::SeqCst);
+        has_plan && !self.is_shutting_down() && has_room
     }
 
     /// Sets whether no further connection can be accepted. A full host that still reported itself
@@ -106,6 +110,12 @@
         self.is_full.store(is_full, Ordering::SeqCst);
     }
 
+    /// Sets whether this host has more work than it can process. The load balancer should then send
+    /// new connections to another one.
+    pub(crate) fn set_overloaded(&self, is_overloaded: bool) {
+        self.is_overloaded.store(is_overloaded, Ordering::SeqCst);
+    }
+
     /// Marks the host as not ready, permanently.
     pub fn start_shutdown(&self) {
         self.is_shutting_down.store(true, Ordering::SeqCst);
--- a/clayplank-forward/src/lib.rs
+++ b/clayplank-forward/src/lib.rs
@@ -35,6 +35,7 @@
 mod leaving_times;
 mod listener;
 mod load;
+mod loop_delay;
 mod metrics;
 mod names;
 mod opening;
@@ -66,6 +67,7 @@
 pub use gate::Gate;
 pub use leaving_times::LeavingTimes;
 pub use listener::{serve_callers, serve_small_requests};
+pub use loop_delay::LoopDelay;
 pub use names::HeaderNames;
 pub use placer::{BoxFuture, PermitReply, Placer};
 pub use quarantine::{
--- a/clayplank-forward/src/listener.rs
+++ b/clayplank-forward/src/listener.rs
@@ -41,18 +41,50 @@
     listener: TcpListener,
     entry: Arc<Entry>,
     mut closing: watch::Receiver<bool>,
+) {
+    let set_overloaded = |is_overloaded| {
+        entry.gate.set_overloaded(is_overloaded);
+        log_overload(&entry, is_overloaded);
+    };
+    tokio::select! {
+        () = accept_callers(&listener, &entry, &mut closing) => {}
+        () = entry.loop_delay.measure(set_overloaded) => {}
+    }
+}
+
+fn log_overload(entry: &Entry, is_overloaded: bool) {
+    let delay_ms = entry.loop_delay.shortest().as_millis() as u64;
+    let in_progress = entry.gate.in_progress();
+    if is_overloaded {
+        log::warn!(target: "forward", delay_ms = delay_ms, in_progress = in_progress;
+            "The host is overloaded and closes new connections");
+    } else {
+        log::info!(target: "forward", delay_ms = delay_ms, in_progress = in_progress;
+            "The host is no longer overloaded");
+    }
+}
+
+/// Accepts callers until `closing` becomes true.
+async fn accept_callers(
+    listener: &TcpListener,
+    entry: &Arc<Entry>,
+    closing: &mut watch::Receiver<bool>,
 ) {
     let permits = Arc::new(Semaphore::new(entry.max_connections));
     loop {
         entry.gate.set_full(permits.available_permits() == 0);
         let accepted = tokio::select! {
-            accepted = accept_when_free(&listener, &permits, &entry) => accepted,
-            () = wait_until_closing(&mut closing) => return,
+            accepted = accept_when_free(listener, &permits, entry) => accepted,
+            () = wait_until_closing(closing) => return,
         };
         let Some((stream, permit)) = accepted else {
             continue;
         };
-        let entry = Arc::clone(&entry);
+        if rand::random::<f64>() < entry.loop_delay.shed_share() {
+            entry.metrics.count_shed();
+            continue;
+        }
+        let entry = Arc::clone(entry);
         let closing = closing.clone();
         tokio::spawn(async move {
             let _permit = permit;
--- a/clayplank-forward/src/metrics.rs
+++ b/clayplank-forward/src/metrics.rs
@@ -27,6 +27,8 @@
     attempts: BTreeMap<&'static str, u64>,
     /// Attempts at upstreams with a rate limit.
     limited: u64,
+    /// Connections closed unread because the host was overloaded.
+    shed: u64,
     /// Requests that have entered the admission queue.
     queued: u64,
     /// Waits in the admission queue that have ended.
@@ -98,6 +100,11 @@
         self.lock().queued += 1;
     }
 
+    /// Counts a connection that was closed unread because the host was overloaded.
+    pub(crate) fn count_shed(&self) {
+        self.lock().shed += 1;
+    }
+
     /// Records the end of a wait in the admission queue.
     pub(crate) fn record_turn(&self, route: &str, outcome: TurnOutcome, waited_ms: u64) {
         let mut inner = self.lock();
@@ -117,6 +124,7 @@
             writeln!(text, "clayplank_entry_attempts_total{{outcome=\"{outcome}\"}} {count}").ok();
         }
         writeln!(text, "clayplank_entry_limited_attempts_total {}", inner.limited).ok();
+        writeln!(text, "clayplank_entry_shed_connections_total {}", inner.shed).ok();
         for (route, histogram) in &inner.first_byte {
             write_quantiles(&mut text, "clayplank_entry_first_byte_ms", route, histogram);
         }
--- a/clayplank-forward/tests/entry/main.rs
+++ b/clayplank-forward/tests/entry/main.rs
@@ -10,6 +10,7 @@
 mod delayed_commands;
 mod harness;
 mod log_lines;
+mod overload;
 mod prompt_parts;
 mod quarantine;
 mod queueing;
