Streams that break at several engines at once do not count against the engines

What callers saw: while some hosts were cut off from the engines, prompts were rejected for lack of capacity at all hosts, with 5 to 12 of 18 engines avoided after failures.

Cause: an open connection that broke at a host that was cut off counted as a failure of its engine for all hosts, with a time out of use that doubles. A failed connection had been changed to ask for a query by a keeper only; an open one had not.

Change: a host that sees connections to three upstreams or more break within a second, or fail in the last ten, reports the engine as unreached: it is used again as soon as it answers a keeper. One engine that breaks its streams counts as before.

--- a/clayplank-connect/src/connector.rs
+++ b/clayplank-connect/src/connector.rs
@@ -225,6 +225,15 @@
         state.log_change(now_ms);
     }
 
+    /// Records that a connection to an upstream broke amid an answer; returns whether the links of
+    /// this host may be the cause.
+    pub fn record_broken(&self, address: SocketAddr) -> bool {
+        let now_ms = now_ms();
+        let reachability = &mut self.lock().reachability;
+        reachability.record_broken(now_ms, address);
+        reachability.may_have_broken_links(now_ms)
+    }
+
     /// Whether this host seems to reach no upstream directly.
     pub fn is_cut_off(&self) -> bool {
         self.lock().reachability.is_cut_off(now_ms())
--- a/clayplank-connect/tests/reachability.rs
+++ b/clayplank-connect/tests/reachability.rs
@@ -36,6 +36,24 @@
     assert_eq!(reachability.count_failed(1_000), 3);
 }
 
+/// Guards against taking engines out of use for all hosts because the links of one broke.
+#[test]
+fn connections_that_break_at_once_are_attributed_to_the_links_of_the_host() {
+    let mut reachability = Reachability::default();
+    for number in 1..=2 {
+        reachability.record_broken(100, upstream(number));
+        reachability.record_broken(110, upstream(number));
+    }
+    assert!(!reachability.may_have_broken_links(120));
+    reachability.record_broken(120, upstream(3));
+    assert!(reachability.may_have_broken_links(120));
+    assert!(!reachability.may_have_broken_links(1_120), "a second later");
+    reachability.record_failed(1_200, upstream(4));
+    reachability.record_failed(1_200, upstream(5));
+    reachability.record_broken(1_300, upstream(1));
+    assert!(reachability.may_have_broken_links(1_300));
+}
+
 #[test]
 fn old_failures_do_not_count() {
     let mut reachability = Reachability::default();
--- a/clayplank-forward/src/load.rs
+++ b/clayplank-forward/src/load.rs
@@ -134,6 +134,12 @@
         self.outcome = Some(outcome);
     }
 
+    /// Records that the connection broke; returns whether the links of this host may be the cause.
+    fn may_have_broken_links(&self) -> bool {
+        let record = self.entry.directory.record(&self.upstream);
+        record.is_some_and(|record| self.entry.connector.record_broken(record.heartbeat.address))
+    }
+
     /// Releases everything now: a broken stream may wait for seconds until another upstream
     /// continues it, and the memory reserved for the first attempt would be renewed meanwhile.
     pub(crate) fn release(&mut self) {
@@ -146,6 +152,9 @@
             Some(id) => {
                 let event = match self.failed_helper {
                     Some(position) => Event::HelperFailed { position },
+                    None if outcome == Outcome::Broken && self.may_have_broken_links() => {
+                        Event::Unreached
+                    }
                     None => outcome.event(),
                 };
                 self.entry.placer.record_event(id, event);
--- a/clayplank-forward/tests/entry/main.rs
+++ b/clayplank-forward/tests/entry/main.rs
@@ -5,6 +5,7 @@
 
 mod answer_ends;
 mod backoff;
+mod broken_links;
 mod broken_stream;
 mod connection_limit;
 mod delayed_commands;
