Quarantined parts: tell those apart that were quarantined together

A trial then cleared nothing either, as its short answer was followed by no other request.

Change: parts that are quarantined together have their first trial after 5 s; a request with several quarantined parts is tried a minute later than one with a single part.

--- a/clayplank-forward/src/call.rs
+++ b/clayplank-forward/src/call.rs
@@ -271,6 +271,7 @@
         let quarantine = &self.entry.quarantine;
         quarantine.record_answered(self.keys.request, &self.caller);
         quarantine.record_answer_complete(upstream, &self.keys, begun_at);
+        self.confirm_survival(upstream, begun_at);
     }
 
     /// Records that an upstream, which began to answer at this time, survived the request so far.
--- a/clayplank-forward/src/quarantine.rs
+++ b/clayplank-forward/src/quarantine.rs
@@ -34,6 +34,10 @@
 /// to be quarantined, as it may do so only since the upstreams were changed.
 const RECENT_SURVIVAL: Duration = Duration::from_secs(2);
 
+/// Additional time until a trial of a request of which several parts are quarantined: its outcome
+/// says less than that of a request with one of them.
+const SEVERAL_PARTS_DELAY: Duration = Duration::from_secs(60);
+
 /// Fingerprints by which a request may be quarantined.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct QuarantineKeys {
@@ -162,7 +166,9 @@
     pub fn time_to_trial(&self, keys: &QuarantineKeys) -> Option<Duration> {
         let quarantined = self.quarantined.load();
         let held = keys.iter().filter_map(|fingerprint| quarantined.get(&fingerprint));
-        held.map(Quarantined::time_to_trial).max()
+        let waits: Vec<_> = held.map(Quarantined::time_to_trial).collect();
+        let delay = if waits.len() > 1 { SEVERAL_PARTS_DELAY } else { Duration::ZERO };
+        waits.into_iter().max().map(|wait| wait + delay)
     }
 
     /// Waits until a request is quarantined, or a part of its prompt.
@@ -307,6 +313,15 @@
         }
     }
 
+    /// Whether upstreams terminated under one of these parts, and none has survived it since.
+    pub(crate) fn has_suspects(&self, parts: &[Fingerprint]) -> bool {
+        let quarantined = self.quarantined.load();
+        let outcomes = self.lock();
+        let is_suspect =
+            |part| outcomes.terminated.contains(part) || quarantined.contains_key(part);
+        parts.iter().any(is_suspect)
+    }
+
     /// Records that an upstream responded to a request sent at this time.
     pub(crate) fn record_response(&self, upstream: &UpstreamId, sent_at: Instant) {
         let survived = self.lock().survivals.record_response(upstream, sent_at);
--- a/clayplank-forward/src/termination.rs
+++ b/clayplank-forward/src/termination.rs
@@ -18,7 +18,7 @@
 use crate::entry::Entry;
 use crate::exchange::is_refused;
 use crate::quarantine::{Observation, QuarantineKeys, RequestQuarantine};
-use crate::survivals::AnswerProgress;
+use crate::survivals::{AnswerProgress, SURVIVAL_TIME};
 
 /// Delay between a broken connection and the check whether the upstream still listens: nearly all
 /// connections of a terminating upstream break within this time.
@@ -146,6 +146,28 @@
     }
 }
 
+impl Call {
+    /// Checks in the background whether an upstream survives a request that it has answered, if a
+    /// part of its prompt is a suspect. Without the check, a part whose prompts are no longer sent
+    /// would remain one.
+    pub(crate) fn confirm_survival(&self, upstream: &UpstreamId, begun_at: Instant) {
+        let parts = &self.keys.prompt_parts;
+        let Some(record) = self.entry.directory.record(upstream) else {
+            return;
+        };
+        if !self.entry.quarantine.has_suspects(parts) {
+            return;
+        }
+        let (entry, parts) = (Arc::clone(&self.entry), parts.clone());
+        tokio::spawn(async move {
+            clayplank_clock::sleep(SURVIVAL_TIME).await;
+            if entry.connector.connect(record.heartbeat.address).await.is_ok() {
+                entry.quarantine.record_parts_survived(&parts, begun_at);
+            }
+        });
+    }
+}
+
 /// Determines whether an upstream terminated after requests broke off, and reports it if so.
 async fn check_terminated(entry: Arc<Entry>, record: Record) {
     let has_stopped = has_stopped_listening(&entry.connector, record.heartbeat.address).await;
--- a/clayplank-forward/tests/entry/prompt_parts.rs
+++ b/clayplank-forward/tests/entry/prompt_parts.rs
@@ -120,13 +120,18 @@
     }
 
     fn quarantine(&self, part: &str, next_trial_in_ms: Option<u64>) {
-        self.host.entry.set_quarantined(vec![QuarantineEntry {
+        self.quarantine_all(&[part], next_trial_in_ms);
+    }
+
+    fn quarantine_all(&self, parts: &[&str], next_trial_in_ms: Option<u64>) {
+        let entries = parts.iter().map(|part| QuarantineEntry {
             kind: SuspectKind::PromptPart,
             fingerprint: Fingerprint::of_prompt_part(part),
             caller: String::new(),
             ended: Vec::new(),
             next_trial_in_ms,
-        }]);
+        });
+        self.host.entry.set_quarantined(entries.collect());
     }
 }
 
@@ -182,13 +187,29 @@
     #[case] survivals: usize,
 ) {
     let fixture = Fixture::start(RequestKind::ResumableStream).await;
-    fixture.add_upstream("u0", 1, true).await;
-    fixture.send("a1:40,c1:900").await;
-    assert_eq!(fixture.reported_parts().await, [(part("a1"), true)]);
     fixture.add_upstream("u1", 1, false).await;
     fixture.send("a1:40,c2:900").await;
     tokio::time::sleep(pause).await;
     fixture.send("b2:40,c3:900").await;
+    fixture.quarantine("a1", Some(60_000));
+    let reported = fixture.reported_parts().await;
+    assert_eq!(reported.iter().filter(|(_, is_end)| !is_end).count(), survivals, "{reported:?}");
+}
+
+/// Guards against a suspect that is never cleared because no other request follows.
+#[rstest]
+#[case::survives(false, 1)]
+#[case::terminates(true, 0)]
+#[tokio::test]
+async fn an_upstream_that_answered_a_suspect_is_checked(
+    #[case] terminates: bool,
+    #[case] survivals: usize,
+) {
+    let fixture = Fixture::start(RequestKind::Repeatable).await;
+    fixture.add_upstream("u0", 1, terminates).await;
+    fixture.quarantine("a1", Some(0));
+    fixture.send("a1:40,c1:900").await;
+    tokio::time::sleep(Duration::from_millis(400)).await;
     let reported = fixture.reported_parts().await;
     assert_eq!(reported.iter().filter(|(_, is_end)| !is_end).count(), survivals, "{reported:?}");
 }
@@ -233,6 +254,17 @@
     assert_eq!(fixture.authority.claims.load(Ordering::SeqCst), 1);
 }
 
+/// Of parts that were quarantined together, a prompt with one of them shows which is not the cause.
+#[tokio::test]
+async fn a_prompt_with_one_of_several_quarantined_parts_is_tried_before_one_with_all() {
+    let fixture = Fixture::start(RequestKind::ResumableStream).await;
+    fixture.add_upstream("u0", 1, false).await;
+    fixture.quarantine_all(&["a1", "b2"], Some(0));
+    assert!(fixture.send("a1:40,b2:7,c3:900").await.starts_with("HTTP/1.1 503"));
+    assert!(fixture.send("a1:40,c3:900").await.starts_with("HTTP/1.1 200"));
+    assert_eq!(fixture.authority.claims.load(Ordering::SeqCst), 1);
+}
+
 /// Guards against holding a prompt that is known not to be served.
 #[tokio::test]
 async fn a_prompt_that_waits_for_an_engine_is_rejected_once_a_part_is_quarantined() {
--- a/clayplank-standin/src/bin/standin-upstream.rs
+++ b/clayplank-standin/src/bin/standin-upstream.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use clayplank_placement::EngineModel;
 use clayplank_standin::{
-    CrashingRequest, Registration, ServeError, SharedRuns, SharedSignals, bind, send_heartbeats,
-    serve_pass_engine, serve_upstream,
+    CrashTrigger, CrashingRequest, Registration, ServeError, SharedRuns, SharedSignals, bind,
+    send_heartbeats, serve_pass_engine, serve_upstream,
 };
 
 use tokio::sync::mpsc;
@@ -86,9 +86,9 @@
 }
 
 /// Waits until a request that terminates the process has run for [`EXIT_DELAY`]; forever if none can.
-async fn wait_for_exit(mut crashes: mpsc::UnboundedReceiver<()>) {
+async fn wait_for_exit(mut crashes: mpsc::UnboundedReceiver<CrashTrigger>) {
     match crashes.recv().await {
-        Some(()) => tokio::time::sleep(EXIT_DELAY).await,
+        Some(_) => tokio::time::sleep(EXIT_DELAY).await,
         None => std::future::pending().await,
     }
 }
--- a/clayplank-standin/src/lib.rs
+++ b/clayplank-standin/src/lib.rs
@@ -43,4 +43,4 @@
 pub use crate::platform::serve_platform;
 pub use crate::service::{ServiceRecord, serve_service};
 pub use crate::signals::{Received, SharedSignals};
-pub use crate::upstream::{CrashingRequest, Runs, SharedRuns, serve_upstream};
+pub use crate::upstream::{CrashTrigger, CrashingRequest, Runs, SharedRuns, serve_upstream};
--- a/clayplank-standin/src/upstream.rs
+++ b/clayplank-standin/src/upstream.rs
@@ -96,6 +96,15 @@
     }
 }
 
+/// Property by which a request terminates its upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashTrigger {
+    /// Its body.
+    Body,
+    /// A part of its prompt.
+    PromptPart,
+}
+
 /// Requests that terminate every upstream that starts to run them.
 #[derive(Clone, Debug)]
 pub struct CrashingRequest {
@@ -103,8 +112,9 @@
     pub body: Bytes,
     /// Id of a prompt part by which it is recognised too, once an answer to it begins; may be empty.
     pub prompt_part: String,
-    /// Receives a message each time the request starts to run; the receiver terminates the upstream.
-    pub started: mpsc::UnboundedSender<()>,
+    /// Receives a message each time such a request starts to run; the receiver terminates the
+    /// upstream.
+    pub started: mpsc::UnboundedSender<CrashTrigger>,
 }
 
 /// Serves one incarnation of an upstream until the task is dropped.
@@ -149,12 +159,12 @@
     record_run(&runs, &id, &attempt, &head.headers);
     if let Some(crashing) = crashing {
         if crashing.body == body {
-            crashing.started.send(()).ok();
+            crashing.started.send(CrashTrigger::Body).ok();
             // There is no response: the upstream is terminated first.
             std::future::pending::<()>().await;
         }
         if has_part(&text(PROMPT_PARTS_HEADER), &crashing.prompt_part) {
-            crashing.started.send(()).ok();
+            crashing.started.send(CrashTrigger::PromptPart).ok();
         }
     }
     match fault {
--- a/clayplank-state/src/quarantine.rs
+++ b/clayplank-state/src/quarantine.rs
@@ -50,6 +50,10 @@
 /// repeat a part by chance, so whoever sends it would terminate an upstream at each trial.
 const PART_TRIAL_INTERVALS_MS: [u64; 2] = [60_000, 600_000];
 
+/// Interval before the first trial of a part that was quarantined together with others, in ms: a
+/// prompt that has only one of them may show that this one is not the cause.
+const AMBIGUOUS_TRIAL_INTERVAL_MS: u64 = 5_000;
+
 /// Maximum number of suspects of all callers: more than the requests that run at once at 300
 /// engines with ten slots each.
 const MAX_SUSPECTS: usize = 4_096;
@@ -117,8 +121,12 @@
 }
 
 impl QuarantineState {
-    fn new(now_ms: u64, kind: SuspectKind) -> Self {
-        let next_trial_ms = trial_interval_ms(kind, 0).map(|interval_ms| now_ms + interval_ms);
+    fn new(now_ms: u64, kind: SuspectKind, is_ambiguous: bool) -> Self {
+        let interval_ms = match kind {
+            SuspectKind::PromptPart if is_ambiguous => Some(AMBIGUOUS_TRIAL_INTERVAL_MS),
+            SuspectKind::Request | SuspectKind::PromptPart => trial_interval_ms(kind, 0),
+        };
+        let next_trial_ms = interval_ms.map(|interval_ms| now_ms + interval_ms);
         Self { since_ms: now_ms, trials: 0, next_trial_ms }
     }
 }
@@ -325,9 +333,10 @@
         fingerprints: &[Fingerprint],
         changes: &mut QuarantineChanges,
     ) {
+        let is_ambiguous = fingerprints.len() > 1;
         for fingerprint in fingerprints {
             if let Some(suspect) = self.suspects.get_mut(fingerprint) {
-                suspect.held = Some(QuarantineState::new(now_ms, suspect.kind));
+                suspect.held = Some(QuarantineState::new(now_ms, suspect.kind, is_ambiguous));
                 changes.held_back.extend(suspect.to_entry(now_ms, *fingerprint));
             }
         }
--- a/clayplank-state/tests/prompt_parts.rs
+++ b/clayplank-state/tests/prompt_parts.rs
@@ -156,6 +156,7 @@
     }
     let both = [(SuspectKind::PromptPart, CRASHING), (SuspectKind::PromptPart, OTHER)];
     assert_eq!(quarantined(&machine), both);
+    assert!(machine.quarantined().iter().all(|entry| entry.next_trial_in_ms == Some(5_000)));
     let changes = report(&mut machine, 1_400, vec![survived(OTHER)]);
     assert_eq!(changes.lifted, [Fingerprint::new(OTHER)]);
     assert_eq!(quarantined(&machine), both[..1]);
--- a/clayplankd/tests/seeded/crashing_parts.rs
+++ b/clayplankd/tests/seeded/crashing_parts.rs
@@ -165,7 +165,7 @@
 /// Number of requests with the part that reached upstreams when all hosts had to know of it.
 fn late_requests(events: &FleetEvents) -> usize {
     let known_at = fifth_termination(events) + PROPAGATION_TIME;
-    events.request_starts.iter().filter(|started| **started > known_at).count()
+    events.part_starts.iter().filter(|started| **started > known_at).count()
 }
 
 /// Checks that the part was quarantined in time and that other requests are served afterwards.
@@ -178,7 +178,7 @@
     println!(
         "{} sent, {} terminated, {late} late; others served {before} of {all_before} before, \
          {after} of {all_after} afterwards",
-        events.request_starts.len(),
+        events.part_starts.len(),
         events.terminations.len(),
     );
     assert!(late <= MAX_LATE, "{late} requests with the part were sent too late");
--- a/clayplankd/tests/seeded/crashing_upstreams.rs
+++ b/clayplankd/tests/seeded/crashing_upstreams.rs
@@ -6,7 +6,8 @@
 use std::time::{Duration, Instant};
 
 use clayplank_standin::{
-    CrashingRequest, Registration, SharedRuns, SharedSignals, send_heartbeats, serve_upstream,
+    CrashTrigger, CrashingRequest, Registration, SharedRuns, SharedSignals, send_heartbeats,
+    serve_upstream,
 };
 use tokio::sync::mpsc;
 
@@ -36,7 +37,9 @@
 pub struct FleetEvents {
     /// Times at which the crashing request started at an upstream.
     pub request_starts: Vec<Instant>,
-    /// Times at which an upstream terminated because of it.
+    /// Times at which a prompt with the crashing part did.
+    pub part_starts: Vec<Instant>,
+    /// Times at which an upstream terminated because of either.
     pub terminations: Vec<Instant>,
 }
 
@@ -179,9 +182,12 @@
         was_terminated_by_request
     }
 
-    fn record_start(&self, start: Option<()>) {
-        if start.is_some() {
-            self.events.lock().unwrap().request_starts.push(Instant::now());
+    fn record_start(&self, start: Option<CrashTrigger>) {
+        let mut events = self.events.lock().unwrap();
+        match start {
+            Some(CrashTrigger::Body) => events.request_starts.push(Instant::now()),
+            Some(CrashTrigger::PromptPart) => events.part_starts.push(Instant::now()),
+            None => {}
         }
     }
 }
--- a/clayplankd/tests/seeded/soak/run.rs
+++ b/clayplankd/tests/seeded/soak/run.rs
@@ -13,7 +13,7 @@
 use super::checks::{
     affected_spans, check_interrupted, check_missed_plans, check_plan, wait_until_served,
 };
-use super::crashing::{Refused, UPSTREAMS, check_quarantine, run_crashing};
+use super::crashing::{Crashing, Refused, UPSTREAMS, check_quarantine, run_crashing};
 use super::limited::{check_signals, run_limited, run_signals, start_limited};
 use super::operators::{run_heartbeats, run_operator};
 use super::queue::{Queue, check_drained, check_prompts};
@@ -105,7 +105,8 @@
         scope.spawn(|| run_heartbeats(&shared));
         scope.spawn(|| run_operator(&shared, 0));
         scope.spawn(|| run_operator(&shared, 1));
-        scope.spawn(|| run_crashing(&shared, &refused, seed));
+        scope.spawn(|| run_crashing(&shared, &refused, Crashing::Request, seed));
+        scope.spawn(|| run_crashing(&shared, &refused, Crashing::PromptPart, seed));
         if let Some(queue) = &shared.queue {
             scope.spawn(|| Queue::run_bursts(&shared, seed));
             scope.spawn(|| queue.run_watch(&shared));
