Quarantined parts: an older answer does not end a suspicion, and trials of several parts take place

An answer that began before a termination took the part off the host's list of suspects, so that later answers were not reported. The wait of a request with several quarantined parts never came to its end, so that it was never tried. Tests of both; the second fails on the former code by construction, since its wait was a minute at any time.

--- a/clayplank-forward/src/quarantine.rs
+++ b/clayplank-forward/src/quarantine.rs
@@ -1,7 +1,7 @@
 //! Requests and prompt parts under which upstreams terminate: which are quarantined, under which
 //! upstreams terminated at this host, and which upstreams have survived.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -109,7 +109,8 @@
 
 #[derive(Debug, Default)]
 struct LocalOutcomes {
-    terminated: HashSet<Fingerprint>,
+    /// Time of the latest termination under each suspect.
+    terminated: HashMap<Fingerprint, Instant>,
     /// Oldest first.
     answered: VecDeque<(Fingerprint, Instant)>,
     survivals: Survivals,
@@ -124,8 +125,10 @@
 }
 
 impl Quarantined {
-    fn time_to_trial(&self) -> Duration {
-        self.next_trial.map_or(NO_TRIAL_RETRY, |at| at.saturating_duration_since(Instant::now()))
+    /// Time until a trial that may take place this long after the next permitted one.
+    fn time_to_trial(&self, delay: Duration) -> Duration {
+        let remaining = |at: Instant| (at + delay).saturating_duration_since(Instant::now());
+        self.next_trial.map_or(NO_TRIAL_RETRY, remaining)
     }
 }
 
@@ -165,10 +168,9 @@
     /// if neither is the case.
     pub fn time_to_trial(&self, keys: &QuarantineKeys) -> Option<Duration> {
         let quarantined = self.quarantined.load();
-        let held = keys.iter().filter_map(|fingerprint| quarantined.get(&fingerprint));
-        let waits: Vec<_> = held.map(Quarantined::time_to_trial).collect();
-        let delay = if waits.len() > 1 { SEVERAL_PARTS_DELAY } else { Duration::ZERO };
-        waits.into_iter().max().map(|wait| wait + delay)
+        let held = || keys.iter().filter_map(|fingerprint| quarantined.get(&fingerprint));
+        let delay = if held().count() > 1 { SEVERAL_PARTS_DELAY } else { Duration::ZERO };
+        held().map(|one| one.time_to_trial(delay)).max()
     }
 
     /// Waits until a request is quarantined, or a part of its prompt.
@@ -277,7 +279,7 @@
         if outcomes.answered.len() > MAX_ANSWERED {
             outcomes.answered.pop_front();
         }
-        let is_suspect = outcomes.terminated.remove(&fingerprint);
+        let is_suspect = outcomes.terminated.remove(&fingerprint).is_some();
         drop(outcomes);
         if is_suspect || self.quarantined.load().contains_key(&fingerprint) {
             self.report_survived(SuspectKind::Request, fingerprint, caller.to_owned(), at);
@@ -287,14 +289,17 @@
     /// Records that an upstream survived the parts of a prompt, to which it began to write an
     /// answer at this time.
     pub(crate) fn record_parts_survived(&self, parts: &[Fingerprint], begun_at: Instant) {
-        let mut outcomes = self.lock();
-        outcomes.survivals.record(parts, begun_at);
-        let suspects: HashSet<_> =
-            parts.iter().filter(|part| outcomes.terminated.remove(part)).copied().collect();
-        drop(outcomes);
         let quarantined = self.quarantined.load();
         for part in parts {
-            if suspects.contains(part) || quarantined.contains_key(part) {
+            let mut outcomes = self.lock();
+            outcomes.survivals.record(*part, begun_at);
+            let terminated_at = outcomes.terminated.get(part).copied();
+            // Terminations after the begin of the answer are not cleared by it.
+            if terminated_at.is_some_and(|terminated_at| terminated_at <= begun_at) {
+                outcomes.terminated.remove(part);
+            }
+            drop(outcomes);
+            if terminated_at.is_some() || quarantined.contains_key(part) {
                 self.report_survived(SuspectKind::PromptPart, *part, String::new(), begun_at);
             }
         }
@@ -318,13 +323,13 @@
         let quarantined = self.quarantined.load();
         let outcomes = self.lock();
         let is_suspect =
-            |part| outcomes.terminated.contains(part) || quarantined.contains_key(part);
+            |part| outcomes.terminated.contains_key(part) || quarantined.contains_key(part);
         parts.iter().any(is_suspect)
     }
 
     /// Records that an upstream responded to a request sent at this time.
     pub(crate) fn record_response(&self, upstream: &UpstreamId, sent_at: Instant) {
-        let survived = self.lock().survivals.record_response(upstream, sent_at);
+        let survived = self.lock().survivals.take_survived(upstream, sent_at);
         for (parts, begun_at) in survived {
             self.record_parts_survived(&parts, begun_at);
         }
@@ -356,7 +361,7 @@
                 "Cleared the list of requests under which upstreams terminated; keepers retain it");
             outcomes.terminated.clear();
         }
-        outcomes.terminated.insert(observation.fingerprint);
+        outcomes.terminated.insert(observation.fingerprint, observation.at);
         drop(outcomes);
         self.authority.report(observation);
     }
--- a/clayplank-forward/src/survivals.rs
+++ b/clayplank-forward/src/survivals.rs
@@ -84,12 +84,10 @@
         self.by_part.get(&part).copied()
     }
 
-    /// Records that an upstream survived these parts.
-    pub(crate) fn record(&mut self, parts: &[Fingerprint], begun_at: Instant) {
-        for part in parts {
-            let latest = self.by_part.entry(*part).or_insert(begun_at);
-            *latest = begun_at.max(*latest);
-        }
+    /// Records that an upstream survived this part.
+    pub(crate) fn record(&mut self, part: Fingerprint, begun_at: Instant) {
+        let latest = self.by_part.entry(part).or_insert(begun_at);
+        *latest = begun_at.max(*latest);
         if self.by_part.len() > PRUNE_THRESHOLD {
             self.by_part.retain(|_, begun_at| begun_at.elapsed() < RETENTION);
         }
@@ -117,9 +115,9 @@
         }
     }
 
-    /// Records that an upstream responded to a request sent at this time; returns the parts that it
-    /// has survived, with the begin of each answer.
-    pub(crate) fn record_response(
+    /// Takes the complete answers that an upstream has survived, as it responded to a request sent at
+    /// this time; returns the parts and the begin of each.
+    pub(crate) fn take_survived(
         &mut self,
         upstream: &UpstreamId,
         sent_at: Instant,
@@ -133,9 +131,6 @@
         if answers.is_empty() {
             self.unconfirmed.remove(upstream);
         }
-        for answer in &survived {
-            self.record(&answer.parts, answer.begun_at);
-        }
         survived.into_iter().map(|answer| (answer.parts, answer.begun_at)).collect()
     }
 }
--- a/clayplank-forward/tests/entry/harness.rs
+++ b/clayplank-forward/tests/entry/harness.rs
@@ -1,19 +1,21 @@
 //! An entry host in the test's process, with the routes, upstreams and placers that the tests share.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
 use clayplank_forward::{
-    BoxFuture, CommandFormat, Directory, Entry, EntryBuilder, Gate, PermitReply, Placer, now_ms,
-    serve_callers,
+    BoxFuture, CommandFormat, Directory, Entry, EntryBuilder, Gate, Observation, PermitReply,
+    Placer, QuarantineAuthority, now_ms, serve_callers,
 };
 use clayplank_placement::{Event, PlacementId, PlacementOutcome, PlacementRequest};
 use clayplank_registry::{Heartbeat, LimitObservation, Record};
 use clayplank_routes::{
     CallerLimits, PlanIndex, RequestKind, Route, ServiceGroup, ServingPlan, Target,
 };
+use clayplank_types::Fingerprint;
 use http::Request;
 use http_body_util::Full;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -118,6 +120,24 @@
     }
 }
 
+/// Records the reported observations, and grants the first trial only.
+#[derive(Default)]
+pub struct RecordingAuthority {
+    pub observations: Mutex<Vec<Observation>>,
+    pub trial_claims: AtomicUsize,
+}
+
+impl QuarantineAuthority for RecordingAuthority {
+    fn report(&self, observation: Observation) {
+        self.observations.lock().unwrap().push(observation);
+    }
+
+    fn claim_trial(&self, _: Fingerprint) -> BoxFuture<'_, bool> {
+        let is_first = self.trial_claims.fetch_add(1, Ordering::SeqCst) == 0;
+        Box::pin(std::future::ready(is_first))
+    }
+}
+
 /// Encodes commands to engines by their path alone, without a body.
 pub struct PathCommands;
 
--- a/clayplank-forward/tests/entry/prompt_parts.rs
+++ b/clayplank-forward/tests/entry/prompt_parts.rs
@@ -2,41 +2,24 @@
 //! quarantined part.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use clayplank_forward::{BoxFuture, Directory, EntryBuilder, Observation, QuarantineAuthority};
+use clayplank_forward::{Directory, EntryBuilder, QuarantineKeys, RequestQuarantine};
 use clayplank_placement::{EngineModel, PlacementOutcome};
+use clayplank_registry::UpstreamStatus;
 use clayplank_routes::{RequestKind, Route};
-use clayplank_types::{Fingerprint, ObservedOutcome, QuarantineEntry, SuspectKind};
+use clayplank_types::{Fingerprint, ObservedOutcome, QuarantineEntry, SuspectKind, UpstreamId};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
-use crate::harness::{Host, TestPlacer, plain_service, record, route};
+use crate::harness::{Host, RecordingAuthority, TestPlacer, plain_service, record, route};
 
 /// Interval between the events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(40);
 
-/// Records the reported observations and grants every trial.
-#[derive(Default)]
-struct RecordingAuthority {
-    observations: Mutex<Vec<Observation>>,
-    claims: AtomicUsize,
-}
-
-impl QuarantineAuthority for RecordingAuthority {
-    fn report(&self, observation: Observation) {
-        self.observations.lock().unwrap().push(observation);
-    }
-
-    fn claim_trial(&self, _: Fingerprint) -> BoxFuture<'_, bool> {
-        self.claims.fetch_add(1, Ordering::SeqCst);
-        Box::pin(std::future::ready(true))
-    }
-}
-
 /// Starts an upstream that streams this many events per request and then completes the stream, or
 /// terminates; returns its address.
 async fn upstream(events: usize, terminates: bool, requests: Arc<AtomicUsize>) -> SocketAddr {
@@ -251,7 +234,7 @@
     fixture.add_upstream("u0", 1, false).await;
     fixture.quarantine("b2", Some(0));
     assert!(fixture.send("a1:40,b2:7,c3:900").await.starts_with("HTTP/1.1 200"));
-    assert_eq!(fixture.authority.claims.load(Ordering::SeqCst), 1);
+    assert_eq!(fixture.authority.trial_claims.load(Ordering::SeqCst), 1);
 }
 
 /// Of parts that were quarantined together, a prompt with one of them shows which is not the cause.
@@ -262,7 +245,7 @@
     fixture.quarantine_all(&["a1", "b2"], Some(0));
     assert!(fixture.send("a1:40,b2:7,c3:900").await.starts_with("HTTP/1.1 503"));
     assert!(fixture.send("a1:40,c3:900").await.starts_with("HTTP/1.1 200"));
-    assert_eq!(fixture.authority.claims.load(Ordering::SeqCst), 1);
+    assert_eq!(fixture.authority.trial_claims.load(Ordering::SeqCst), 1);
 }
 
 /// Guards against holding a prompt that is known not to be served.
@@ -306,3 +289,49 @@
     assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
     assert!(answer.contains("too_many_prompt_parts"), "{answer}");
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_prompt_with_several_quarantined_parts_is_tried_a_minute_after_the_trial_is_due() {
+    let authority = Arc::<RecordingAuthority>::default();
+    let quarantine = RequestQuarantine::new(authority);
+    let entries = ["a1", "b2"].map(|id| QuarantineEntry {
+        kind: SuspectKind::PromptPart,
+        fingerprint: part(id),
+        caller: String::new(),
+        ended: Vec::new(),
+        next_trial_in_ms: Some(5_000),
+    });
+    quarantine.set_quarantined(entries.to_vec());
+    let keys = |ids: &[&str]| QuarantineKeys { request: part("0"), prompt_parts: sorted(ids) };
+    tokio::time::advance(Duration::from_secs(5)).await;
+    assert_eq!(quarantine.time_to_trial(&keys(&["a1"])), Some(Duration::ZERO));
+    assert_eq!(quarantine.time_to_trial(&keys(&["a1", "b2"])), Some(Duration::from_secs(60)));
+    tokio::time::advance(Duration::from_secs(60)).await;
+    assert_eq!(quarantine.time_to_trial(&keys(&["a1", "b2"])), Some(Duration::ZERO));
+    assert_eq!(quarantine.time_to_trial(&keys(&["c3"])), None);
+}
+
+/// Guards against a suspect that is reported as survived no more because an older answer went on.
+#[tokio::test]
+async fn a_part_stays_a_suspect_until_an_answer_that_began_after_the_termination() {
+    let fixture = Fixture::start(RequestKind::ResumableStream).await;
+    fixture.add_upstream("u0", 16, false).await;
+    let older = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        fixture.add_upstream("u1", 1, true).await;
+        let mut draining = fixture.directory.record(&UpstreamId::new("u0")).unwrap();
+        draining.heartbeat.standing = UpstreamStatus::Draining;
+        draining.heartbeat.sequence += 1;
+        fixture.directory.apply(vec![draining]);
+        fixture.send("a1:40,c2:900").await;
+    };
+    tokio::join!(fixture.send("a1:40,c1:900"), older);
+    // The older answer is followed by a check of its upstream.
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let reported = fixture.reported_parts().await;
+    assert!(reported.contains(&(part("a1"), true)), "{reported:?}");
+    fixture.add_upstream("u2", 16, false).await;
+    fixture.send("a1:40,c3:900").await;
+    let reported_later = fixture.reported_parts().await.split_off(reported.len());
+    assert_eq!(reported_later.first(), Some(&(part("a1"), false)));
+}
--- a/clayplank-forward/tests/entry/quarantine.rs
+++ b/clayplank-forward/tests/entry/quarantine.rs
@@ -2,11 +2,11 @@
 //! one that is suspected of crashing upstreams.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use clayplank_forward::{BoxFuture, Directory, EntryBuilder, Observation, QuarantineAuthority};
+use clayplank_forward::{Directory, EntryBuilder};
 use clayplank_registry::UpstreamStatus;
 use clayplank_routes::{RequestKind, Route};
 use clayplank_types::{
@@ -16,7 +16,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
-use crate::harness::{Host, TestPlacer, plain_service, record, route};
+use crate::harness::{Host, RecordingAuthority, TestPlacer, plain_service, record, route};
 
 /// API key that all callers send; the route needs none.
 const API_KEY: &str = "a-secret-key";
@@ -24,24 +24,6 @@
 /// Time from the receipt of a request to the termination of the upstream under it.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 
-/// Records the reported observations, and grants the first trial only.
-#[derive(Default)]
-struct RecordingAuthority {
-    observations: Mutex<Vec<Observation>>,
-    trial_claims: AtomicUsize,
-}
-
-impl QuarantineAuthority for RecordingAuthority {
-    fn report(&self, observation: Observation) {
-        self.observations.lock().unwrap().push(observation);
-    }
-
-    fn claim_trial(&self, _: Fingerprint) -> BoxFuture<'_, bool> {
-        let is_first = self.trial_claims.fetch_add(1, Ordering::SeqCst) == 0;
-        Box::pin(std::future::ready(is_first))
-    }
-}
-
 /// Response of an upstream to a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Behaviour {
