--- a/clayplank-forward/src/quarantine.rs
+++ b/clayplank-forward/src/quarantine.rs
@@ -29,7 +29,7 @@
 /// Retry time for a request that is not tried again unless an operator lifts its quarantine.
 const NO_TRIAL_RETRY: Duration = Duration::from_secs(86_400);
 
-/// A part is no suspect in a termination this soon after the begin of an answer that another
+/// A part is no suspect in a termination this soon after the start of an answer that another
 /// upstream survived. It is shorter than the time within which a part that terminates upstreams has
 /// to be quarantined, as it may do so only since the upstreams were changed.
 const RECENT_SURVIVAL: Duration = Duration::from_secs(2);
@@ -294,7 +294,7 @@
             let mut outcomes = self.lock();
             outcomes.survivals.record(*part, begun_at);
             let terminated_at = outcomes.terminated.get(part).copied();
-            // Terminations after the begin of the answer are not cleared by it.
+            // Terminations after the start of the answer are not cleared by it.
             if terminated_at.is_some_and(|terminated_at| terminated_at <= begun_at) {
                 outcomes.terminated.remove(part);
             }
--- a/clayplank-forward/src/survivals.rs
+++ b/clayplank-forward/src/survivals.rs
@@ -10,7 +10,7 @@
 use clayplank_clock::Instant;
 use clayplank_types::{Fingerprint, UpstreamId};
 
-/// Time after the begin of an answer within which a prompt may terminate its upstream.
+/// Time after the start of an answer within which a prompt may terminate its upstream.
 pub(crate) const SURVIVAL_TIME: Duration = Duration::from_millis(400);
 
 /// Minimum time between the two events that show that an answer goes on. A host that was suspended
@@ -73,13 +73,13 @@
 /// Survivals that this host has observed.
 #[derive(Debug, Default)]
 pub(crate) struct Survivals {
-    /// Begin of the latest answer that an upstream survived, by part.
+    /// Start of the latest answer that an upstream survived, by part.
     by_part: HashMap<Fingerprint, Instant>,
     unconfirmed: HashMap<UpstreamId, VecDeque<Unconfirmed>>,
 }
 
 impl Survivals {
-    /// Begin of the latest answer to a prompt with this part that an upstream survived.
+    /// Start of the latest answer to a prompt with this part that an upstream survived.
     pub(crate) fn latest(&self, part: Fingerprint) -> Option<Instant> {
         self.by_part.get(&part).copied()
     }
@@ -116,7 +116,7 @@
     }
 
     /// Takes the complete answers that an upstream has survived, as it responded to a request sent at
-    /// this time; returns the parts and the begin of each.
+    /// this time; returns the parts and the start of each.
     pub(crate) fn take_survived(
         &mut self,
         upstream: &UpstreamId,
