Quarantined parts: ask for more ends under a part that upstreams have survived

Upstreams ended faster than hosts saw others survive, so that a part that most prompts have came to three ends too.

Change: a host says whether it has seen an upstream survive the part before; such a part needs six ends, and those under the deadly part, which comes to three first, are taken from it.

The cases of the test now run one after another, since they are hundreds of streams each.

--- a/clayplank-forward/src/quarantine.rs
+++ b/clayplank-forward/src/quarantine.rs
@@ -78,6 +78,8 @@
     pub request: Fingerprint,
     /// Caller of the request; empty if unknown, or if upstreams survived a part.
     pub caller: String,
+    /// Whether this host has seen an upstream survive the part before; false for requests.
+    pub has_survived: bool,
     /// Observed outcome.
     pub outcome: ObservedOutcome,
     /// Time of the observation.
@@ -259,6 +261,7 @@
             fingerprint,
             request: fingerprint,
             caller,
+            has_survived: kind == SuspectKind::PromptPart,
             outcome: ObservedOutcome::Survived,
             at,
         });
@@ -335,6 +338,11 @@
         }
     }
 
+    /// Whether this host has seen an upstream survive a part.
+    pub(crate) fn has_survived(&self, part: Fingerprint) -> bool {
+        self.lock().survivals.latest(part).is_some()
+    }
+
     /// Whether a termination says nothing about a suspect, because upstreams survived it at about
     /// the same time or later.
     fn is_cleared(&self, observation: &Observation) -> bool {
--- a/clayplank-forward/src/termination.rs
+++ b/clayplank-forward/src/termination.rs
@@ -94,8 +94,15 @@
             let parts = keys.prompt_parts.into_iter().map(|part| (SuspectKind::PromptPart, part));
             for (kind, fingerprint) in parts.chain([(SuspectKind::Request, request)]) {
                 let (caller, outcome) = (caller.clone(), ObservedOutcome::Ended(upstream.clone()));
-                let observation = Observation { kind, fingerprint, request, caller, outcome, at };
-                self.record_terminated(observation);
+                self.record_terminated(Observation {
+                    kind,
+                    fingerprint,
+                    request,
+                    caller,
+                    has_survived: self.has_survived(fingerprint),
+                    outcome,
+                    at,
+                });
             }
         }
     }
--- a/clayplank-state/src/quarantine.rs
+++ b/clayplank-state/src/quarantine.rs
@@ -31,6 +31,10 @@
 /// the users' requirement limits the terminations after the third.
 const MIN_TERMINATIONS: usize = 3;
 
+/// The same for a part that upstreams have survived before: another part of the same prompts is the
+/// more likely cause, and reaches [`MIN_TERMINATIONS`] first.
+const MIN_TERMINATIONS_AFTER_SURVIVAL: usize = 6;
+
 /// Terminations less than this time apart, in ms, count as one. The failure of a rack or a data
 /// centre terminates many upstreams at once, and a request that many callers send may have been
 /// running at several of them. Hosts observe such terminations within a few milliseconds.
@@ -136,6 +140,8 @@
 struct Suspect {
     kind: SuspectKind,
     caller: String,
+    /// Whether upstreams have survived it before.
+    has_survived: bool,
     /// Terminations under the suspect, ordered by `at_ms`, one per upstream.
     ends: Vec<Termination>,
     /// Time of the latest report of a termination, in ms since the Unix epoch.
@@ -181,7 +187,12 @@
         };
         self.held.is_none()
             && is_of_several_requests
-            && self.separate_terminations() >= MIN_TERMINATIONS
+            && self.separate_terminations() >= self.min_terminations()
+    }
+
+    /// Number of separate terminations after which it is quarantined.
+    fn min_terminations(&self) -> usize {
+        if self.has_survived { MIN_TERMINATIONS_AFTER_SURVIVAL } else { MIN_TERMINATIONS }
     }
 
     /// Number of terminations, with those within [`COINCIDENCE_WINDOW_MS`] counted as one.
@@ -299,11 +310,13 @@
         let suspect = self.suspects.entry(fingerprint).or_insert_with(|| Suspect {
             kind: observation.kind,
             caller: observation.caller.clone(),
+            has_survived: false,
             ends: Vec::new(),
             heard_ms: now_ms,
             held: None,
         });
         suspect.heard_ms = now_ms;
+        suspect.has_survived |= observation.has_survived;
         suspect.record_termination(termination);
     }
 
@@ -385,7 +398,7 @@
             return;
         };
         suspect.ends.retain(|termination| termination.at_ms > at_ms);
-        if suspect.held.is_some() && suspect.separate_terminations() < MIN_TERMINATIONS {
+        if suspect.held.is_some() && suspect.separate_terminations() < suspect.min_terminations() {
             suspect.held = None;
             changes.lifted.push(fingerprint);
         }
--- a/clayplank-state/tests/prompt_parts.rs
+++ b/clayplank-state/tests/prompt_parts.rs
@@ -24,6 +24,7 @@
                 fingerprint,
                 request,
                 caller: "clubs".to_owned(),
+                has_survived: false,
                 outcome: ObservedOutcome::Ended(UpstreamId::new(upstream)),
                 ago_ms: 0,
                 seen: None,
@@ -39,6 +40,7 @@
         fingerprint,
         request: fingerprint,
         caller: String::new(),
+        has_survived: true,
         outcome: ObservedOutcome::Survived,
         ago_ms: 0,
         seen: None,
@@ -146,6 +148,32 @@
     assert_eq!(quarantined(&machine), [(SuspectKind::PromptPart, CRASHING)]);
 }
 
+/// Guards against refusing most prompts for a minute: while upstreams terminated faster than hosts saw
+/// others survive, a popular part was quarantined with the one that terminated them.
+#[test]
+fn a_part_that_was_survived_before_is_not_quarantined_with_the_one_that_was_not() {
+    let mut machine = Machine::default();
+    for number in 0..5 {
+        let mut observations = terminated(100 + number, &[CRASHING, OTHER], &format!("u{number}"));
+        let other = observations.iter_mut().find(|one| one.fingerprint == Fingerprint::new(OTHER));
+        other.unwrap().has_survived = true;
+        report(&mut machine, 1_000 + 100 * number as u64, observations);
+    }
+    assert_eq!(quarantined(&machine), [(SuspectKind::PromptPart, CRASHING)]);
+}
+
+#[test]
+fn a_part_that_was_survived_before_is_quarantined_after_six_terminations() {
+    let mut machine = Machine::default();
+    for number in 0..6 {
+        assert_eq!(quarantined(&machine), []);
+        let mut observations = terminated(100 + number, &[OTHER], &format!("u{number}"));
+        observations[1].has_survived = true;
+        report(&mut machine, 1_000 + 100 * number as u64, observations);
+    }
+    assert_eq!(quarantined(&machine), [(SuspectKind::PromptPart, OTHER)]);
+}
+
 /// Parts that were in the same prompts cannot be told apart until an upstream survives one of them.
 #[test]
 fn of_parts_that_were_always_together_those_that_are_survived_are_lifted() {
--- a/clayplank-state/tests/quarantine.rs
+++ b/clayplank-state/tests/quarantine.rs
@@ -19,6 +19,7 @@
         fingerprint: Fingerprint::new(request),
         request: Fingerprint::new(request),
         caller: caller.to_owned(),
+        has_survived: false,
         outcome: ObservedOutcome::Ended(UpstreamId::new(upstream)),
         ago_ms: 0,
         seen: None,
--- a/clayplank-types/src/observation.rs
+++ b/clayplank-types/src/observation.rs
@@ -58,6 +58,8 @@
     pub request: Fingerprint,
     /// Caller of the request. The number of remembered observations is limited per caller.
     pub caller: String,
+    /// Whether the host has seen an upstream survive this part before; false for requests.
+    pub has_survived: bool,
     /// Outcome of the request.
     pub outcome: ObservedOutcome,
     /// Age of the observation when it was sent, in ms.
--- a/clayplank-wire/tests/broken_bytes.rs
+++ b/clayplank-wire/tests/broken_bytes.rs
@@ -55,6 +55,7 @@
         fingerprint: Fingerprint::new(u128::from(number) << 70),
         request: Fingerprint::new(u128::from(number) << 70),
         caller: "clubs".to_owned(),
+        has_survived: false,
         outcome: ObservedOutcome::Ended(UpstreamId::new(format!("u{number}"))),
         ago_ms: number * 40,
         seen: None,
--- a/clayplankd/src/fleet/termination_reports.rs
+++ b/clayplankd/src/fleet/termination_reports.rs
@@ -123,6 +123,7 @@
         fingerprint: observation.fingerprint,
         request: observation.request,
         caller: observation.caller.clone(),
+        has_survived: observation.has_survived,
         outcome: observation.outcome.clone(),
         ago_ms,
         seen: Some(observed),
--- a/clayplankd/tests/seeded/crashing_parts.rs
+++ b/clayplankd/tests/seeded/crashing_parts.rs
@@ -4,7 +4,7 @@
 //! hosts, and other requests share their caller and their other parts.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
@@ -20,6 +20,10 @@
 /// Streams of about half a second.
 const STREAM_PATH: &str = "/stream/events/100";
 
+/// Held by the running test: each has hundreds of streams, and several at once would be slowed by each
+/// other.
+static RUNNING: Mutex<()> = Mutex::new(());
+
 /// Time during which requests with the crashing part arrive.
 const RUN: Duration = Duration::from_secs(16);
 
@@ -199,6 +203,7 @@
     #[case] position: Position,
     #[case] interval_ms: u64,
 ) {
+    let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
     let (system, fleet) = start();
     let others = Others::default();
     let interval = Duration::from_millis(interval_ms);
@@ -208,6 +213,7 @@
 
 #[test]
 fn a_part_is_quarantined_although_the_leading_keeper_is_killed() {
+    let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
     let (mut system, fleet) = start();
     let leader = leader(&system);
     let mut killed = system.keepers.remove(leader);
@@ -225,6 +231,7 @@
 /// that is killed for another reason.
 #[test]
 fn parts_at_upstreams_killed_for_another_reason_are_not_quarantined() {
+    let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
     let (system, fleet) = start();
     let others = Arc::new(Others::default());
     let is_finished = AtomicBool::new(false);
