A host with few requests closes no connections while its event loop is late

Cause: the delay of the event loop also grows when something else uses the processor. A host with few requests does not shorten it by closing connections, and all hosts of such a machine close them at once.

Change: a delay counts only beside 32 or more requests in progress. The test `a_host_with_few_requests_closes_no_connections` guards it; the test of the overloaded host now holds that many requests, and its other checks are the same.

--- a/clayplank-forward/src/listener.rs
+++ b/clayplank-forward/src/listener.rs
@@ -48,7 +48,7 @@
     };
     tokio::select! {
         () = accept_callers(&listener, &entry, &mut closing) => {}
-        () = entry.loop_delay.measure(set_overloaded) => {}
+        () = entry.loop_delay.measure(|| entry.gate.in_progress(), set_overloaded) => {}
     }
 }
 
--- a/clayplank-forward/src/loop_delay.rs
+++ b/clayplank-forward/src/loop_delay.rs
@@ -29,6 +29,10 @@
 /// falls below [`MIN_SHED_DELAY`].
 const MAX_SHED_DELAY: Duration = Duration::from_millis(60);
 
+/// Number of requests in progress below which the delay does not count: it is caused by something
+/// else on the machine then, and closing connections would not shorten it.
+const MIN_SHED_REQUESTS: u64 = 32;
+
 #[derive(Debug, Default)]
 struct Samples {
     delays: VecDeque<Duration>,
@@ -55,22 +59,24 @@
     }
 
     /// Measures the delay until the future is dropped; calls `on_change` when the host becomes
-    /// overloaded and when it no longer is.
-    pub(crate) async fn measure(&self, on_change: impl Fn(bool)) {
+    /// overloaded and when it no longer is. `in_progress` returns the number of requests.
+    pub(crate) async fn measure(&self, in_progress: impl Fn() -> u64, on_change: impl Fn(bool)) {
         let mut interval = CALM_INTERVAL;
         loop {
             let expected_at = Instant::now() + interval;
             clayplank_clock::sleep_until(expected_at).await;
             let delay = expected_at.elapsed();
-            if let Some(is_overloaded) = self.record(delay) {
+            if let Some(is_overloaded) = self.record(delay, in_progress()) {
                 on_change(is_overloaded);
             }
             interval = if delay < MIN_SHED_DELAY { CALM_INTERVAL } else { BUSY_INTERVAL };
         }
     }
 
-    /// Records a delay; returns whether the host is overloaded if that has changed.
-    pub fn record(&self, delay: Duration) -> Option<bool> {
+    /// Records a delay beside so many requests; returns whether the host is overloaded if that has
+    /// changed.
+    pub fn record(&self, delay: Duration, in_progress: u64) -> Option<bool> {
+        let delay = if in_progress < MIN_SHED_REQUESTS { Duration::ZERO } else { delay };
         let mut samples = self.lock();
         if samples.delays.len() == SAMPLES {
             samples.delays.pop_front();
--- a/clayplank-forward/tests/loop_delay.rs
+++ b/clayplank-forward/tests/loop_delay.rs
@@ -5,9 +5,22 @@
 use clayplank_forward::LoopDelay;
 use rstest::rstest;
 
+/// Requests in progress at a host that may be overloaded.
+const MANY: u64 = 32;
+
 fn record(loop_delay: &LoopDelay, delays_ms: &[u64]) -> Vec<bool> {
     let delays = delays_ms.iter().map(|delay_ms| Duration::from_millis(*delay_ms));
-    delays.filter_map(|delay| loop_delay.record(delay)).collect()
+    delays.filter_map(|delay| loop_delay.record(delay, MANY)).collect()
+}
+
+/// Guards against turning callers away because something else uses the processor.
+#[test]
+fn a_host_with_few_requests_closes_no_connections() {
+    let loop_delay = LoopDelay::default();
+    for _ in 0..10 {
+        assert_eq!(loop_delay.record(Duration::from_millis(500), MANY - 1), None);
+    }
+    assert_eq!(loop_delay.shed_share(), 0.0);
 }
 
 /// Guards against turning callers away, at all hosts at once, because a large plan is applied.
