Ask the next peer if one does not reach an upstream either

Cause: the first peer that replied "unreachable" ended the search, as if the upstream were at fault. A cut takes links at random, so the peer's own link to this upstream may be cut as well.

Change: the next peer is asked, three at most as before. A refused connection still ends the search. The test `an_upstream_is_reached_through_the_next_peer_if_one_does_not_reach_it` failed before (in one of two orders of the peers, tried eight times).

--- a/clayplank-connect/src/connector.rs
+++ b/clayplank-connect/src/connector.rs
@@ -194,15 +194,19 @@
         if is_broken { Duration::ZERO } else { HEAD_START }
     }
 
-    /// Has one of the peers connect to an upstream.
+    /// Has one of the peers connect to an upstream. If one does not reach it, the next is asked: the
+    /// peer's own link to it may be broken.
     async fn open_tunnel(&self, address: SocketAddr) -> Result<TunnelStream, NoTunnel> {
         let hosts = self.lock().tunnel_hosts.choose(now_ms());
+        let mut no_tunnel = NoTunnel::NoPeer;
         for host in hosts {
             let opened = clayplank_clock::timeout(TUNNEL_TIMEOUT, open_tunnel(host, address)).await;
             let cause = match opened {
                 Ok(Ok(Ok(stream))) => return Ok(stream),
-                Ok(Ok(Err(TunnelReply::Refused | TunnelReply::Unreachable))) => {
-                    return Err(NoTunnel::Unreachable);
+                Ok(Ok(Err(TunnelReply::Refused))) => return Err(NoTunnel::Unreachable),
+                Ok(Ok(Err(TunnelReply::Unreachable))) => {
+                    no_tunnel = NoTunnel::Unreachable;
+                    continue;
                 }
                 Ok(Ok(Err(reply))) => reply.as_str().to_owned(),
                 Ok(Err(error)) => error.to_string(),
@@ -211,7 +215,7 @@
             log::debug!(target: "forward", "Opened no tunnel through {host}: {cause}.");
             self.lock().tunnel_hosts.avoid(now_ms(), host);
         }
-        Err(NoTunnel::NoPeer)
+        Err(no_tunnel)
     }
 
     fn record(&self, address: SocketAddr, is_connected: bool) {
--- a/clayplank-connect/tests/tunnels.rs
+++ b/clayplank-connect/tests/tunnels.rs
@@ -195,6 +195,18 @@
     assert_eq!(stream.tunnel_host(), Some(other.address));
 }
 
+/// Guards against giving up an upstream that one peer does not reach, as a link of the peer is cut.
+#[tokio::test]
+async fn an_upstream_is_reached_through_the_next_peer_if_one_does_not_reach_it() {
+    let upstream = start_upstream(b"whole".to_vec(), false).await;
+    for _ in 0..8 {
+        let without_links = Connector::with_source(Some("192.0.2.1".parse().unwrap()));
+        let peers = [Peer::start_with(Arc::new(without_links)).await, Peer::start().await];
+        let stream = cut_off_host(&[&peers[0], &peers[1]]).connect(upstream).await.unwrap();
+        assert_eq!(stream.tunnel_host(), Some(peers[1].address));
+    }
+}
+
 #[tokio::test]
 async fn a_peer_connects_only_to_upstreams_that_it_knows() {
     let peer = Peer::start().await;
