Refused connections cut no host off that has just reached an upstream

Cause: three upstreams that refuse in a row count as a host that is cut off. A host with 20 requests a second meets three dead upstreams between two connections. It then rejects the request at once, and as a failure of a host that is cut off says nothing about an upstream, the dead ones stay the least loaded and are the first choice of the following requests.

Evidence: the host's log, `Connection refused` from fleet-2, -3, `Cut off from all upstreams`, fleet-4 refused as `cut_off`, `Gave a request up`; then, in the next second, eight requests given up after one attempt at fleet-2, -3 or -4.

Change: a refused connection is due to its upstream if any upstream was reached within the last second, as links that refuse connections refuse all of them. Unanswered ones count as before.

--- a/clayplank-connect/src/connector.rs
+++ b/clayplank-connect/src/connector.rs
@@ -147,7 +147,7 @@
                 },
                 tunnelled = tunnel.as_mut(), if no_tunnel.is_none() => match tunnelled {
                     Ok(stream) => {
-                        self.record(address, false);
+                        self.record(address, Reachability::record_failed);
                         return Ok(UpstreamStream::Tunnelled(stream));
                     }
                     Err(cause) => no_tunnel = Some(cause),
@@ -173,7 +173,7 @@
         match clayplank_clock::timeout(timeout, self.connect_directly(address)).await {
             Ok(connected) => connected,
             Err(_) => {
-                self.record(address, false);
+                self.record(address, Reachability::record_failed);
                 Err(io::ErrorKind::TimedOut.into())
             }
         }
@@ -181,7 +181,14 @@
 
     async fn connect_directly(&self, address: SocketAddr) -> io::Result<TcpStream> {
         let opened = open(address, self.source).await;
-        self.record(address, opened.is_ok());
+        let record = match &opened {
+            Ok(_) => Reachability::record_connected,
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                Reachability::record_refused
+            }
+            Err(_) => Reachability::record_failed,
+        };
+        self.record(address, record);
         opened
     }
 
@@ -218,14 +225,11 @@
         Err(no_tunnel)
     }
 
-    fn record(&self, address: SocketAddr, is_connected: bool) {
+    /// Records the result of a connection.
+    fn record(&self, address: SocketAddr, record: fn(&mut Reachability, u64, SocketAddr)) {
         let now_ms = now_ms();
         let mut state = self.lock();
-        if is_connected {
-            state.reachability.record_connected(now_ms, address);
-        } else {
-            state.reachability.record_failed(now_ms, address);
-        }
+        record(&mut state.reachability, now_ms, address);
         state.log_change(now_ms);
     }
 
--- a/clayplank-connect/tests/reachability.rs
+++ b/clayplank-connect/tests/reachability.rs
@@ -36,6 +36,21 @@
     assert_eq!(reachability.count_failed(1_000), 3);
 }
 
+/// Guards against rejecting requests at a host with few callers because several upstreams ended.
+#[test]
+fn refused_connections_do_not_cut_off_a_host_that_has_just_reached_an_upstream() {
+    let mut reachability = Reachability::default();
+    reachability.record_connected(100, upstream(1));
+    for number in 2..=5 {
+        reachability.record_refused(1_099, upstream(number));
+    }
+    assert!(!reachability.is_cut_off(1_099));
+    for number in 2..=4 {
+        reachability.record_refused(1_100, upstream(number));
+    }
+    assert!(reachability.is_cut_off(1_100), "a second after the latest connection");
+}
+
 /// Guards against taking engines out of use for all hosts because the links of one broke.
 #[test]
 fn connections_that_break_at_once_are_attributed_to_the_links_of_the_host() {
