--- a/clayplank-forward/src/loop_delay.rs
+++ b/clayplank-forward/src/loop_delay.rs
@@ -29,8 +29,8 @@
 /// falls below [`MIN_SHED_DELAY`].
 const MAX_SHED_DELAY: Duration = Duration::from_millis(60);
 
-/// Number of requests in progress below which the delay does not count: it is caused by something
-/// else on the machine then, and closing connections would not shorten it.
+/// Number of requests in progress below which the delay does not count: something else on the
+/// machine then causes it, and closing connections would not shorten it.
 const MIN_SHED_REQUESTS: u64 = 32;
 
 #[derive(Debug, Default)]
@@ -73,8 +73,8 @@
         }
     }
 
-    /// Records a delay beside so many requests; returns whether the host is overloaded if that has
-    /// changed.
+    /// Records a delay, measured beside this number of requests in progress; returns whether the
+    /// host is overloaded if that has changed.
     pub fn record(&self, delay: Duration, in_progress: u64) -> Option<bool> {
         let delay = if in_progress < MIN_SHED_REQUESTS { Duration::ZERO } else { delay };
         let mut samples = self.lock();
@@ -85,8 +85,8 @@
         let shortest = samples.shortest();
         let threshold = if samples.is_overloaded { MIN_SHED_DELAY } else { MAX_SHED_DELAY };
         let is_overloaded = shortest >= threshold;
-        let has_changed = std::mem::replace(&mut samples.is_overloaded, is_overloaded);
-        (has_changed != is_overloaded).then_some(is_overloaded)
+        let was_overloaded = std::mem::replace(&mut samples.is_overloaded, is_overloaded);
+        (was_overloaded != is_overloaded).then_some(is_overloaded)
     }
 
     /// The shortest of the latest delays.
--- a/clayplank-forward/src/termination.rs
+++ b/clayplank-forward/src/termination.rs
@@ -151,9 +151,7 @@
             tokio::spawn(check_terminated(Arc::clone(entry), record));
         }
     }
-}
 
-impl Call {
     /// Checks in the background whether an upstream survives a request that it has answered, if a
     /// part of its prompt is a suspect. Without the check, a part whose prompts are no longer sent
     /// would remain one.
