Tests of processes print the hosts' logs when they fail

Cause: fields are dropped in the order of their declaration, the directory with the logs before the hosts that print them.

Change: the directory is the last field.

--- a/clayplankd/tests/seeded/system.rs
+++ b/clayplankd/tests/seeded/system.rs
@@ -88,7 +88,6 @@
 pub struct System {
     pub topology: Topology,
     proxies: BTreeMap<Ipv4Addr, Proxy>,
-    dir: tempfile::TempDir,
     pub keepers: Vec<Host>,
     /// New keepers, by the index of the keeper that each is to replace.
     replacements: BTreeMap<usize, Host>,
@@ -104,6 +103,8 @@
     pub net: [u8; 2],
     /// Sequence number of the last heartbeat sent by `send_heartbeat` and its variants.
     pub last_sequence: u64,
+    /// Dropped last, as hosts print their logs when they are dropped by a test that fails.
+    dir: tempfile::TempDir,
 }
 
 impl System {
