Keepers announce themselves at the present bootstrap addresses, not those of their start

"The search for the leader has found none yet", `contacts` 2, `keepers` 0.

Cause: the settings of running hosts were changed to name three entry hosts as bootstrap addresses, and these three were then restarted. Entry hosts have no disk, so each knew only the other two. Keepers introduce themselves to bootstrap addresses that are not keepers once a second for this case, but to those of their own start; changed ones were taken in for searches only.

Fix: a keeper introduces itself to the addresses that the settings name now. A host that searches thus hears of the keepers within a second, whenever it starts.

--- a/clayplankd/src/keepers/keeper_client.rs
+++ b/clayplankd/src/keepers/keeper_client.rs
@@ -128,6 +128,11 @@
         self.hosts_learned.notify_one();
     }
 
+    /// The bootstrap addresses that the settings name, without this host.
+    pub(crate) fn bootstrap_hosts(&self) -> Vec<HostId> {
+        lock_ignoring_poison(&self.state).hosts.bootstrap_hosts().to_vec()
+    }
+
     /// Replaces the known keepers by the complete list of a keeper that hears the leader.
     pub(crate) fn set_keepers(&self, keepers: impl IntoIterator<Item = HostId>) {
         lock_ignoring_poison(&self.state).hosts.set_keepers(keepers);
--- a/clayplankd/src/keepers/keeper_tasks.rs
+++ b/clayplankd/src/keepers/keeper_tasks.rs
@@ -87,7 +87,7 @@
 /// The sources of the other keepers' addresses.
 #[derive(Clone, Debug)]
 pub(crate) struct JoinSources {
-    /// Bootstrap addresses, without this host.
+    /// Bootstrap addresses at the start of this host, without the host itself.
     pub(crate) bootstrap_hosts: Vec<HostId>,
     /// The client that knows further keepers and contacts; `None` if the settings name all keepers.
     pub(crate) client: Option<KeeperClient>,
@@ -108,12 +108,11 @@
     }
 
     /// Bootstrap addresses that are not keepers, as far as this keeper knows; none if the settings name
-    /// all keepers.
+    /// all keepers. These are the present ones, as hosts that start later know no others.
     fn non_keepers(&self, status: &JoinStatus) -> Vec<HostId> {
-        let has_client = self.client.is_some();
-        let non_keepers =
-            self.bootstrap_hosts.iter().filter(|host| has_client && !status.members.contains(host));
-        non_keepers.cloned().collect()
+        let mut hosts = self.client.as_ref().map(KeeperClient::bootstrap_hosts).unwrap_or_default();
+        hosts.retain(|host| !status.members.contains(host));
+        hosts
     }
 
     /// Adds the keepers and contacts learned from an introduction to the client.
--- a/clayplankd/src/keepers/leader_search.rs
+++ b/clayplankd/src/keepers/leader_search.rs
@@ -97,7 +97,7 @@
     /// Sends the known keepers to the bootstrap addresses: other hosts may start from the same ones.
     async fn notify_bootstrap_hosts(self) {
         let request = self.find_leader_request(Duration::ZERO);
-        let bootstrap_hosts = lock_ignoring_poison(&self.state).hosts.bootstrap_hosts().to_vec();
+        let bootstrap_hosts = self.bootstrap_hosts();
         let calls = bootstrap_hosts.iter().map(|host| {
             let request = request.clone();
             self.peers.call(host, LEADER_WAIT, |mut client| async move {
--- a/clayplankd/tests/seeded/replacement.rs
+++ b/clayplankd/tests/seeded/replacement.rs
@@ -219,6 +219,24 @@
     wait_for("a confirmed plan at all hosts", || system.entries.iter().all(Host::is_ready));
 }
 
+/// Guards against keepers that announce themselves at the bootstrap addresses of their start only.
+#[test]
+fn entry_hosts_that_name_only_each_other_find_running_keepers_after_a_change_of_bootstrap_addresses()
+ {
+    let topology =
+        Topology { keepers: 3, entries: 3, has_combined_roles: true, ..Topology::default() };
+    let mut system = System::start_with(topology);
+    let bootstrap_addresses: Vec<_> = system.entries.iter().map(Host::control).collect();
+    let hosts = || system.keepers.iter().chain(&system.entries);
+    hosts().for_each(|host| host.set_bootstrap_addresses(&bootstrap_addresses));
+    wait_for("the changed settings at all hosts", || {
+        hosts().all(|host| !host.lines("Took in changed settings").is_empty())
+    });
+    system.entries.iter_mut().for_each(Host::kill);
+    system.entries.iter_mut().for_each(Host::start);
+    wait_for("a confirmed plan at all hosts", || system.entries.iter().all(Host::is_ready));
+}
+
 /// The addresses of replaced keepers stay unresponsive, or may belong to other machines later, so
 /// hosts must forget them.
 #[test]
