Check for departing upstreams in one place, and look records up only where needed

Two places decided in the same words whether an upstream announced its departure; one method of the directory serves both. At the end of each answer the record of its upstream was copied before the framing, or the absence of suspects, made it superfluous: these are checked first. Behaviour is the same.

--- a/clayplank-forward/src/availability.rs
+++ b/clayplank-forward/src/availability.rs
@@ -121,6 +121,11 @@
         self.lock().is_leaving(id)
     }
 
+    /// Whether an upstream announced its departure, after which it may terminate at any time.
+    pub(crate) fn has_announced_departure(&self, record: &Record) -> bool {
+        record.heartbeat.standing != UpstreamStatus::Ready || self.is_leaving(&record.heartbeat.id)
+    }
+
     /// Whether an upstream wants no requests from this host.
     pub fn is_unavailable(&self, id: &UpstreamId) -> bool {
         self.lock().unavailability(id).is_in_force(now_ms())
--- a/clayplank-forward/src/load.rs
+++ b/clayplank-forward/src/load.rs
@@ -5,7 +5,6 @@
 
 use clayplank_clock::Instant;
 use clayplank_placement::{Event, PlacementId};
-use clayplank_registry::UpstreamStatus;
 use clayplank_types::UpstreamId;
 
 use crate::answer::Framing;
@@ -89,19 +88,16 @@
     /// Whether the end of the connection completes a body, as opposed to a termination of the
     /// upstream that cut it short. An upstream that is leaving ends after its last answer.
     pub(crate) async fn is_complete_at_close(&self, framing: Framing) -> bool {
+        if framing == Framing::Explicit {
+            return true;
+        }
         let directory = &self.entry.directory;
-        let Some(record) = directory.record(&self.upstream) else {
+        let record = directory.record(&self.upstream);
+        let Some(record) = record.filter(|record| !directory.has_announced_departure(record))
+        else {
             return true;
         };
-        let is_leaving = directory.is_leaving(&self.upstream)
-            || record.heartbeat.standing != UpstreamStatus::Ready;
-        match framing {
-            Framing::Explicit => true,
-            Framing::UntilClose if is_leaving => true,
-            Framing::UntilClose => {
-                !has_stopped_listening(&self.entry.connector, record.heartbeat.address).await
-            }
-        }
+        !has_stopped_listening(&self.entry.connector, record.heartbeat.address).await
     }
 
     /// Keeps memory of other engines reserved for the duration of the attempt.
--- a/clayplank-forward/src/termination.rs
+++ b/clayplank-forward/src/termination.rs
@@ -11,7 +11,7 @@
 
 use clayplank_clock::Instant;
 use clayplank_connect::Connector;
-use clayplank_registry::{Record, UpstreamStatus};
+use clayplank_registry::Record;
 use clayplank_types::{Fingerprint, ObservedOutcome, SuspectKind, UpstreamId};
 
 use crate::call::Call;
@@ -136,9 +136,7 @@
         let Some(record) = entry.directory.record(upstream) else {
             return;
         };
-        // An upstream that announced its departure may terminate at any time.
-        let is_leaving = entry.directory.is_leaving(upstream);
-        if is_leaving || record.heartbeat.standing != UpstreamStatus::Ready {
+        if entry.directory.has_announced_departure(&record) {
             return;
         }
         let keys = if progress.is_suspicious() {
@@ -157,12 +155,12 @@
     /// would remain one.
     pub(crate) fn confirm_survival(&self, upstream: &UpstreamId, begun_at: Instant) {
         let parts = &self.keys.prompt_parts;
-        let Some(record) = self.entry.directory.record(upstream) else {
-            return;
-        };
         if !self.entry.quarantine.has_suspects(parts) {
             return;
         }
+        let Some(record) = self.entry.directory.record(upstream) else {
+            return;
+        };
         let (entry, parts) = (Arc::clone(&self.entry), parts.clone());
         tokio::spawn(async move {
             clayplank_clock::sleep(SURVIVAL_TIME).await;
