Tests of terminations share their recorder, observed requests and bounds

`answer_ends` has the recorder of the harness, and `crashing_parts` the observed requests and the bounds of `crashing`, whose values are the same. Assertions are unchanged.

--- a/clayplank-forward/tests/entry/answer_ends.rs
+++ b/clayplank-forward/tests/entry/answer_ends.rs
@@ -1,17 +1,19 @@
 //! The ways in which an upstream's answer may end: which of them complete it for the caller, and
 //! which count as a termination of the upstream.
 
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
-use clayplank_forward::{BoxFuture, Directory, EntryBuilder, Observation, QuarantineAuthority};
+use clayplank_forward::{Directory, EntryBuilder};
 use clayplank_routes::{RequestKind, Route};
-use clayplank_types::{Fingerprint, ObservedOutcome};
+use clayplank_types::ObservedOutcome;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::harness::{Host, TestPlacer, plain_service, read_some, record, route};
+use crate::harness::{
+    Host, RecordingAuthority, TestPlacer, plain_service, read_some, record, route,
+};
 
 const EVENT: &str = "id: 1\ndata: x\n\n";
 
@@ -35,21 +37,6 @@
     Terminate,
 }
 
-#[derive(Default)]
-struct Terminations(Mutex<usize>);
-
-impl QuarantineAuthority for Terminations {
-    fn report(&self, observation: Observation) {
-        if observation.outcome != ObservedOutcome::Survived {
-            *self.0.lock().unwrap() += 1;
-        }
-    }
-
-    fn claim_trial(&self, _: Fingerprint) -> BoxFuture<'_, bool> {
-        Box::pin(std::future::ready(true))
-    }
-}
-
 async fn respond(stream: &mut TcpStream, framing: Framing, body: &str, end: End) {
     let framing_header = match framing {
         // One byte more than is sent, unless the answer is complete.
@@ -99,9 +86,9 @@
             }
         }
     });
-    let terminations = Arc::<Terminations>::default();
+    let authority = Arc::<RecordingAuthority>::default();
     let host = Host::start(
-        EntryBuilder::default().quarantine_authority(terminations.clone()),
+        EntryBuilder::default().quarantine_authority(authority.clone()),
         Route { time_limit_ms: 5_000, max_attempts: 1, ..route(kind) },
         plain_service(),
         directory,
@@ -112,7 +99,8 @@
     let mut bytes = Vec::new();
     caller.read_to_end(&mut bytes).await.ok();
     tokio::time::sleep(Duration::from_millis(100)).await;
-    let count = *terminations.0.lock().unwrap();
+    let observations = authority.observations.lock().unwrap();
+    let count = observations.iter().filter(|one| one.outcome != ObservedOutcome::Survived).count();
     (String::from_utf8_lossy(&bytes).into_owned(), count)
 }
 
--- a/clayplankd/tests/seeded/crashing.rs
+++ b/clayplankd/tests/seeded/crashing.rs
@@ -36,11 +36,11 @@
 /// Time during which the caller repeats its request.
 const RUN: Duration = Duration::from_secs(12);
 
-/// Maximum time from the third termination until all hosts know of the request.
-const PROPAGATION_TIME: Duration = Duration::from_secs(3);
+/// Maximum time from the decisive termination until all hosts know what causes them.
+pub const PROPAGATION_TIME: Duration = Duration::from_secs(3);
 
-/// Maximum number of times that the request may reach an upstream after that time.
-const MAX_LATE: usize = 3;
+/// Maximum number of times that the cause may reach an upstream after that time.
+pub const MAX_LATE: usize = 3;
 
 /// Interval between two requests of the caller (12 per second).
 const CRASHING_INTERVAL: Duration = Duration::from_millis(83);
@@ -51,11 +51,11 @@
 
 /// Result of one request of another caller.
 #[derive(Clone, Copy, Debug)]
-struct ObservedRequest {
-    sent_at: Instant,
-    is_served: bool,
+pub struct ObservedRequest {
+    pub sent_at: Instant,
+    pub is_served: bool,
     /// Whether the request was refused as one that terminates upstreams.
-    is_quarantined: bool,
+    pub is_quarantined: bool,
 }
 
 /// The plan with all routes pointing to the upstreams that can terminate.
--- a/clayplankd/tests/seeded/crashing_parts.rs
+++ b/clayplankd/tests/seeded/crashing_parts.rs
@@ -9,7 +9,7 @@
 
 use rstest::rstest;
 
-use crate::crashing::{ENTRIES, UPSTREAMS, start};
+use crate::crashing::{ENTRIES, MAX_LATE, ObservedRequest, PROPAGATION_TIME, UPSTREAMS, start};
 use crate::crashing_upstreams::{CRASHING_PART, Fleet, FleetEvents};
 use crate::failover::leader;
 use crate::system::{System, call_with_headers};
@@ -33,12 +33,6 @@
 /// Terminations after which the part has to be known.
 const KNOWN_AFTER: usize = 5;
 
-/// Maximum time from that termination until all hosts know of the part.
-const PROPAGATION_TIME: Duration = Duration::from_secs(3);
-
-/// Maximum number of requests with the part that may reach upstreams after that time.
-const MAX_LATE: usize = 3;
-
 /// Interval between two other requests (60 per second).
 const OTHER_INTERVAL: Duration = Duration::from_millis(17);
 
@@ -66,14 +60,7 @@
 #[derive(Debug, Default)]
 struct Others {
     number: AtomicU64,
-    observed: Mutex<Vec<Observed>>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Observed {
-    sent_at: Instant,
-    is_served: bool,
-    is_quarantined: bool,
+    observed: Mutex<Vec<ObservedRequest>>,
 }
 
 impl Others {
@@ -84,7 +71,7 @@
         let sent_at = Instant::now();
         let (status, text) = send(system, number as usize % ENTRIES, &attempt, &parts);
         let is_quarantined = text.contains("held_back");
-        self.observed.lock().unwrap().push(Observed {
+        self.observed.lock().unwrap().push(ObservedRequest {
             sent_at,
             is_served: status == 200,
             is_quarantined,
