Observe departures of upstreams: when they are acknowledged, known at a host, and sent past

The logs could not tell whether a host had not learned of a departure, had chosen the upstream before, or had sent the request before. Three lines and a count of attempts ("outdated") do.

--- a/clayplank-forward/src/attempt.rs
+++ b/clayplank-forward/src/attempt.rs
@@ -83,6 +83,7 @@
         let may_have_run_before = self.may_have_run;
         self.count_sent();
         self.log_limited(&upstream);
+        self.log_outdated(&upstream);
         let (sent_ms, sent_at) = (now_ms(), Instant::now());
         let entry = Arc::clone(&self.entry);
         let sent = exchange(&entry.connector, record.heartbeat.address, request);
@@ -265,6 +266,18 @@
             "Sends to an upstream with a limit");
     }
 
+    /// Logs that a request is sent to an upstream that has stopped accepting requests since it was
+    /// chosen.
+    fn log_outdated(&self, upstream: &UpstreamId) {
+        if !self.entry.directory.accepts_request(upstream) {
+            self.entry.metrics.count_attempt("outdated");
+            log::info!(target: "forward",
+                request = self.metadata.attempt_id, upstream = upstream.as_str(),
+                waited_ms = self.waited_ms();
+                "Sends to an upstream that accepts no new requests");
+        }
+    }
+
     /// Attributes the failure to the helper that the response names, or else to the engine that
     /// responded.
     fn record_at_fault(&mut self, load: &mut LoadGuard, at_fault: &str) {
--- a/clayplank-forward/src/availability.rs
+++ b/clayplank-forward/src/availability.rs
@@ -131,6 +131,11 @@
         self.lock().unavailability(id).is_in_force(now_ms())
     }
 
+    /// Whether an upstream accepts a request from this host now.
+    pub fn accepts_request(&self, id: &UpstreamId) -> bool {
+        self.usable_record(id).is_some()
+    }
+
     /// Upstreams of a service that want no requests from this host.
     pub fn unavailable(&self, service: &str) -> Vec<UpstreamId> {
         let now_ms = now_ms();
--- a/clayplankd/src/doors/control_endpoint.rs
+++ b/clayplankd/src/doors/control_endpoint.rs
@@ -209,8 +209,15 @@
     /// Reports to the leader that an upstream accepts no new requests, and acknowledges it only
     /// once the leader has received it.
     async fn notify_leader(&self, heartbeat: &Heartbeat) -> Answer {
+        let started_ms = now_ms();
         let leader = self.leader().await;
-        if self.heartbeat_relay.relay_now(heartbeat, leader.as_ref()).await {
+        let is_relayed = self.heartbeat_relay.relay_now(heartbeat, leader.as_ref()).await;
+        log::info!(target: log_target::KEEPER,
+            upstream = heartbeat.id.as_str(), standing:? = heartbeat.standing,
+            sequence = heartbeat.sequence, leader = leader.as_ref().map_or("", HostId::as_str),
+            acknowledged = is_relayed, took_ms = now_ms() - started_ms;
+            "An upstream reported that it accepts no new requests");
+        if is_relayed {
             empty(StatusCode::OK)
         } else {
             fault(StatusCode::SERVICE_UNAVAILABLE, "the leading keeper does not know yet")
--- a/clayplankd/src/follow/follow_task.rs
+++ b/clayplankd/src/follow/follow_task.rs
@@ -8,7 +8,9 @@
 use clayplank_connect::Connector;
 use clayplank_forward::{Directory, Entry, Gate};
 use clayplank_members::{FollowTimeouts, KeeperRanking};
-use clayplank_registry::{Buckets, Changes, Cursor, LimitChanges, LimitUpdateResult, Record};
+use clayplank_registry::{
+    Buckets, Changes, Cursor, LimitChanges, LimitUpdateResult, Record, UpstreamStatus,
+};
 use clayplank_routes::PlanIndex;
 use clayplank_state::{
     Delta, EditError, PackError, PlanDocument, PlanEdit, decode, encode, unpack,
@@ -243,6 +245,7 @@
             self.set_cordoned(cordoned);
         }
         let changed = self.directory.apply(changes.records);
+        changed.iter().for_each(log_departing);
         if is_new_plan {
             self.set_engines();
         } else {
@@ -356,6 +359,17 @@
     }
 }
 
+/// Logs that an upstream accepts no new requests, and in which state it is.
+fn log_departing(changed: &Record) {
+    let heartbeat = &changed.heartbeat;
+    if heartbeat.standing != UpstreamStatus::Ready {
+        log::info!(target: log_target::SETTINGS,
+            upstream = heartbeat.id.as_str(), standing:? = heartbeat.standing,
+            sequence = heartbeat.sequence;
+            "An upstream accepts no new requests");
+    }
+}
+
 /// The new plan in an answer, either complete or as an edit of the current one; `None` if there is none.
 fn new_plan(
     position: &Position,
