--- a/clayplank-connect/tests/tunnels.rs
+++ b/clayplank-connect/tests/tunnels.rs
@@ -154,6 +154,22 @@
     assert_eq!(left.unwrap().unwrap(), 0);
 }
 
+/// A peer that was frozen, or whose link was, passed the bytes on long after they had been sent.
+#[tokio::test]
+async fn bytes_of_a_request_that_come_late_are_not_passed_on() {
+    let peer = Peer::start().await;
+    let upstream = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut stream = cut_off_host(&[&peer]).connect(upstream.local_addr().unwrap()).await.unwrap();
+    let (mut accepted, _) = upstream.accept().await.unwrap();
+    stream.write_all(b"head").await.unwrap();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    stream.write_all(b"body").await.unwrap();
+    let mut passed = Vec::new();
+    let end = tokio::time::timeout(Duration::from_secs(20), accepted.read_to_end(&mut passed));
+    assert!(end.await.is_ok(), "the connection stays open");
+    assert_eq!(String::from_utf8_lossy(&passed), "head");
+}
+
 #[tokio::test]
 async fn an_upstream_that_a_peer_does_not_reach_either_is_at_fault() {
     let peer = Peer::start().await;
--- a/clayplank-forward/tests/entry/main.rs
+++ b/clayplank-forward/tests/entry/main.rs
@@ -9,6 +9,7 @@
 mod broken_stream;
 mod connection_limit;
 mod delayed_commands;
+mod departing;
 mod harness;
 mod log_lines;
 mod overload;
--- /dev/null
+++ b/clayplankd/tests/seeded/departures.rs
@@ -0,0 +1,145 @@
+//! Upstreams that drain or depart: no request may reach them once the time for that is over.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+
+use crate::client::call;
+use crate::failover::leader;
+use crate::proxy::{Cut, Fault};
+use crate::signals::{ENTRIES, SignalSystem, UpstreamKind};
+use crate::system::{System, Topology, wait_for};
+
+/// Time after an acknowledgement from which no request may reach the upstream.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
+/// How an upstream reports that it accepts no new requests.
+#[derive(Clone, Copy, Debug)]
+enum Report {
+    Draining,
+    Departure,
+}
+
+impl Report {
+    /// Sends the report to one keeper; returns whether it was acknowledged.
+    fn is_acknowledged(self, system: &mut System, keeper: usize, upstream: &str) -> bool {
+        let answer = match self {
+            Self::Draining => system.send_heartbeat(keeper, upstream, "draining"),
+            Self::Departure => {
+                let path = format!("/v1/upstreams/{upstream}");
+                call(system.keepers[keeper].control(), "DELETE", &path, &[], "")
+            }
+        };
+        answer.status == 200
+    }
+}
+
+/// The next leader knew the upstream's last heartbeat only, which says that it is ready.
+#[rstest]
+#[case::draining(Report::Draining)]
+#[case::departure(Report::Departure)]
+fn an_acknowledged_departure_survives_the_leader_that_acknowledged_it(#[case] report: Report) {
+    const UPSTREAMS: [&str; 2] = ["u1", "u2"];
+    let mut system = System::start_with(Topology { has_proxies: true, ..Topology::default() });
+    let first = leader(&system);
+    let others: Vec<_> = (0..system.keepers.len()).filter(|keeper| *keeper != first).collect();
+    let proxies: Vec<_> = others
+        .iter()
+        .map(|keeper| system.proxy(system.keepers[*keeper].ip.octets()[3]).clone())
+        .collect();
+    proxies.iter().for_each(|proxy| proxy.set(Fault::Blackhole));
+    let acknowledged =
+        UPSTREAMS.map(|upstream| report.is_acknowledged(&mut system, first, upstream));
+    system.keepers[first].kill();
+    // The calls that did not get through end with their connections.
+    proxies.iter().for_each(|proxy| proxy.set(Fault::Reset));
+    std::thread::sleep(Duration::from_millis(100));
+    proxies.iter().for_each(|proxy| proxy.set(Fault::None));
+    for (upstream, is_acknowledged) in UPSTREAMS.into_iter().zip(acknowledged) {
+        if !is_acknowledged {
+            wait_for("an acknowledgement of another keeper", || {
+                others.iter().any(|keeper| report.is_acknowledged(&mut system, *keeper, upstream))
+            });
+        }
+    }
+    std::thread::sleep(DRAIN_TIME);
+    let attempts: Vec<_> = (0..40).map(|number| format!("late-{number}")).collect();
+    for (number, attempt) in attempts.iter().enumerate() {
+        system.send(number % system.entries.len(), attempt, "/repeatable/x", &[]);
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let ran: Vec<_> = attempts.iter().filter(|attempt| system.runs.count(attempt) > 0).collect();
+    assert!(ran.is_empty(), "{acknowledged:?}, {} late requests ran: {ran:?}", ran.len());
+}
+
+/// The kernel sent the bytes again when the link had recovered, also those of closed connections.
+#[rstest]
+#[case::service(UpstreamKind::Service, false)]
+#[case::unrepeatable(UpstreamKind::Unrepeatable, false)]
+#[case::engines(UpstreamKind::Engines, false)]
+#[case::service_through_a_peer(UpstreamKind::Service, true)]
+fn a_request_that_a_link_holds_back_does_not_arrive_after_a_departure(
+    #[case] kind: UpstreamKind,
+    #[case] has_no_direct_link: bool,
+) {
+    /// The upstream that departs, and the last byte of its address.
+    const DEPARTING: (&str, u8) = ("l1", 31);
+    const CALLERS: usize = 12;
+    let topology = Topology { entries: ENTRIES, has_upstream_proxies: true, ..Topology::default() };
+    let system = SignalSystem::start_in(kind, topology);
+    if has_no_direct_link {
+        system.system.cut_off(0, Some(Cut::Silent));
+    }
+    let links = if has_no_direct_link { 1..ENTRIES } else { 0..1 };
+    let set_stalled = |system: &SignalSystem, is_stalled: bool| {
+        for entry in links.clone() {
+            let ip = system.system.entries[entry].ip;
+            system.system.proxy(DEPARTING.1).cut(ip, is_stalled.then_some(Cut::Data));
+        }
+    };
+    let keeper = system.system.keepers[0].control();
+    let draining = {
+        // Later than all heartbeats of the upstream.
+        let mut body = system.system.heartbeat(DEPARTING.0, DEPARTING.1, 1_000_000, "draining");
+        body["service"] = system.service().into();
+        body.to_string()
+    };
+    let is_finished = AtomicBool::new(false);
+    let acknowledged_at = std::thread::scope(|scope| {
+        for caller in 0..CALLERS {
+            let (system, is_finished) = (&system, &is_finished);
+            scope.spawn(move || {
+                for number in 0.. {
+                    if is_finished.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    system.request(0, &format!("{caller}-{number}"));
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+            });
+        }
+        std::thread::sleep(Duration::from_millis(1_500));
+        set_stalled(&system, true);
+        std::thread::sleep(Duration::from_millis(600));
+        let path = format!("/v1/upstreams/{}", DEPARTING.0);
+        wait_for("the acknowledgement", || {
+            call(keeper, "PUT", &path, &[], &draining).status == 200
+        });
+        let acknowledged_at = Instant::now();
+        std::thread::sleep(DRAIN_TIME + Duration::from_millis(200));
+        set_stalled(&system, false);
+        std::thread::sleep(Duration::from_secs(3));
+        is_finished.store(true, Ordering::SeqCst);
+        acknowledged_at
+    });
+    let late: Vec<_> = system.signals[0]
+        .arrivals()
+        .into_iter()
+        .filter(|arrival| *arrival > acknowledged_at + DRAIN_TIME)
+        .map(|arrival| arrival - acknowledged_at)
+        .collect();
+    assert!(late.is_empty(), "late by {late:?} after the acknowledgement");
+    let held_back = system.system.entries[0].lines("An attempt ended without an answer");
+    assert!(held_back.iter().any(|line| line["upstream"] == DEPARTING.0), "{held_back:?}");
+}
--- a/clayplankd/tests/seeded/main.rs
+++ b/clayplankd/tests/seeded/main.rs
@@ -14,6 +14,7 @@
 mod crashing_parts;
 mod crashing_upstreams;
 mod cut_off;
+mod departures;
 mod failover;
 mod guarantees;
 mod host;
--- a/clayplankd/tests/seeded/proxy.rs
+++ b/clayplankd/tests/seeded/proxy.rs
@@ -57,6 +57,8 @@
     Reset,
     /// Its connections stay, and new ones are not answered.
     NewConnections,
+    /// It can open connections, but nothing that it sends arrives.
+    Data,
 }
 
 /// Hosts that are cut off, by their address.
@@ -107,8 +109,7 @@
                     }
                     changed = cuts.changed() => {
                         if changed.is_err() { return }
-                        let hosts: Vec<_> = cuts.borrow_and_update().keys().copied().collect();
-                        drop_packets_of(&listener, &hosts);
+                        drop_packets_of(&listener, &cuts.borrow_and_update());
                     }
                 }
             }
@@ -134,8 +135,10 @@
                     socket.set_linger(Some(Duration::ZERO)).ok();
                     return;
                 }
-                Some(Cut::Silent) => drop_packets_of(&socket, &[host]),
-                Some(Cut::NewConnections) | None => drop_packets_of(&socket, &[]),
+                Some(cut @ (Cut::Silent | Cut::Data)) => {
+                    drop_packets_of(&socket, &Cuts::from([(host, cut)]));
+                }
+                Some(Cut::NewConnections) | None => drop_packets_of(&socket, &Cuts::new()),
             }
             if cuts.changed().await.is_err() {
                 std::future::pending::<()>().await;
@@ -154,17 +157,34 @@
 /// Offset of the source address in the IP header.
 const SOURCE_OFFSET: u32 = 12;
 
-/// Filter instructions: load a word, skip if it differs, and return the number of bytes to keep.
+/// Offset of the packet's length in the IP header.
+const LENGTH_OFFSET: u32 = 2;
+
+/// Maximum length of a packet without data: both headers, with all options of TCP.
+const MAX_HEADERS_BYTES: u32 = 80;
+
+/// Filter instructions: load a word or half a word, skip unless the comparison holds, and return the
+/// number of bytes to keep.
 const LOAD_WORD: u16 = 0x20;
+const LOAD_HALF_WORD: u16 = 0x28;
 const JUMP_IF_EQUAL: u16 = 0x15;
+const JUMP_IF_GREATER: u16 = 0x25;
 const RETURN: u16 = 0x06;
 
-/// Makes the kernel discard all packets of some hosts that arrive at a socket.
-fn drop_packets_of<'a>(socket: impl Into<SockRef<'a>>, hosts: &[Ipv4Addr]) {
-    let mut filter = vec![SockFilter::new(LOAD_WORD, 0, 0, IP_HEADER.wrapping_add(SOURCE_OFFSET))];
-    for host in hosts {
-        filter.push(SockFilter::new(JUMP_IF_EQUAL, 0, 1, u32::from(*host)));
-        filter.push(SockFilter::new(RETURN, 0, 0, 0));
+/// Makes the kernel discard packets that arrive at a socket: those of hosts that are cut off, or only
+/// those with data.
+fn drop_packets_of<'a>(socket: impl Into<SockRef<'a>>, cuts: &Cuts) {
+    let mut filter = Vec::new();
+    for (host, cut) in cuts {
+        let drops_all = *cut != Cut::Data;
+        let min_length = if drops_all { 0 } else { MAX_HEADERS_BYTES };
+        filter.extend([
+            SockFilter::new(LOAD_WORD, 0, 0, IP_HEADER.wrapping_add(SOURCE_OFFSET)),
+            SockFilter::new(JUMP_IF_EQUAL, 0, 3, u32::from(*host)),
+            SockFilter::new(LOAD_HALF_WORD, 0, 0, IP_HEADER.wrapping_add(LENGTH_OFFSET)),
+            SockFilter::new(JUMP_IF_GREATER, 0, 1, min_length),
+            SockFilter::new(RETURN, 0, 0, 0),
+        ]);
     }
     filter.push(SockFilter::new(RETURN, 0, 0, u32::MAX));
     socket.into().attach_filter(&filter).unwrap();
--- a/clayplankd/tests/seeded/signals.rs
+++ b/clayplankd/tests/seeded/signals.rs
@@ -92,6 +92,14 @@
         started
     }
 
+    /// Service of the upstreams.
+    pub fn service(&self) -> &'static str {
+        match self.kind {
+            UpstreamKind::Engines => "pool",
+            UpstreamKind::Service | UpstreamKind::Unrepeatable => LIMITED_SERVICE,
+        }
+    }
+
     /// Whether an upstream has received a request of an entry host.
     fn has_received_from(&self, entry: usize) -> bool {
         let host = entry.to_string();
