Acknowledge a departure only once more keepers know it than may fail at once

What callers saw: their requests ran at upstreams that had been acknowledged as draining or gone. Cause: the acknowledgement needed the leader alone, which counted itself when it was asked; the calls to the other keepers were tried once and their result was dropped. An upstream that departs does not repeat it, so that the next leader and the hosts kept its last heartbeat, which says ready. Evidence: with the calls held back and the leader killed, 40 of 40 requests from 2 s on ran there. Fix: the leader and one keeper more than tolerated_losses must have accepted the report within the time for which upstreams wait; else it is not acknowledged, and the upstream reports it to another host. Calls that fail are repeated. A keeper that knows it passes it to the next leader by their digests, as before. an_acknowledged_departure_survives_the_leader_that_acknowledged_it failed before (both cases) and passes.

--- a/clayplankd/src/doors/control_endpoint.rs
+++ b/clayplankd/src/doors/control_endpoint.rs
@@ -206,12 +206,14 @@
         self.notify_leader(&departed).await
     }
 
-    /// Reports to the leader that an upstream accepts no new requests, and acknowledges it only
-    /// once the leader has received it.
+    /// Reports to the keepers that an upstream accepts no new requests, and acknowledges it only
+    /// once enough of them have received it.
     async fn notify_leader(&self, heartbeat: &Heartbeat) -> Answer {
         let started_ms = now_ms();
         let leader = self.leader().await;
-        let is_relayed = self.heartbeat_relay.relay_now(heartbeat, leader.as_ref()).await;
+        let has_local_copy = matches!(self.registry, RegistryAccess::Local { .. });
+        let relayed = self.heartbeat_relay.relay_now(heartbeat, leader.as_ref(), has_local_copy);
+        let is_relayed = relayed.await;
         log::info!(target: log_target::KEEPER,
             upstream = heartbeat.id.as_str(), standing:? = heartbeat.standing,
             sequence = heartbeat.sequence, leader = leader.as_ref().map_or("", HostId::as_str),
@@ -220,7 +222,7 @@
         if is_relayed {
             empty(StatusCode::OK)
         } else {
-            fault(StatusCode::SERVICE_UNAVAILABLE, "the leading keeper does not know yet")
+            fault(StatusCode::SERVICE_UNAVAILABLE, "too few keepers know yet")
         }
     }
 }
--- a/clayplankd/src/fleet/heartbeat_relay.rs
+++ b/clayplankd/src/fleet/heartbeat_relay.rs
@@ -10,6 +10,7 @@
 use clayplank_types::{HostId, UpstreamId};
 use clayplank_wire::SpreadRequest;
 use rand::seq::SliceRandom;
+use tokio::sync::mpsc;
 
 use crate::keepers::keeper_client::KeeperClient;
 use crate::process::clock::now_ms;
@@ -28,23 +29,37 @@
 /// Time-out of a call that relays heartbeats. The next heartbeat makes up for a lost one.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Time-out of an urgent call to the leader. Its success precedes the acknowledgement to the
-/// upstream, which waits for one second.
+/// Time-out for enough keepers to accept an urgent heartbeat. This precedes the acknowledgement to
+/// the upstream, which waits for one second.
 const URGENT_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Maximum number of calls with which an urgent heartbeat is sent to one keeper.
+const MAX_URGENT_CALLS: usize = 4;
+
+/// Pause between two such calls.
+const URGENT_RETRY_PAUSE: Duration = Duration::from_millis(100);
+
 /// Queue of heartbeats and limits for the other keepers.
 #[derive(Clone, Debug)]
 pub(crate) struct HeartbeatRelay {
     local_host: HostId,
     peers: Peers,
     keepers: KeeperClient,
+    /// Number of keepers that may lose their state at once.
+    tolerated_losses: usize,
     pending: Arc<Mutex<Vec<Heartbeat>>>,
     pending_limits: Arc<Mutex<BTreeMap<UpstreamId, LimitObservation>>>,
 }
 
 impl HeartbeatRelay {
-    pub(crate) fn new(local_host: HostId, peers: Peers, keepers: KeeperClient) -> Self {
-        Self { local_host, peers, keepers, pending: Arc::default(), pending_limits: Arc::default() }
+    pub(crate) fn new(
+        local_host: HostId,
+        peers: Peers,
+        keepers: KeeperClient,
+        tolerated_losses: usize,
+    ) -> Self {
+        let (pending, pending_limits) = (Arc::default(), Arc::default());
+        Self { local_host, peers, keepers, tolerated_losses, pending, pending_limits }
     }
 
     fn take_pending(&self) -> Vec<Heartbeat> {
@@ -84,26 +99,66 @@
         limits.values().map(|limit| limit.to_aged(now_ms())).collect()
     }
 
-    /// Relays immediately that an upstream accepts no new work. Returns whether the leader knows
-    /// it, from which the entry hosts learn it.
-    pub(crate) async fn relay_now(&self, heartbeat: &Heartbeat, leader: Option<&HostId>) -> bool {
-        let hosts: Vec<_> =
-            self.peer_keepers().into_iter().filter(|host| Some(host) != leader).collect();
+    /// Relays immediately that an upstream accepts no new work, which it may not repeat. Returns
+    /// whether this outlasts the tolerated losses and reaches all hosts: whether the leader, from
+    /// which they learn it, and more keepers than may fail at once have accepted it.
+    pub(crate) async fn relay_now(
+        &self,
+        heartbeat: &Heartbeat,
+        leader: Option<&HostId>,
+        has_local_copy: bool,
+    ) -> bool {
+        let Some(leader) = leader else {
+            return false;
+        };
+        let hosts = self.peer_keepers();
+        let known_keepers = hosts.len() + usize::from(has_local_copy);
+        let required_copies = (self.tolerated_losses + 1).min(known_keepers);
+        let mut copies = usize::from(has_local_copy);
+        let mut is_at_leader = has_local_copy && *leader == self.local_host;
+        let mut accepted = self.send_to_all(hosts, heartbeat);
+        let enough_copies = async {
+            while !is_at_leader || copies < required_copies {
+                let Some(host) = accepted.recv().await else {
+                    return false;
+                };
+                copies += 1;
+                is_at_leader |= host == *leader;
+            }
+            true
+        };
+        clayplank_clock::timeout(URGENT_TIMEOUT, enough_copies).await.unwrap_or(false)
+    }
+
+    /// Sends an urgent heartbeat to keepers; returns those that accept it, as they do. The calls
+    /// continue if the receiver is dropped.
+    fn send_to_all(
+        &self,
+        hosts: Vec<HostId>,
+        heartbeat: &Heartbeat,
+    ) -> mpsc::UnboundedReceiver<HostId> {
+        let (sender, accepted) = mpsc::unbounded_channel();
         for host in hosts {
-            let heartbeat_relay = self.clone();
-            let heartbeat = heartbeat.clone();
-            tokio::spawn(
-                async move { heartbeat_relay.send(&host, &[heartbeat], CALL_TIMEOUT).await },
-            );
+            let (heartbeat_relay, sender) = (self.clone(), sender.clone());
+            let heartbeats = [heartbeat.clone()];
+            tokio::spawn(async move {
+                if heartbeat_relay.send_with_retries(&host, &heartbeats).await {
+                    // The receiver does not wait for all keepers.
+                    sender.send(host).ok();
+                }
+            });
         }
-        match leader {
-            Some(leader) if *leader == self.local_host => true,
-            Some(leader) => {
-                let heartbeats = std::slice::from_ref(heartbeat);
-                self.send(leader, heartbeats, URGENT_TIMEOUT).await
+        accepted
+    }
+
+    async fn send_with_retries(&self, host: &HostId, heartbeats: &[Heartbeat]) -> bool {
+        for _ in 0..MAX_URGENT_CALLS {
+            if self.send(host, heartbeats, CALL_TIMEOUT).await {
+                return true;
             }
-            None => false,
+            clayplank_clock::sleep(URGENT_RETRY_PAUSE).await;
         }
+        false
     }
 
     async fn send(&self, host: &HostId, heartbeats: &[Heartbeat], timeout: Duration) -> bool {
--- a/clayplankd/src/process/seeded_keeper.rs
+++ b/clayplankd/src/process/seeded_keeper.rs
@@ -89,7 +89,12 @@
 
     /// Creates the forwarder of heartbeats from this host to the keepers.
     pub(crate) fn new_heartbeat_relay(&self) -> HeartbeatRelay {
-        HeartbeatRelay::new(self.local_host.clone(), self.peers.clone(), self.keepers.clone())
+        HeartbeatRelay::new(
+            self.local_host.clone(),
+            self.peers.clone(),
+            self.keepers.clone(),
+            self.settings.tolerated_losses,
+        )
     }
 
     /// Starts the control endpoint, for operators and heartbeats of upstreams.
