Check that an upstream accepts requests at the moment of sending, not only when it is chosen

What callers saw: requests went to upstreams that had drained between the choice and the first byte (a wait for memory, a permit, a turn, a connection or a tunnel); and prompts were refused for 1.5 s, with other engines idle, when the host knew earlier than the leader that the engine drains. Cause: an attempt looked only at what an answer had stated, once, before it opened a connection; whether the upstream drains, has departed or is cordoned was checked at the choice alone. Evidence: an upstream drains while a tunnel is opened; the whole request came through it. Fix: one function, accepts_request, decides at the choice, before the attempt and on the open connection. It serves first tries, retries, resumed streams and trials, as all are attempts.

--- a/clayplank-forward/src/attempt.rs
+++ b/clayplank-forward/src/attempt.rs
@@ -20,7 +20,8 @@
 use crate::call::Call;
 use crate::choice::Chosen;
 use crate::clock::now_ms;
-use crate::exchange::{Connection, ExchangeError, exchange};
+use crate::delivery::{DeliveryError, deliver};
+use crate::exchange::{Connection, ExchangeError};
 use crate::headers::{UpstreamHeaders, upstream_headers};
 use crate::load::{LoadGuard, Outcome};
 use crate::request_metadata::header_text;
@@ -73,8 +74,9 @@
         }
         let Chosen { record, helpers, load, .. } = chosen;
         let upstream = record.heartbeat.id.clone();
-        // The upstream may have become unavailable while memory was reserved for the request.
-        if self.entry.directory.is_unavailable(&upstream) {
+        // The upstream may have stopped accepting requests while memory was reserved for this one, or
+        // while it waited for a permit.
+        if !self.entry.directory.accepts_request(&upstream) {
             self.log_withheld(&upstream);
             return Attempt::NotRun;
         }
@@ -83,10 +85,9 @@
         let may_have_run_before = self.may_have_run;
         self.count_sent();
         self.log_limited(&upstream);
-        self.log_outdated(&upstream);
         let (sent_ms, sent_at) = (now_ms(), Instant::now());
         let entry = Arc::clone(&self.entry);
-        let sent = exchange(&entry.connector, record.heartbeat.address, request);
+        let sent = deliver(&entry, &upstream, record.heartbeat.address, request);
         let sent = load.unless_replaced(clayplank_clock::timeout(timeout, sent)).await;
         let Some(sent) = sent else {
             return self.record_unanswered(
@@ -101,12 +102,18 @@
                 let answer = Answer { response, connection, sent_ms, sent_at };
                 self.process_head(&upstream, load, answer, may_have_run_before)
             }
-            Ok(Err(ExchangeError::Connect(error))) => {
+            Ok(Err(DeliveryError::Exchange(ExchangeError::Connect(error)))) => {
                 self.sent_count -= 1;
                 self.may_have_run = may_have_run_before;
                 self.record_unconnected(&upstream, load, &error)
             }
-            Ok(Err(ExchangeError::Failed(error))) => {
+            Ok(Err(DeliveryError::NotAccepting)) => {
+                self.sent_count -= 1;
+                self.may_have_run = may_have_run_before;
+                self.log_withheld(&upstream);
+                Attempt::NotRun
+            }
+            Ok(Err(DeliveryError::Exchange(ExchangeError::Failed(error)))) => {
                 self.record_unanswered(&upstream, load, "lost", &error.to_string())
             }
             Err(_) => {
@@ -266,18 +273,6 @@
             "Sends to an upstream with a limit");
     }
 
-    /// Logs that a request is sent to an upstream that has stopped accepting requests since it was
-    /// chosen.
-    fn log_outdated(&self, upstream: &UpstreamId) {
-        if !self.entry.directory.accepts_request(upstream) {
-            self.entry.metrics.count_attempt("outdated");
-            log::info!(target: "forward",
-                request = self.metadata.attempt_id, upstream = upstream.as_str(),
-                waited_ms = self.waited_ms();
-                "Sends to an upstream that accepts no new requests");
-        }
-    }
-
     /// Attributes the failure to the helper that the response names, or else to the engine that
     /// responded.
     fn record_at_fault(&mut self, load: &mut LoadGuard, at_fault: &str) {
--- a/clayplank-forward/src/availability.rs
+++ b/clayplank-forward/src/availability.rs
@@ -126,11 +126,6 @@
         record.heartbeat.standing != UpstreamStatus::Ready || self.is_leaving(&record.heartbeat.id)
     }
 
-    /// Whether an upstream wants no requests from this host.
-    pub fn is_unavailable(&self, id: &UpstreamId) -> bool {
-        self.lock().unavailability(id).is_in_force(now_ms())
-    }
-
     /// Whether an upstream accepts a request from this host now.
     pub fn accepts_request(&self, id: &UpstreamId) -> bool {
         self.usable_record(id).is_some()
--- a/clayplank-forward/src/choice.rs
+++ b/clayplank-forward/src/choice.rs
@@ -7,6 +7,7 @@
     Assignment, Event, HelperPart, MIN_GOAL_MS, PlacementOutcome, PlacementRequest,
 };
 use clayplank_registry::Record;
+use clayplank_types::UpstreamId;
 
 use crate::attempt::BUSY_RETRY_MS;
 use crate::call::Call;
@@ -73,10 +74,13 @@
     /// may; otherwise it is deferred: placement is requested again after a pause.
     async fn choose_engine(&self) -> Result<Chosen, Refusal> {
         let mut deferred_ms = 0;
+        // Engines that this host knows not to accept the request, while the placer does not.
+        let mut not_accepting = Vec::new();
         loop {
             deferred_ms += self.wait_for_backoff().await?;
             let queue_permit = self.queue_permit();
-            let request = self.placement_request(queue_permit.as_ref());
+            let mut request = self.placement_request(queue_permit.as_ref());
+            request.avoid.extend_from_slice(&not_accepting);
             let placed = self.place(&request).await;
             // A deferred request does not wait in the queue.
             self.release_queue_permit(queue_permit);
@@ -87,13 +91,15 @@
                 self.log_deferred(deferred_ms, &placed);
             }
             let pause_ms = match placed {
-                PlacementOutcome::At(assignment) if self.is_outdated(&assignment) => {
+                PlacementOutcome::At(assignment) => {
+                    let outdated = self.not_accepting(&assignment);
+                    if outdated.is_empty() {
+                        return self.prepare_assignment(&request, &assignment).await;
+                    }
                     self.entry.placer.record_event(request.id, Event::Ended);
+                    not_accepting.extend(outdated);
                     continue;
                 }
-                PlacementOutcome::At(assignment) => {
-                    return self.prepare_assignment(&request, &assignment).await;
-                }
                 PlacementOutcome::Soon { again_in_ms: pause_ms }
                 | PlacementOutcome::Queued { expected_ms: pause_ms } => {
                     // A request that may wait in the queue is answered before its caller leaves.
@@ -140,11 +146,12 @@
         Ok(backoff_ms)
     }
 
-    /// Whether an engine of the assignment wants no requests since the placement was requested.
-    fn is_outdated(&self, assignment: &Assignment) -> bool {
+    /// Engines of an assignment that do not accept the request: this host may learn earlier than the
+    /// placer that they drain, are cordoned or requested a backoff.
+    fn not_accepting(&self, assignment: &Assignment) -> Vec<UpstreamId> {
         let helpers = assignment.helpers.iter().map(|part| &part.engine);
-        let mut engines = helpers.chain([&assignment.engine]);
-        engines.any(|engine| self.entry.directory.is_unavailable(engine))
+        let engines = helpers.chain([&assignment.engine]);
+        engines.filter(|engine| !self.entry.directory.accepts_request(engine)).cloned().collect()
     }
 
     /// Logs, once per request, that it was deferred and whether it was placed.
--- a/clayplank-forward/src/exchange.rs
+++ b/clayplank-forward/src/exchange.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use clayplank_connect::{ConnectError, Connector};
+use clayplank_connect::{ConnectError, Connector, UpstreamStream};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -66,13 +66,11 @@
     refused.is_some_and(|error| error.is_refused())
 }
 
-/// Sends a request and waits for the head of the response.
+/// Sends a request on a new connection and waits for the head of the response.
 pub(crate) async fn exchange(
-    connector: &Connector,
-    address: SocketAddr,
+    stream: UpstreamStream,
     request: Request<Full<Bytes>>,
 ) -> Result<(Response<Incoming>, Connection), ExchangeError> {
-    let stream = connector.connect(address).await.map_err(ExchangeError::Connect)?;
     let tunnel_host = stream.tunnel_host();
     let (mut sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
@@ -101,7 +99,8 @@
     timeout: Duration,
 ) -> Result<(StatusCode, Bytes), CallError> {
     let call = async {
-        let (response, _connection) = exchange(connector, address, request).await?;
+        let stream = connector.connect(address).await.map_err(ExchangeError::Connect)?;
+        let (response, _connection) = exchange(stream, request).await?;
         let status = response.status();
         let body = response.into_body().collect().await.map_err(CallError::BrokenOff)?;
         Ok((status, body.to_bytes()))
--- a/clayplank-forward/src/lib.rs
+++ b/clayplank-forward/src/lib.rs
@@ -26,6 +26,7 @@
 mod caller_queue;
 mod choice;
 mod clock;
+mod delivery;
 mod directory;
 mod entry;
 mod events;
