Discard requests that have not reached an upstream soon after it stops accepting any

What callers saw: requests arrived at upstreams long after these had said that they leave, when a link recovered. Cause: the kernel sends bytes again until they are acknowledged, for up to 4 s, also those of a socket that was closed because its attempt was abandoned. Through a peer there are two such sockets, and a peer that was frozen passes the rest on whenever it runs again. Evidence: a link stalls, the upstream drains 0.6 s later, the link recovers 2.2 s after the acknowledgement: 12 of 12 requests arrive 2.7 s after it, for a service, a service whose requests must not be repeated, engines, and through a peer. Fix: once an upstream stops accepting requests, the kernel closes connections with bytes that remain unacknowledged for a quarter of bounds.drain_ms, a new setting. Bytes that its host has acknowledged are its work: keepalive is off meanwhile, so that silence alone ends nothing. A connection that ends before the head of a response is reset, which discards what it holds. A peer does both for its own connection, and does not pass on bytes that come later than that after the former ones.

--- a/clayplank-connect/src/connector.rs
+++ b/clayplank-connect/src/connector.rs
@@ -9,6 +9,7 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::pin::pin;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -32,6 +33,13 @@
 /// Minimum interval between two log lines on whether this host is cut off, in ms.
 const MIN_LOG_INTERVAL_MS: u64 = 1_000;
 
+/// Default time after which an upstream that drains or has departed receives no more requests, in ms.
+const DEFAULT_DRAIN_MS: u64 = 2_000;
+
+/// Part of that time for which a request may be on one of the connections to such an upstream: there
+/// are two if it goes through a peer, and the hosts need time to learn that the upstream drains.
+const DELIVERY_SHARE: f64 = 0.25;
+
 /// Reason for which no connection to an upstream could be opened.
 #[derive(Debug, thiserror::Error)]
 pub enum ConnectError {
@@ -90,17 +98,36 @@
 }
 
 /// Opens the connections of this host to upstreams.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Connector {
     /// Local address of all direct connections; `None` if the operating system chooses one.
     source: Option<IpAddr>,
+    drain_ms: AtomicU64,
     state: Mutex<State>,
 }
 
+impl Default for Connector {
+    fn default() -> Self {
+        Self::with_source(None)
+    }
+}
+
 impl Connector {
     /// Creates a connector whose direct connections come from the given address of this host.
     pub fn with_source(source: Option<IpAddr>) -> Self {
-        Self { source, ..Self::default() }
+        Self { source, drain_ms: AtomicU64::new(DEFAULT_DRAIN_MS), state: Mutex::default() }
+    }
+
+    /// Sets the time after which an upstream that drains or has departed receives no more requests,
+    /// in ms.
+    pub fn set_drain_ms(&self, drain_ms: u64) {
+        self.drain_ms.store(drain_ms, Ordering::SeqCst);
+    }
+
+    /// Time for which a request may be on one connection to an upstream that has stopped accepting
+    /// requests.
+    pub fn delivery_timeout(&self) -> Duration {
+        Duration::from_millis(self.drain_ms.load(Ordering::SeqCst)).mul_f64(DELIVERY_SHARE)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/clayplank-connect/src/socket.rs
+++ b/clayplank-connect/src/socket.rs
@@ -14,6 +14,10 @@
 /// A connection is closed if the peer does not acknowledge bytes for this time.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Time after which retransmissions are no longer limited. Until then the kernel has closed every
+/// connection with bytes that were unacknowledged when the limit was set.
+pub const LIMIT_DURATION: Duration = UNACKNOWLEDGED_TIMEOUT.saturating_add(Duration::from_secs(1));
+
 /// Idle time after which a connection is probed, and the interval between probes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -55,3 +59,24 @@
         log::debug!(target: "forward", "Could not set the time-outs of a socket: {error}.");
     }
 }
+
+/// Shortens the time for which the kernel sends unacknowledged bytes again. Keepalive is turned off, as
+/// the shorter time would count for unanswered probes too, and end a connection on which all bytes have
+/// been acknowledged.
+pub(crate) fn limit_retransmission(stream: &TcpStream, timeout: Duration) {
+    let socket = socket2::SockRef::from(stream);
+    let limited =
+        socket.set_keepalive(false).and_then(|()| socket.set_tcp_user_timeout(Some(timeout)));
+    if let Err(error) = limited {
+        log::warn!(target: "forward", "Could not limit the retransmissions of a socket: {error}.");
+    }
+}
+
+/// Sets whether the end of a connection discards all bytes that the peer's host has not acknowledged.
+/// Otherwise the kernel sends them on after the socket is closed.
+pub(crate) fn set_discard_on_close(stream: &TcpStream, discards: bool) {
+    let linger = discards.then_some(Duration::ZERO);
+    if let Err(error) = socket2::SockRef::from(stream).set_linger(linger) {
+        log::warn!(target: "forward", "Could not set SO_LINGER on a socket: {error}.");
+    }
+}
--- a/clayplank-connect/src/stream.rs
+++ b/clayplank-connect/src/stream.rs
@@ -4,10 +4,12 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::socket::{limit_retransmission, set_discard_on_close, set_socket_timeouts};
 use crate::tunnel_client::TunnelStream;
 
 /// A connection to an upstream.
@@ -27,6 +29,27 @@
             Self::Tunnelled(stream) => Some(stream.host()),
         }
     }
+
+    fn socket(&self) -> &TcpStream {
+        match self {
+            Self::Direct(stream) => stream,
+            Self::Tunnelled(stream) => stream.socket(),
+        }
+    }
+
+    /// Limits the time for which unacknowledged bytes are sent again, or restores the usual one.
+    pub fn set_retransmission_limit(&self, timeout: Option<Duration>) {
+        match timeout {
+            Some(timeout) => limit_retransmission(self.socket(), timeout),
+            None => set_socket_timeouts(self.socket()),
+        }
+    }
+
+    /// Makes the end of the connection discard all bytes that have not been acknowledged: otherwise
+    /// they are sent on after the socket is closed.
+    pub fn discard_on_close(&self) {
+        set_discard_on_close(self.socket(), true);
+    }
 }
 
 impl AsyncRead for UpstreamStream {
@@ -50,21 +73,21 @@
     ) -> Poll<io::Result<usize>> {
         match self.get_mut() {
             Self::Direct(stream) => Pin::new(stream).poll_write(context, bytes),
-            Self::Tunnelled(stream) => Pin::new(stream.socket()).poll_write(context, bytes),
+            Self::Tunnelled(stream) => Pin::new(stream.socket_mut()).poll_write(context, bytes),
         }
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         match self.get_mut() {
             Self::Direct(stream) => Pin::new(stream).poll_flush(context),
-            Self::Tunnelled(stream) => Pin::new(stream.socket()).poll_flush(context),
+            Self::Tunnelled(stream) => Pin::new(stream.socket_mut()).poll_flush(context),
         }
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         match self.get_mut() {
             Self::Direct(stream) => Pin::new(stream).poll_shutdown(context),
-            Self::Tunnelled(stream) => Pin::new(stream.socket()).poll_shutdown(context),
+            Self::Tunnelled(stream) => Pin::new(stream.socket_mut()).poll_shutdown(context),
         }
     }
 }
--- a/clayplank-connect/src/tunnel_client.rs
+++ b/clayplank-connect/src/tunnel_client.rs
@@ -38,7 +38,11 @@
         self.host
     }
 
-    pub(crate) fn socket(&mut self) -> &mut TcpStream {
+    pub(crate) fn socket(&self) -> &TcpStream {
+        &self.stream
+    }
+
+    pub(crate) fn socket_mut(&mut self) -> &mut TcpStream {
         &mut self.stream
     }
 
--- a/clayplank-connect/src/tunnel_server.rs
+++ b/clayplank-connect/src/tunnel_server.rs
@@ -1,18 +1,22 @@
 //! Serves tunnels: connects to upstreams on behalf of peers that do not reach them.
 
 use std::collections::BTreeMap;
+use std::convert::Infallible;
 use std::fmt::Write as _;
+use std::future::Future;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
+use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use clayplank_clock::Instant;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 
 use crate::connector::Connector;
+use crate::socket::{LIMIT_DURATION, limit_retransmission, set_discard_on_close};
 use crate::tunnel_protocol::{
     FRAME_HEADER_BYTES, MAGIC, TunnelReply, TunnelRequest, read_request, write_reply,
 };
@@ -42,6 +46,12 @@
     /// requests of this host.
     fn is_open(&self, address: SocketAddr) -> bool;
 
+    /// Waits until no upstream at an address accepts new work.
+    fn wait_until_not_accepting(
+        &self,
+        address: SocketAddr,
+    ) -> Pin<Box<dyn Future<Output = ()> + Send + '_>>;
+
     /// Records that an upstream requested a backoff from this host, in an answer to a peer.
     fn record_backoff(&self, address: SocketAddr, backoff_ms: u64);
 }
@@ -100,11 +110,31 @@
         self.count(reply);
         write_reply(&mut peer, reply).await?;
         match connected {
-            Ok((upstream, _permit)) => pass(peer, upstream).await,
+            Ok((upstream, _permit)) => {
+                let timeout = self.connector.delivery_timeout();
+                tokio::select! {
+                    passed = pass(&peer, &upstream, timeout) => passed,
+                    never = self.limit_delivery(address, &upstream, timeout) => match never {},
+                }
+            }
             Err(_) => Ok(()),
         }
     }
 
+    /// Limits retransmissions to an upstream for some time once it accepts no requests any more.
+    async fn limit_delivery(
+        &self,
+        address: SocketAddr,
+        upstream: &TcpStream,
+        timeout: Duration,
+    ) -> Infallible {
+        self.access.wait_until_not_accepting(address).await;
+        limit_retransmission(upstream, timeout);
+        clayplank_clock::sleep(LIMIT_DURATION).await;
+        crate::set_socket_timeouts(upstream);
+        std::future::pending().await
+    }
+
     /// Connects to an upstream. Never opens a tunnel itself.
     async fn connect(
         &self,
@@ -159,33 +189,88 @@
 }
 
 /// Passes bytes on in both directions until either side ends.
-async fn pass(mut peer: TcpStream, mut upstream: TcpStream) -> io::Result<()> {
-    let (mut from_peer, mut to_peer) = peer.split();
-    let (mut from_upstream, mut to_upstream) = upstream.split();
+async fn pass(
+    peer: &TcpStream,
+    upstream: &TcpStream,
+    delivery_timeout: Duration,
+) -> io::Result<()> {
     tokio::select! {
         // A peer that closes its connection has abandoned the request.
-        copied = tokio::io::copy(&mut from_peer, &mut to_upstream) => return copied.map(drop),
-        passed = pass_frames(&mut from_upstream, &mut to_peer) => passed?,
+        passed = pass_request(peer, upstream, delivery_timeout) => return passed,
+        passed = pass_frames(upstream, peer) => passed?,
     }
-    to_peer.shutdown().await?;
-    let mut sink = tokio::io::sink();
-    let drained =
-        clayplank_clock::timeout(DRAIN_TIMEOUT, tokio::io::copy(&mut from_peer, &mut sink)).await;
-    drained.map_or(Ok(()), |drained| drained.map(drop))
+    socket2::SockRef::from(peer).shutdown(Shutdown::Write)?;
+    let mut unread = vec![0; MAX_FRAME_BYTES];
+    let drained = clayplank_clock::timeout(DRAIN_TIMEOUT, async {
+        while read(peer, &mut unread).await? > 0 {}
+        Ok(())
+    });
+    drained.await.unwrap_or(Ok(()))
 }
 
-/// Passes an upstream's bytes on in frames, the last one empty.
-async fn pass_frames(
-    from: &mut (impl AsyncReadExt + Unpin),
-    to: &mut (impl AsyncWriteExt + Unpin),
+/// Passes the bytes of a request on. Bytes that come long after the former ones were held back, by
+/// a link or because this host was frozen, and the upstream may have stopped accepting requests since.
+async fn pass_request(
+    from: &TcpStream,
+    to: &TcpStream,
+    delivery_timeout: Duration,
 ) -> io::Result<()> {
+    let mut bytes = vec![0; MAX_FRAME_BYTES];
+    let mut has_begun = false;
+    loop {
+        let waits_since = Instant::now();
+        let size = read(from, &mut bytes).await?;
+        if size == 0 {
+            return Ok(());
+        }
+        if !std::mem::replace(&mut has_begun, true) {
+            // Until the answer begins, a peer that leaves has abandoned the request.
+            set_discard_on_close(to, true);
+        }
+        if waits_since.elapsed() > delivery_timeout {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        write_all(to, &bytes[..size]).await?;
+    }
+}
+
+/// Passes an upstream's bytes on in frames, the last one empty.
+async fn pass_frames(from: &TcpStream, to: &TcpStream) -> io::Result<()> {
     let mut frame = vec![0; FRAME_HEADER_BYTES + MAX_FRAME_BYTES];
+    let mut has_begun = false;
     loop {
-        let size = from.read(&mut frame[FRAME_HEADER_BYTES..]).await?;
+        let size = read(from, &mut frame[FRAME_HEADER_BYTES..]).await?;
+        if !std::mem::replace(&mut has_begun, true) {
+            set_discard_on_close(from, false);
+        }
         frame[..FRAME_HEADER_BYTES].copy_from_slice(&(size as u16).to_be_bytes());
-        to.write_all(&frame[..FRAME_HEADER_BYTES + size]).await?;
+        write_all(to, &frame[..FRAME_HEADER_BYTES + size]).await?;
         if size == 0 {
             return Ok(());
         }
     }
 }
+
+/// Reads some bytes of a shared socket; none at the end of the connection.
+async fn read(stream: &TcpStream, bytes: &mut [u8]) -> io::Result<usize> {
+    loop {
+        stream.readable().await?;
+        match stream.try_read(bytes) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            result => return result,
+        }
+    }
+}
+
+/// Writes all bytes to a shared socket.
+async fn write_all(stream: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        stream.writable().await?;
+        match stream.try_write(bytes) {
+            Ok(size) => bytes = &bytes[size..],
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(())
+}
--- a/clayplank-connect/tests/tunnels.rs
+++ b/clayplank-connect/tests/tunnels.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -27,6 +28,13 @@
         !self.is_closed.load(Ordering::SeqCst)
     }
 
+    fn wait_until_not_accepting(
+        &self,
+        _: SocketAddr,
+    ) -> Pin<Box<dyn Future<Output = ()> + Send + '_>> {
+        Box::pin(std::future::pending())
+    }
+
     fn record_backoff(&self, address: SocketAddr, backoff_ms: u64) {
         self.backoffs.lock().unwrap().push((address, backoff_ms));
     }
--- a/clayplank-forward/src/availability.rs
+++ b/clayplank-forward/src/availability.rs
@@ -108,7 +108,10 @@
     pub fn record_leaving(&self, id: &UpstreamId) -> bool {
         let mut inner = self.lock();
         let unavailability = inner.unavailable.entry(id.clone()).or_default();
-        !std::mem::replace(&mut unavailability.is_leaving, true)
+        let is_news = !std::mem::replace(&mut unavailability.is_leaving, true);
+        drop(inner);
+        self.notify_stopped_accepting();
+        is_news
     }
 
     /// Remaining time of the backoff that an upstream requested from this host; zero without one.
--- a/clayplank-forward/src/directory.rs
+++ b/clayplank-forward/src/directory.rs
@@ -123,6 +123,11 @@
             && !self.is_leaving(&heartbeat.id)
     }
 
+    /// Whether an upstream is known and accepts new work.
+    pub(crate) fn is_accepting(&self, id: &UpstreamId) -> bool {
+        self.records.get(id).is_some_and(|record| self.accepts_work(&record.heartbeat))
+    }
+
     /// Heartbeats of the incarnations of an upstream that have not departed.
     fn running_incarnations(&self, name: &str) -> impl Iterator<Item = &Heartbeat> {
         let without_start = self.records.get(&UpstreamId::new(name));
@@ -251,6 +256,8 @@
     inner: Mutex<Inner>,
     /// Notified whenever an upstream has been replaced.
     replaced: watch::Sender<()>,
+    /// Notified whenever an upstream may have stopped accepting work.
+    stopped_accepting: watch::Sender<()>,
 }
 
 impl Directory {
@@ -271,9 +278,33 @@
         if is_one_replaced {
             self.replaced.send_replace(());
         }
+        if changed.iter().any(|record| record.heartbeat.standing != UpstreamStatus::Ready) {
+            self.notify_stopped_accepting();
+        }
         changed
     }
 
+    /// Has those that wait for an upstream to stop accepting work look again.
+    pub(crate) fn notify_stopped_accepting(&self) {
+        self.stopped_accepting.send_replace(());
+    }
+
+    /// Waits until an upstream accepts no new work, whatever it accepts from this host meanwhile.
+    pub(crate) async fn wait_until_not_accepting(&self, id: &UpstreamId) {
+        self.wait_while(|inner| inner.is_accepting(id)).await;
+    }
+
+    /// Waits until a condition no longer holds that ends when an upstream stops accepting work.
+    pub(crate) async fn wait_while(&self, is_so: impl Fn(&Inner) -> bool) {
+        let mut changes = self.stopped_accepting.subscribe();
+        while is_so(&self.lock()) {
+            // The sender lives as long as the directory.
+            if changes.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+
     /// Waits until an upstream has been replaced, after which its requests get no answer.
     pub async fn wait_until_replaced(&self, id: &UpstreamId) {
         let mut changes = self.replaced.subscribe();
@@ -307,6 +338,7 @@
         }
         drop(inner);
         self.replaced.send_replace(());
+        self.notify_stopped_accepting();
     }
 
     /// Whether an incarnation has departed, or is unknown, and another upstream of its service,
@@ -365,6 +397,8 @@
             }
         }
         *former = cordoned;
+        drop(inner);
+        self.notify_stopped_accepting();
     }
 
     /// Sets the limits on requests to cold upstreams from the serving plan.
--- a/clayplank-forward/src/entry.rs
+++ b/clayplank-forward/src/entry.rs
@@ -182,6 +182,12 @@
         self.lock_budget().set_limits(limits);
     }
 
+    /// Sets the time after which an upstream that drains or has departed receives no more requests,
+    /// in ms.
+    pub fn set_drain_ms(&self, drain_ms: u64) {
+        self.connector.set_drain_ms(drain_ms);
+    }
+
     /// Sets the number of hosts that share the retry budget.
     pub fn set_hosts(&self, hosts: u64) {
         self.lock_budget().set_hosts(hosts);
--- a/clayplank-forward/src/exchange.rs
+++ b/clayplank-forward/src/exchange.rs
@@ -1,15 +1,18 @@
 //! One request to one upstream, on a dedicated connection.
 
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
-use clayplank_connect::{ConnectError, Connector, UpstreamStream};
+use clayplank_connect::{ConnectError, Connector};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::task::JoinHandle;
 
 /// Maximum size of a response head, in bytes.
@@ -66,19 +69,27 @@
     refused.is_some_and(|error| error.is_refused())
 }
 
-/// Sends a request on a new connection and waits for the head of the response.
+/// Sends a request on a new connection and waits for the head of the response. `supervision` runs
+/// in the task of the connection, which it wakes.
 pub(crate) async fn exchange(
-    stream: UpstreamStream,
+    stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    tunnel_host: Option<SocketAddr>,
     request: Request<Full<Bytes>>,
+    supervision: impl Future<Output = ()> + Send + 'static,
 ) -> Result<(Response<Incoming>, Connection), ExchangeError> {
-    let tunnel_host = stream.tunnel_host();
     let (mut sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(ExchangeError::Failed)?;
     let task = tokio::spawn(async move {
-        if let Err(error) = connection.await {
+        let mut connection = pin!(connection);
+        let ended = tokio::select! {
+            biased;
+            () = supervision => connection.await,
+            ended = connection.as_mut() => ended,
+        };
+        if let Err(error) = ended {
             log::debug!(target: "forward", "A connection to an upstream failed: {error}.");
         }
     });
@@ -100,7 +111,9 @@
 ) -> Result<(StatusCode, Bytes), CallError> {
     let call = async {
         let stream = connector.connect(address).await.map_err(ExchangeError::Connect)?;
-        let (response, _connection) = exchange(stream, request).await?;
+        let tunnel_host = stream.tunnel_host();
+        let (response, _connection) =
+            exchange(stream, tunnel_host, request, std::future::pending()).await?;
         let status = response.status();
         let body = response.into_body().collect().await.map_err(CallError::BrokenOff)?;
         Ok((status, body.to_bytes()))
--- a/clayplank-forward/src/tunnel_access.rs
+++ b/clayplank-forward/src/tunnel_access.rs
@@ -1,6 +1,8 @@
 //! Upstreams to which this host connects on behalf of its peers.
 
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 
 use clayplank_connect::UpstreamAccess;
 use clayplank_registry::UpstreamStatus;
@@ -26,6 +28,15 @@
         inner.running_at(address).any(|id| inner.backoff_left_ms(now_ms, id) == 0)
     }
 
+    fn wait_until_not_accepting(
+        &self,
+        address: SocketAddr,
+    ) -> Pin<Box<dyn Future<Output = ()> + Send + '_>> {
+        let is_accepting =
+            move |inner: &Inner| inner.running_at(address).any(|id| inner.is_accepting(id));
+        Box::pin(self.wait_while(is_accepting))
+    }
+
     fn record_backoff(&self, address: SocketAddr, backoff_ms: u64) {
         let upstreams: Vec<_> = self.lock().running_at(address).cloned().collect();
         upstreams.iter().for_each(|id| self.record_backoff(id, backoff_ms));
--- a/clayplank-settings/src/bounds.rs
+++ b/clayplank-settings/src/bounds.rs
@@ -29,6 +29,9 @@
     /// Time after which the upstreams of a cordoned data centre must receive no more requests,
     /// in ms.
     pub cordon_ms: u64,
+    /// Time after which an upstream whose draining or departure was acknowledged must receive no
+    /// more requests, in ms.
+    pub drain_ms: u64,
     /// Time from a planned stop until the process is killed, in seconds.
     pub grace_s: f64,
     /// Retries allowed per first attempt, over all hosts.
@@ -46,6 +49,7 @@
             apply_ms: 2_000,
             revoke_ms: 5_000,
             cordon_ms: 5_000,
+            drain_ms: 2_000,
             grace_s: 8.0,
             retry_ratio: 0.2,
             retry_extra: 100.0,
@@ -74,6 +78,10 @@
     /// in ms. A fraction is rounded down.
     #[schemars(range(min = 100, max = DAY_MS))]
     cordon_ms: Option<f64>,
+    /// Time after which an upstream whose draining or departure was acknowledged must receive no
+    /// more requests, in ms. A fraction is rounded down.
+    #[schemars(range(min = 100, max = DAY_MS))]
+    drain_ms: Option<f64>,
     /// Time from a planned stop until the process is killed, in seconds.
     #[schemars(range(min = 0, max = DAY_S))]
     grace_s: Option<f64>,
@@ -97,6 +105,7 @@
             apply_ms: written.apply_ms.map_or(defaults.apply_ms, |ms| ms.floor() as u64),
             revoke_ms: written.revoke_ms.map_or(defaults.revoke_ms, |ms| ms.floor() as u64),
             cordon_ms: written.cordon_ms.map_or(defaults.cordon_ms, |ms| ms.floor() as u64),
+            drain_ms: written.drain_ms.map_or(defaults.drain_ms, |ms| ms.floor() as u64),
             grace_s: written.grace_s.unwrap_or(defaults.grace_s),
             retry_ratio: written.retry_ratio.unwrap_or(defaults.retry_ratio),
             retry_extra: written.retry_extra.unwrap_or(defaults.retry_extra),
--- a/clayplank-settings/tests/seeded.rs
+++ b/clayplank-settings/tests/seeded.rs
@@ -50,6 +50,7 @@
 #[rstest]
 #[case::heartbeat_ms("heartbeat_ms")]
 #[case::apply_ms("apply_ms")]
+#[case::drain_ms("drain_ms")]
 #[case::revoke_ms("revoke_ms")]
 #[case::grace_s("grace_s")]
 #[case::retry_ratio("retry_ratio")]
--- a/clayplankd/src/process/seeded.rs
+++ b/clayplankd/src/process/seeded.rs
@@ -85,6 +85,7 @@
         let (closing, closing_receiver) = watch::channel(false);
         let directory = Arc::new(Directory::default());
         let connector = Arc::new(Connector::with_source(settings.source_ip));
+        connector.set_drain_ms(settings.bounds.drain_ms);
         let context = StartContext {
             settings: Arc::new(settings.clone()),
             local_host,
--- a/clayplankd/src/process/seeded_entry.rs
+++ b/clayplankd/src/process/seeded_entry.rs
@@ -47,6 +47,7 @@
         self.gate.set_lease_ms(lease_ms(bounds));
         self.apply_ms.store(bounds.apply_ms, Ordering::SeqCst);
         self.entry.set_budget_limits(budget_limits(bounds));
+        self.entry.set_drain_ms(bounds.drain_ms);
     }
 }
 
