Save departed upstreams too, so that a late heartbeat does not revive them after a restart

What callers saw: requests ran at upstreams that had departed, after all hosts had been restarted. Cause: keepers saved their upstreams without the departed ones; the tombstone was lost with the processes, and a heartbeat that was sent before the departure and arrived late registered the upstream as a new one.

--- a/clayplankd/src/fleet/fleet_keeper.rs
+++ b/clayplankd/src/fleet/fleet_keeper.rs
@@ -156,8 +156,9 @@
         self.notify_followers();
     }
 
-    /// Returns the upstreams to save, without the departed ones, and the cursor of the newest
-    /// change they include. `None` if nothing has changed since the cursor `saved`.
+    /// Returns the upstreams to save, and the cursor of the newest change they include. Departed ones
+    /// are saved too, so that a late heartbeat does not register them anew after a restart. `None` if
+    /// nothing has changed since the cursor `saved`.
     pub(crate) fn upstreams_after(&self, saved: Cursor) -> Option<(Cursor, Vec<Heartbeat>)> {
         let registry = lock_ignoring_poison(&self.registry);
         let cursor = registry.cursor();
@@ -165,7 +166,6 @@
             return None;
         }
         let known = registry.records().map(|record| &record.heartbeat);
-        let known = known.filter(|one| one.standing != UpstreamStatus::Gone);
         Some((cursor, known.cloned().collect()))
     }
 
--- a/clayplankd/tests/seeded/departures.rs
+++ b/clayplankd/tests/seeded/departures.rs
@@ -8,6 +8,7 @@
 
 use crate::client::call;
 use crate::failover::leader;
+use crate::host::Host;
 use crate::proxy::{Cut, Fault};
 use crate::signals::{ENTRIES, SignalSystem, UpstreamKind};
 use crate::system::{System, Topology, wait_for};
@@ -74,6 +75,31 @@
     assert!(ran.is_empty(), "{acknowledged:?}, {} late requests ran: {ran:?}", ran.len());
 }
 
+/// Keepers saved no departed upstreams, so that a heartbeat that arrived late registered one anew.
+#[test]
+fn a_late_heartbeat_does_not_revive_a_departed_upstream_after_a_restart_of_all_hosts() {
+    /// Time within which keepers save their upstreams.
+    const SAVE_TIME: Duration = Duration::from_secs(2);
+    let mut system = System::start();
+    for upstream in ["u1", "u2"] {
+        wait_for("an acknowledgement", || {
+            Report::Departure.is_acknowledged(&mut system, 0, upstream)
+        });
+    }
+    std::thread::sleep(SAVE_TIME);
+    system.restart_all();
+    wait_for("readiness", || system.entries.iter().all(Host::is_ready));
+    for number in 0..20 {
+        for keeper in 0..system.keepers.len() {
+            system.send_heartbeat(keeper, "u1", "ready");
+        }
+        let attempt = format!("late-{number}");
+        system.send(0, &attempt, "/repeatable/x", &[]);
+        assert_eq!(system.runs.count(&attempt), 0, "{attempt} ran at a departed upstream");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
 /// The kernel sent the bytes again when the link had recovered, also those of closed connections.
 #[rstest]
 #[case::service(UpstreamKind::Service, false)]
