Soak: upstreams that register, depart and serve on, while hosts, keepers and links fail

Once the faults are over, no request may reach an upstream after the time for its departure, also not after the final restart of all hosts.

--- a/clayplankd/tests/seeded/departures.rs
+++ b/clayplankd/tests/seeded/departures.rs
@@ -14,7 +14,7 @@
 use crate::system::{System, Topology, wait_for};
 
 /// Time after an acknowledgement from which no request may reach the upstream.
-const DRAIN_TIME: Duration = Duration::from_secs(2);
+pub const DRAIN_TIME: Duration = Duration::from_secs(2);
 
 /// How an upstream reports that it accepts no new requests.
 #[derive(Clone, Copy, Debug)]
--- a/clayplankd/tests/seeded/soak/mod.rs
+++ b/clayplankd/tests/seeded/soak/mod.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod checks;
 mod crashing;
+mod departing;
 mod limited;
 mod operators;
 mod queue;
--- a/clayplankd/tests/seeded/soak/run.rs
+++ b/clayplankd/tests/seeded/soak/run.rs
@@ -14,6 +14,7 @@
     affected_spans, check_interrupted, check_missed_plans, check_plan, wait_until_served,
 };
 use super::crashing::{Crashing, Refused, UPSTREAMS, check_quarantine, run_crashing};
+use super::departing::{UPSTREAMS as DEPARTING, check_departed, run_departing, start_departing};
 use super::limited::{check_signals, run_limited, run_signals, start_limited};
 use super::operators::{run_heartbeats, run_operator};
 use super::queue::{Queue, check_drained, check_prompts};
@@ -70,6 +71,7 @@
     setup.write_restart_settings(&mut system, seed);
     let fleet = Fleet::start(&system, UPSTREAMS);
     let signals = start_limited(&system);
+    let departing = start_departing(&system);
     let queue = Queue::draw(&mut system, seed);
     let refused = Refused::default();
     let runs = system.runs.clone();
@@ -87,6 +89,7 @@
     let mut all_killed_at = None;
     let mut final_restart_at = started_at;
     let mut leaving_since = None;
+    let (mut departed, mut faults_over_at) = (Vec::new(), started_at);
     std::thread::scope(|scope| {
         for (entry, &address) in callers.iter().enumerate() {
             for caller in 0..CALLERS {
@@ -102,6 +105,13 @@
             scope.spawn(move || run_limited(shared, entry, seed));
         }
         let signals_thread = scope.spawn(|| run_signals(&shared, &signals, seed));
+        let departures: Vec<_> = (0..DEPARTING.len())
+            .zip(&departing)
+            .map(|(number, signals)| {
+                let shared = &shared;
+                scope.spawn(move || run_departing(shared, number, signals.clone(), seed))
+            })
+            .collect();
         scope.spawn(|| run_heartbeats(&shared));
         scope.spawn(|| run_operator(&shared, 0));
         scope.spawn(|| run_operator(&shared, 1));
@@ -115,6 +125,7 @@
         run_schedule(&shared, &schedule, started_at);
         wait_until_served(&shared, seed);
         std::thread::sleep(REPAIR_TIME);
+        faults_over_at = Instant::now();
         let calm_from = shared.acknowledged.load(Ordering::SeqCst);
         std::thread::sleep(CALM);
         missed = check_missed_plans(&shared, calm_from);
@@ -128,6 +139,7 @@
         wait_until_served(&shared, seed);
         drop(ends);
         leaving_since = signals_thread.join().ok();
+        departed = departures.into_iter().filter_map(|one| one.join().ok()).collect();
     });
     let shared = Arc::into_inner(shared).unwrap();
     let not_drained = shared.queue.as_ref().map(|_| check_drained(&shared.system));
@@ -152,18 +164,20 @@
     violations.extend(check_interrupted(&observed, &schedule, started_at, all_killed_at, count));
     violations.extend(not_quarantined);
     violations.extend(missed);
+    violations.extend(check_departed(&departed, faults_over_at));
     violations.extend(check_signals(&signals, leaving_since.unwrap()));
     let served = observed
         .iter()
         .filter(|observed| observed.answer.as_ref().is_some_and(|a| a.status == 200));
     let summary = format!(
-        "{} of {} requests served, plan {}, {} upstreams terminated by the crashing request, {:?} requests at upstreams with a limit ({:?} of them refused with a backoff), {} steps, {setup:?}, prompts by status: {statuses:?}",
+        "{} of {} requests served, plan {}, {} upstreams terminated by the crashing request, {:?} requests at upstreams with a limit ({:?} of them refused with a backoff), {:?} at upstreams that departed, {} steps, {setup:?}, prompts by status: {statuses:?}",
         served.count(),
         observed.len(),
         shared.acknowledged.load(Ordering::SeqCst),
         fleet.events().terminations.len(),
         signals.iter().map(|one| one.arrivals().len()).collect::<Vec<_>>(),
         signals.iter().map(count_refused).collect::<Vec<_>>(),
+        departing.iter().map(|one| one.arrivals().len()).collect::<Vec<_>>(),
         schedule.len()
     );
     if violations.is_empty() {
--- a/clayplankd/tests/seeded/system.rs
+++ b/clayplankd/tests/seeded/system.rs
@@ -74,7 +74,7 @@
 pub const BASIC_UPSTREAMS: [u8; 2] = [21, 22];
 
 /// Last address bytes of the upstreams that tests start and that may be behind proxies.
-pub const PROXIED_UPSTREAMS: [u8; 6] = [31, 32, 33, 34, 51, 52];
+pub const PROXIED_UPSTREAMS: [u8; 10] = [31, 32, 33, 34, 35, 36, 37, 38, 51, 52];
 
 /// Maximum number of bootstrap addresses of a host.
 const MAX_BOOTSTRAP_ADDRESSES: usize = 3;
--- a/clayplankd/tests/seeded/upstreams.rs
+++ b/clayplankd/tests/seeded/upstreams.rs
@@ -22,13 +22,15 @@
         Ipv4Addr::new(127, self.net[0], self.net[1], last)
     }
 
-    /// Starts an upstream of the service `app`. It sends no heartbeats itself; tests send them
-    /// singly.
-    pub fn start_upstream(&self, id: &str, last: u8) {
+    /// Starts an upstream of the service `app` and returns its record of requests. It sends no
+    /// heartbeats itself; tests send them singly.
+    pub fn start_upstream(&self, id: &str, last: u8) -> SharedSignals {
+        let signals = SharedSignals::default();
         let address = self.bind_address(last);
         let (id, runs) = (id.to_owned(), self.runs.clone());
         let listener = self.runtime.block_on(clayplank_standin::bind(address)).unwrap();
-        self.runtime.spawn(serve_upstream(listener, id, runs, None, SharedSignals::default()));
+        self.runtime.spawn(serve_upstream(listener, id, runs, None, signals.clone()));
+        signals
     }
 
     /// Starts an engine with simulated steps, which registers with all keepers.
