--- a/clayplankd/tests/seeded/departures.rs
+++ b/clayplankd/tests/seeded/departures.rs
@@ -75,6 +75,29 @@
     assert!(ran.is_empty(), "{acknowledged:?}, {} late requests ran: {ran:?}", ran.len());
 }
 
+/// Hosts follow any keeper, also one that is paused when the departure is acknowledged.
+#[test]
+fn a_departure_is_in_force_in_time_beside_unresponsive_keepers() {
+    let mut system =
+        System::start_with(Topology { keepers: 5, entries: 10, ..Topology::default() });
+    let leading = leader(&system);
+    let others = (0..system.keepers.len()).filter(|keeper| *keeper != leading);
+    let unresponsive: Vec<_> = others.take(2).collect();
+    unresponsive.iter().for_each(|keeper| system.keepers[*keeper].signal("-STOP"));
+    for upstream in ["u1", "u2"] {
+        wait_for("an acknowledgement", || {
+            Report::Departure.is_acknowledged(&mut system, leading, upstream)
+        });
+    }
+    std::thread::sleep(DRAIN_TIME);
+    for entry in 0..system.entries.len() {
+        let attempt = format!("late-{entry}");
+        system.send(entry, &attempt, "/repeatable/x", &[]);
+        assert_eq!(system.runs.count(&attempt), 0, "{attempt} ran at a departed upstream");
+    }
+    unresponsive.iter().for_each(|keeper| system.keepers[*keeper].signal("-CONT"));
+}
+
 /// Keepers saved no departed upstreams, so that a heartbeat that arrived late registered one anew.
 #[test]
 fn a_late_heartbeat_does_not_revive_a_departed_upstream_after_a_restart_of_all_hosts() {
