Report a request that was never sent as not run when its deadline passes

What callers saw: 504, which says that the request may have run, for requests that had waited for a place until their deadline and were never sent; one that must not be repeated could not be repeated elsewhere. Cause: a passed deadline was reported as timed out whatever had been sent. Fix: it is 504 only if the request may have run, else 503 with a retry time. That such a request is held until its deadline is not changed by this. a_request_that_was_never_sent_is_reported_as_not_run_at_its_deadline failed before (504) and passes.

--- a/clayplank-forward/src/call.rs
+++ b/clayplank-forward/src/call.rs
@@ -10,6 +10,7 @@
 use http::Response;
 use http::request::Parts;
 
+use crate::attempt::BUSY_RETRY_MS;
 use crate::buffer_quota::BufferPermit;
 use crate::clock::{millis, now_ms};
 use crate::entry::Entry;
@@ -223,8 +224,10 @@
     /// Response to a caller whose request could not be answered; logs and counts it.
     pub(crate) fn abandon(&self, refusal: Refusal) -> Response<AnswerBody> {
         let is_past_deadline = Instant::now() >= self.deadline;
-        let reported = if is_past_deadline {
+        let reported = if is_past_deadline && self.may_have_run {
             Refusal::TimedOut
+        } else if is_past_deadline {
+            Refusal::NotRun { retry_after_ms: BUSY_RETRY_MS }
         } else if self.may_have_run {
             Refusal::Failed
         } else if let Some(wait) = self.entry.quarantine.time_to_trial(&self.keys) {
--- a/clayplank-forward/tests/entry/main.rs
+++ b/clayplank-forward/tests/entry/main.rs
@@ -8,6 +8,7 @@
 mod broken_links;
 mod broken_stream;
 mod connection_limit;
+mod deadlines;
 mod delayed_commands;
 mod departing;
 mod harness;
