--- a/clayplank-forward/src/choice.rs
+++ b/clayplank-forward/src/choice.rs
@@ -3,9 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use clayplank_placement::{
-    Assignment, Event, HelperPart, MIN_GOAL_MS, PlacementOutcome, PlacementRequest,
-};
+use clayplank_placement::{Assignment, Event, MIN_GOAL_MS, PlacementOutcome, PlacementRequest};
 use clayplank_registry::Record;
 use clayplank_types::UpstreamId;
 
@@ -204,7 +202,7 @@
         assignment: &Assignment,
     ) -> Result<Chosen, Refusal> {
         let unavailable = Refusal::NotRun { retry_after_ms: NO_UPSTREAM_RETRY_MS };
-        let Some(record) = self.usable_record(assignment) else {
+        let Some(record) = self.entry.directory.usable_record(&assignment.engine) else {
             self.entry.placer.record_event(request.id, Event::Ended);
             return Err(unavailable);
         };
@@ -216,15 +214,6 @@
         Ok(Chosen { record, helpers, expected_ms: assignment.first_token_ms, load })
     }
 
-    /// Record of the assigned engine, if it and its helpers accept new work: the keeper may learn
-    /// of a cordon later than this host.
-    fn usable_record(&self, assignment: &Assignment) -> Option<Record> {
-        let directory = &self.entry.directory;
-        let is_cordoned = |part: &HelperPart| directory.is_cordoned(&part.engine);
-        let is_usable = !assignment.helpers.iter().any(is_cordoned);
-        directory.usable_record(&assignment.engine).filter(|_| is_usable)
-    }
-
     /// Reserves memory at helpers for the duration of the attempt; `None` if one of them has no
     /// room.
     async fn reserve(&self, load: &mut LoadGuard, helpers: &[Helper]) -> Option<()> {
--- a/clayplank-forward/src/permits.rs
+++ b/clayplank-forward/src/permits.rs
@@ -92,7 +92,7 @@
                 clayplank_clock::sleep(wait).await;
                 // By now the upstream may have departed, its data centre may be cordoned, or it may have
                 // requested a backoff.
-                if directory.usable_record(id).is_none() {
+                if !directory.accepts_request(id) {
                     return PermitWait::Unusable;
                 }
                 directory.count_permitted(id);
