--- a/clayplank-forward/src/directory.rs
+++ b/clayplank-forward/src/directory.rs
@@ -2,6 +2,7 @@
 //! model engines).
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -124,7 +125,7 @@
     }
 
     /// Whether an upstream is known and accepts new work.
-    pub(crate) fn is_accepting(&self, id: &UpstreamId) -> bool {
+    fn is_accepting(&self, id: &UpstreamId) -> bool {
         self.records.get(id).is_some_and(|record| self.accepts_work(&record.heartbeat))
     }
 
@@ -291,26 +292,27 @@
 
     /// Waits until an upstream accepts no new work, whatever it accepts from this host meanwhile.
     pub(crate) async fn wait_until_not_accepting(&self, id: &UpstreamId) {
-        self.wait_while(|inner| inner.is_accepting(id)).await;
+        self.wait_while(&self.stopped_accepting, |inner| inner.is_accepting(id)).await;
     }
 
-    /// Waits until a condition no longer holds that ends when an upstream stops accepting work.
-    pub(crate) async fn wait_while(&self, is_so: impl Fn(&Inner) -> bool) {
-        let mut changes = self.stopped_accepting.subscribe();
-        while is_so(&self.lock()) {
-            // The sender lives as long as the directory.
-            if changes.changed().await.is_err() {
-                return std::future::pending().await;
-            }
-        }
+    /// Waits until no upstream at an address accepts new work.
+    pub(crate) async fn wait_until_none_accepting(&self, address: SocketAddr) {
+        let is_one_accepting =
+            |inner: &Inner| inner.running_at(address).any(|id| inner.is_accepting(id));
+        self.wait_while(&self.stopped_accepting, is_one_accepting).await;
     }
 
     /// Waits until an upstream has been replaced, after which its requests get no answer.
     pub async fn wait_until_replaced(&self, id: &UpstreamId) {
-        let mut changes = self.replaced.subscribe();
-        while !self.lock().replaced.contains(id) {
+        self.wait_while(&self.replaced, |inner| !inner.replaced.contains(id)).await;
+    }
+
+    /// Waits until a condition no longer holds, which is checked at each notification.
+    async fn wait_while(&self, notifications: &watch::Sender<()>, is_so: impl Fn(&Inner) -> bool) {
+        let mut notifications = notifications.subscribe();
+        while is_so(&self.lock()) {
             // The sender lives as long as the directory.
-            if changes.changed().await.is_err() {
+            if notifications.changed().await.is_err() {
                 return std::future::pending().await;
             }
         }
--- a/clayplank-forward/src/tunnel_access.rs
+++ b/clayplank-forward/src/tunnel_access.rs
@@ -13,7 +13,7 @@
 
 impl Inner {
     /// Upstreams at an address that have not departed.
-    fn running_at(&self, address: SocketAddr) -> impl Iterator<Item = &UpstreamId> {
+    pub(crate) fn running_at(&self, address: SocketAddr) -> impl Iterator<Item = &UpstreamId> {
         let heartbeats = self.records.values().map(|record| &record.heartbeat);
         let running = heartbeats
             .filter(move |one| one.address == address && one.standing != UpstreamStatus::Gone);
@@ -32,9 +32,7 @@
         &self,
         address: SocketAddr,
     ) -> Pin<Box<dyn Future<Output = ()> + Send + '_>> {
-        let is_accepting =
-            move |inner: &Inner| inner.running_at(address).any(|id| inner.is_accepting(id));
-        Box::pin(self.wait_while(is_accepting))
+        Box::pin(self.wait_until_none_accepting(address))
     }
 
     fn record_backoff(&self, address: SocketAddr, backoff_ms: u64) {
