--- a/review/stand/read_at_stop.rs
+++ b/review/stand/read_at_stop.rs
@@ -21,7 +21,7 @@
 fn main() {
     let record = Record::create(Path::new(&std::env::args().nth(1).expect("path of record.txt")));
     let has_trouble = has_trouble();
-    let mut system = System::start(record.clone(), Site::dala(), 5, 2);
+    let mut system = System::start(record.clone(), Site::darnau(), 5, 2);
     let workers = [
         Worker::start(&system, "i-app-1", "app", 63, Work::Plain { slots: 6, work_ms: 60, bytes: BYTES }),
         Worker::start(&system, "i-app-2", "app", 64, Work::Plain { slots: 6, work_ms: 60, bytes: BYTES }),
