--- a/review/stand/common.rs
+++ b/review/stand/common.rs
@@ -682,6 +682,13 @@
     pub stream: (u64, u64, u64),
     /// Aim and time-out of the other route, in ms.
     pub plain: (u64, u64),
+    /// The list of tenants, as JSON.
+    pub tenants: String,
+}
+
+/// The list of tenants with one tenant and its key.
+pub fn one_tenant() -> String {
+    format!(r#"[{{"name":"{TENANT}","apiKeys":["{KEY}"],"priority":1}}]"#)
 }
 
 impl Manifest {
@@ -695,7 +702,8 @@
 "services":[{{"name":"pool","healthPath":"/healthz","maxConns":578,"protocol":"h1","tls":false,"engine":{{"slots":{slots},"kvCapacity":267750,"kvTokenBytes":163840.0,"linkMbps":400000.0,"stride":57,"models":[{{"name":"m"}}],"step_ms":0.85,"per_seq_ms":0.00425,"context_per_k":0.00285,"read_per_s":177000.0,"pairs_per_m":0.184,"chunk":2048,"report_lag_ms":200.0,"loads_per_s":0.0,"loads_at_once":8,"delays":[],"usual":{{"prompt":13239,"answer":1540}},"hop_ms":0.05}}}},
 {{"name":"app","healthPath":"/healthz","maxConns":430,"protocol":"h1","tls":false}}],
 "limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},
-"tenants":[{{"name":"{TENANT}","apiKeys":["{KEY}"],"priority":1}}]}}"#,
+"tenants":{tenants}}}"#,
+            tenants = self.tenants,
             version = self.version,
             slots = self.slots,
         )
--- a/review/stand/queued_at_stop.rs
+++ b/review/stand/queued_at_stop.rs
@@ -49,7 +49,7 @@
         Worker::start(&system, "i-app-1", "app", 63, Work::Plain { slots: 6, work_ms: 60, bytes: 800 }),
     ];
     let manifest =
-        Manifest { version: 7, slots: SLOTS, stream: (4_000, 15_000, 1_000), plain: (300, 4_000) };
+        Manifest { version: 7, slots: SLOTS, stream: (4_000, 15_000, 1_000), plain: (300, 4_000), tenants: one_tenant() };
     if !system.publish(&manifest.text(), Duration::from_secs(20)) {
         fail(&system, "the manifest was not acknowledged");
     }
--- a/review/stand/read_at_stop.rs
+++ b/review/stand/read_at_stop.rs
@@ -27,7 +27,7 @@
         Worker::start(&system, "i-app-2", "app", 64, Work::Plain { slots: 6, work_ms: 60, bytes: BYTES }),
     ];
     let manifest =
-        Manifest { version: 7, slots: 16, stream: (3_000, 15_000, 800), plain: (1_000, DEADLINE_MS) };
+        Manifest { version: 7, slots: 16, stream: (3_000, 15_000, 800), plain: (1_000, DEADLINE_MS), tenants: one_tenant() };
     if !system.publish(&manifest.text(), Duration::from_secs(20)) {
         fail(&system, "the manifest was not acknowledged");
     }
