Review, case 3: no log begins if a seed is lost for good at the first start

The script kills one of five cores 0.1 s after the first start of all machines and never starts it again; an empty one comes after 5 s at another address. The operator's first manifest is refused with 503 for 60 s, and no machine gives a manifest back (rule CONFIG).

--- a/review/stand/common.rs
+++ b/review/stand/common.rs
@@ -119,20 +119,22 @@
     pub edge_memory_mb: u64,
     pub tolerated: u64,
     pub bounds: String,
+    /// Whether the seeds are three edges, which serve control too, and not three cores.
+    pub has_edges_as_seeds: bool,
 }
 
 impl Site {
     pub fn dala() -> Self {
         let bounds = r#""heartbeat_ms": 1200, "apply_ms": 2000, "revoke_ms": 5000, "drain_ms": 2000,
     "grace_s": 8, "retry_ratio": 0.2, "retry_extra": 106, "retry_window_s": 10"#;
-        Self { edge_memory_mb: 260, tolerated: 2, bounds: bounds.to_owned() }
+        Self { edge_memory_mb: 260, tolerated: 2, bounds: bounds.to_owned(), has_edges_as_seeds: false }
     }
 
     /// The machines and bounds of `demands/darnau-clayplank-grown.toml`.
     pub fn darnau() -> Self {
         let bounds = r#""heartbeat_ms": 1200, "apply_ms": 2500, "revoke_ms": 5000, "drain_ms": 2500,
     "grace_s": 8, "retry_ratio": 0.2, "retry_extra": 200, "retry_window_s": 10"#;
-        Self { edge_memory_mb: 420, tolerated: 2, bounds: bounds.to_owned() }
+        Self { edge_memory_mb: 420, tolerated: 2, bounds: bounds.to_owned(), has_edges_as_seeds: false }
     }
 }
 
@@ -188,12 +190,30 @@
         }
     }
 
-    /// Fills `deploy/settings.json.template` as the platform does.
+    /// Fills `deploy/settings.json.template` as the platform does; three cores, or edges, are seeds.
     pub fn write_settings(&self, is_first_start: bool) {
-        let seeds: Vec<_> =
-            self.cores.iter().take(3).map(|core| format!("\"{}\"", core.control())).collect();
+        let serving = if self.site.has_edges_as_seeds { &self.edges } else { &self.cores };
+        let seeds: Vec<_> = serving.iter().take(3).map(Host::control).collect();
+        self.write_settings_with(&seeds, is_first_start, self.cores.iter().chain(&self.edges));
+    }
+
+    /// Starts a core that was not there before, with an empty disk.
+    pub fn add_core(&mut self, last: u8, seeds: &[SocketAddr]) {
+        let mut host = self.host(&format!("core-{last}"), last, false);
+        self.write_settings_with(seeds, false, std::iter::once(&host));
+        host.start(&self.root);
+        self.cores.push(host);
+    }
+
+    fn write_settings_with<'a>(
+        &self,
+        seeds: &[SocketAddr],
+        is_first_start: bool,
+        hosts: impl Iterator<Item = &'a Host>,
+    ) {
+        let seeds: Vec<_> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let seeds = seeds.join(", ");
-        for host in self.cores.iter().chain(&self.edges) {
+        for host in hosts {
             let ip = host.ip;
             let (role, listen, data, memory) = if host.is_edge {
                 let listen = format!(
