Review, case 3: an acknowledged departure is lost when all processes are killed

The script kills all processes right after the ack of a worker's departure and starts them again. A status report that the worker sent before arrives 4 s late and is taken as news: requests reach the worker long after drainMs, from machines in touch (rule DRAIN).

--- a/review/stand/common.rs
+++ b/review/stand/common.rs
@@ -515,6 +515,8 @@
     pub state: Arc<Mutex<&'static str>>,
     pub is_stopped: Arc<AtomicBool>,
     pub runs: Arc<Mutex<Vec<String>>>,
+    /// Number of the last status report.
+    pub seq: Arc<AtomicU64>,
 }
 
 impl Worker {
@@ -527,6 +529,7 @@
             state: Arc::new(Mutex::new("ready")),
             is_stopped: Arc::default(),
             runs: Arc::default(),
+            seq: Arc::default(),
         };
         let listener = TcpListener::bind(address).expect("the worker's address is free");
         let running = Arc::new(AtomicU64::new(0));
@@ -547,18 +550,17 @@
     fn beat(&self, controls: Vec<SocketAddr>, slots: usize) {
         let (id, service, address) = (self.id.clone(), self.service.clone(), self.address);
         let (state, is_stopped) = (self.state.clone(), self.is_stopped.clone());
+        let number = self.seq.clone();
         std::thread::spawn(move || {
             let mut next = 0;
-            for seq in 1.. {
+            loop {
                 if is_stopped.load(Ordering::SeqCst) {
                     return;
                 }
-                let state = *state.lock().unwrap();
-                let body = format!(
-                    r#"{{"service":"{service}","address":"{address}","zone":"medeu-hall","version":"v1","slots":{slots},"state":"{state}","coldLeftMs":0,"stage":"both","models":[{{"name":"m","version":1,"adapters":[]}}],"seq":{seq}}}"#
-                );
                 let path = format!("/api/instances/{id}");
                 for _ in 0..controls.len() {
+                    let seq = number.fetch_add(1, Ordering::SeqCst) + 1;
+                    let body = status_report(&service, address, slots, *state.lock().unwrap(), seq);
                     let control = controls[next % controls.len()];
                     let answer = call(control, "PUT", &path, &[], &body, Duration::from_secs(1));
                     if answer.is_ok_and(|answer| answer.status / 100 == 2) {
@@ -572,6 +574,19 @@
     }
 }
 
+/// Body of a status report of a worker.
+pub fn status_report(
+    service: &str,
+    address: SocketAddr,
+    slots: usize,
+    state: &str,
+    seq: u64,
+) -> String {
+    format!(
+        r#"{{"service":"{service}","address":"{address}","zone":"medeu-hall","version":"v1","slots":{slots},"state":"{state}","coldLeftMs":0,"stage":"both","models":[{{"name":"m","version":1,"adapters":[]}}],"seq":{seq}}}"#
+    )
+}
+
 /// Counts a request that runs until it is dropped.
 struct Running<'a>(&'a AtomicU64);
 
