--- a/review/stand/common.rs
+++ b/review/stand/common.rs
@@ -127,14 +127,24 @@
     pub fn dala() -> Self {
         let bounds = r#""heartbeat_ms": 1200, "apply_ms": 2000, "revoke_ms": 5000, "drain_ms": 2000,
     "grace_s": 8, "retry_ratio": 0.2, "retry_extra": 106, "retry_window_s": 10"#;
-        Self { edge_memory_mb: 260, tolerated: 2, bounds: bounds.to_owned(), has_edges_as_seeds: false }
+        Self {
+            edge_memory_mb: 260,
+            tolerated: 2,
+            bounds: bounds.to_owned(),
+            has_edges_as_seeds: false,
+        }
     }
 
     /// The machines and bounds of `demands/darnau-clayplank-grown.toml`.
     pub fn darnau() -> Self {
         let bounds = r#""heartbeat_ms": 1200, "apply_ms": 2500, "revoke_ms": 5000, "drain_ms": 2500,
     "grace_s": 8, "retry_ratio": 0.2, "retry_extra": 200, "retry_window_s": 10"#;
-        Self { edge_memory_mb: 420, tolerated: 2, bounds: bounds.to_owned(), has_edges_as_seeds: false }
+        Self {
+            edge_memory_mb: 420,
+            tolerated: 2,
+            bounds: bounds.to_owned(),
+            has_edges_as_seeds: false,
+        }
     }
 }
 
@@ -316,8 +326,7 @@
 }
 
 pub fn is_ready(edge: &Host) -> bool {
-    let answer =
-        call(edge.readiness(), "GET", "/api/ready", &[], "", Duration::from_millis(500));
+    let answer = call(edge.readiness(), "GET", "/api/ready", &[], "", Duration::from_millis(500));
     answer.is_ok_and(|answer| answer.status == 200)
 }
 
@@ -325,9 +334,8 @@
 fn free_net(pid: u32) -> (u8, u8) {
     for n in 0..200u32 {
         let (a, b) = ((60 + (pid / 200 + n) % 100) as u8, (pid % 200 + 1) as u8);
-        let is_free = |last: u8, port: u16| {
-            TcpListener::bind((Ipv4Addr::new(127, a, b, last), port)).is_ok()
-        };
+        let is_free =
+            |last: u8, port: u16| TcpListener::bind((Ipv4Addr::new(127, a, b, last), port)).is_ok();
         if is_free(1, CONTROL) && is_free(41, FRONT) && is_free(1, INNER) && is_free(61, WORKER) {
             return (a, b);
         }
@@ -505,6 +513,8 @@
     Engine { slots: usize, event_ms: u64 },
     /// A plain service: answers with this many bytes after a time.
     Plain { slots: usize, work_ms: u64, bytes: usize },
+    /// The same, but sends its answer evenly over a second.
+    Steady { slots: usize, work_ms: u64, bytes: usize },
 }
 
 /// A worker: registers by heartbeat, serves requests, and says what it ran.
@@ -541,9 +551,14 @@
                 std::thread::spawn(move || serve(stream, &id, work, &runs, &running, &record));
             }
         });
-        worker.beat(system.controls(), match work {
-            Work::Engine { slots, .. } | Work::Plain { slots, .. } => slots,
-        });
+        worker.beat(
+            system.controls(),
+            match work {
+                Work::Engine { slots, .. }
+                | Work::Plain { slots, .. }
+                | Work::Steady { slots, .. } => slots,
+            },
+        );
         worker
     }
 
@@ -625,14 +640,14 @@
     record: &Record,
 ) -> io::Result<()> {
     let slots = match work {
-        Work::Engine { slots, .. } | Work::Plain { slots, .. } => slots as u64,
+        Work::Engine { slots, .. } | Work::Plain { slots, .. } | Work::Steady { slots, .. } => {
+            slots as u64
+        }
     };
     let now_running = running.load(Ordering::SeqCst);
     match request.path.as_str() {
         "/healthz" => {
-            let head = format!(
-                "HTTP/1.1 200 OK\r\nInstance-Id: {id}\r\nContent-Length: 0\r\n\r\n"
-            );
+            let head = format!("HTTP/1.1 200 OK\r\nInstance-Id: {id}\r\nContent-Length: 0\r\n\r\n");
             return stream.write_all(head.as_bytes());
         }
         "/api/report" => {
@@ -668,13 +683,20 @@
     let load = format!("{},0,{slots}", now_running + 1);
     let result = match work {
         Work::Engine { event_ms, .. } => stream_events(stream, request, id, event_ms, &load),
-        Work::Plain { work_ms, bytes, .. } => {
+        Work::Plain { work_ms, bytes, .. } | Work::Steady { work_ms, bytes, .. } => {
             std::thread::sleep(Duration::from_millis(work_ms));
             let head = format!(
                 "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: {id}.{attempt}\r\nServer-Load: {load}\r\nContent-Length: {bytes}\r\n\r\n"
             );
             let body: Vec<u8> = (0..bytes).map(|at| b'a' + (at % 23) as u8).collect();
-            stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(&body))
+            let pause =
+                Duration::from_millis(if matches!(work, Work::Steady { .. }) { 10 } else { 0 });
+            stream.write_all(head.as_bytes()).and_then(|()| {
+                body.chunks(bytes.div_ceil(100)).try_for_each(|piece| {
+                    std::thread::sleep(pause);
+                    stream.write_all(piece)
+                })
+            })
         }
     };
     let how = if result.is_ok() { "whole" } else { "its connection ended" };
--- a/review/stand/first_start.rs
+++ b/review/stand/first_start.rs
@@ -22,16 +22,26 @@
     let record = Record::create(Path::new(&std::env::args().nth(1).expect("path of record.txt")));
     let mut system = System::start(record.clone(), Site::dala(), 5, 2);
     let started = Instant::now();
-    let _worker =
-        Worker::start(&system, "i-app-1", "app", 63, Work::Plain { slots: 6, work_ms: 60, bytes: 800 });
+    let _worker = Worker::start(
+        &system,
+        "i-app-1",
+        "app",
+        63,
+        Work::Plain { slots: 6, work_ms: 60, bytes: 800 },
+    );
     let has_trouble = has_trouble();
     if has_trouble {
         std::thread::sleep(LOST_AFTER.saturating_sub(started.elapsed()));
         system.cores[0].signal(SIGKILL);
         record.line("core-1 is lost for good; four of five cores run on");
     }
-    let manifest =
-        Manifest { version: 7, slots: 16, stream: (3_000, 15_000, 800), plain: (300, 4_000), tenants: one_tenant() };
+    let manifest = Manifest {
+        version: 7,
+        slots: 16,
+        stream: (3_000, 15_000, 800),
+        plain: (300, 4_000),
+        tenants: one_tenant(),
+    };
     let mut is_acked = false;
     let mut is_replaced = false;
     let mut tries = 0;
@@ -61,12 +71,15 @@
         })
     };
     let comes = read_back(&system);
-    let ended = system.cores[1..].iter_mut().filter_map(|core| core.has_ended().then(|| core.name.clone()));
+    let ended =
+        system.cores[1..].iter_mut().filter_map(|core| core.has_ended().then(|| core.name.clone()));
     let ended: Vec<_> = ended.collect();
     record.line(&format!("manifest read back: {comes}; requests served: {is_served}; processes ended by themselves: {ended:?}"));
     drop(system);
     if !comes {
-        record.line("CONFIG: the manifest doesn't come, though more than half of the core ran all the time");
+        record.line(
+            "CONFIG: the manifest doesn't come, though more than half of the core ran all the time",
+        );
     }
     std::process::exit(i32::from(!comes));
 }
--- a/review/stand/last_key.rs
+++ b/review/stand/last_key.rs
@@ -19,11 +19,28 @@
     let has_trouble = has_trouble();
     let system = System::start(record.clone(), Site::dala(), 5, 2);
     let workers = [
-        Worker::start(&system, "i-app-1", "app", 63, Work::Plain { slots: 6, work_ms: 60, bytes: 800 }),
-        Worker::start(&system, "i-app-2", "app", 64, Work::Plain { slots: 6, work_ms: 60, bytes: 800 }),
+        Worker::start(
+            &system,
+            "i-app-1",
+            "app",
+            63,
+            Work::Plain { slots: 6, work_ms: 60, bytes: 800 },
+        ),
+        Worker::start(
+            &system,
+            "i-app-2",
+            "app",
+            64,
+            Work::Plain { slots: 6, work_ms: 60, bytes: 800 },
+        ),
     ];
-    let mut manifest =
-        Manifest { version: 7, slots: 16, stream: (3_000, 15_000, 800), plain: (300, 4_000), tenants: one_tenant() };
+    let mut manifest = Manifest {
+        version: 7,
+        slots: 16,
+        stream: (3_000, 15_000, 800),
+        plain: (300, 4_000),
+        tenants: one_tenant(),
+    };
     if !system.publish(&manifest.text(), Duration::from_secs(20)) {
         fail(&system, "the first manifest was not acknowledged");
     }
@@ -68,7 +85,10 @@
                 broken += 1;
             }
             if attempt.starts_with("unknown") || attempt.starts_with("without") {
-                record.line(&format!("ROUTE: {} ran {attempt}, whose key no manifest ever held", worker.id));
+                record.line(&format!(
+                    "ROUTE: {} ran {attempt}, whose key no manifest ever held",
+                    worker.id
+                ));
                 broken += 1;
             }
         }
@@ -85,8 +105,14 @@
     if let Some(key) = key {
         headers.push(("Authorization".to_owned(), format!("Bearer {key}")));
     }
-    let answer =
-        call(edge.front(), "POST", "/post/2f", &borrowed(&headers), "order", Duration::from_secs(5));
+    let answer = call(
+        edge.front(),
+        "POST",
+        "/post/2f",
+        &borrowed(&headers),
+        "order",
+        Duration::from_secs(5),
+    );
     let status = answer.map_or(0, |answer| answer.status);
     system.record.line(&format!("client sends {attempt} to {}, gets {status}", edge.name));
     status
--- a/review/stand/late_report.rs
+++ b/review/stand/late_report.rs
@@ -32,8 +32,13 @@
         Worker::start(&system, "i-app-2", "app", 64, work),
         Worker::start(&system, "i-app-3", "app", 65, work),
     ];
-    let manifest =
-        Manifest { version: 7, slots: 16, stream: (3_000, 15_000, 800), plain: (300, 4_000), tenants: one_tenant() };
+    let manifest = Manifest {
+        version: 7,
+        slots: 16,
+        stream: (3_000, 15_000, 800),
+        plain: (300, 4_000),
+        tenants: one_tenant(),
+    };
     if !system.publish(&manifest.text(), Duration::from_secs(20)) {
         fail(&system, "the manifest was not acknowledged");
     }
@@ -43,7 +48,9 @@
     // A report that is sent now, and that the network delivers late.
     let late_seq = leaver.seq.fetch_add(1, Ordering::SeqCst) + 1;
     let late_report = status_report("app", leaver.address, SLOTS, "ready", late_seq);
-    record.line(&format!("i-app-1 sends status report {late_seq} (ready), which is held up on its way"));
+    record.line(&format!(
+        "i-app-1 sends status report {late_seq} (ready), which is held up on its way"
+    ));
     let late_at = Instant::now() + LATE_BY;
     std::thread::sleep(Duration::from_millis(300));
     leaver.is_stopped.store(true, Ordering::SeqCst);
@@ -61,7 +68,9 @@
     if has_trouble() {
         system.cores.iter().chain(&system.edges).for_each(|host| host.signal(SIGKILL));
     }
-    record.line(&format!("{departed} acknowledges that i-app-1 has departed; it serves on for a while"));
+    record.line(&format!(
+        "{departed} acknowledges that i-app-1 has departed; it serves on for a while"
+    ));
     if has_trouble() {
         record.line("all processes are killed");
         system.write_settings(false);
@@ -90,8 +99,16 @@
                         return;
                     }
                     let headers = client_headers(&format!("post-{name}-{n}-{count}"), 4_000, "");
-                    let answer = call(front, "POST", "/post/2f", &borrowed(&headers), "order", Duration::from_secs(5));
-                    *served.lock().unwrap() += usize::from(answer.is_ok_and(|answer| answer.status == 200));
+                    let answer = call(
+                        front,
+                        "POST",
+                        "/post/2f",
+                        &borrowed(&headers),
+                        "order",
+                        Duration::from_secs(5),
+                    );
+                    *served.lock().unwrap() +=
+                        usize::from(answer.is_ok_and(|answer| answer.status == 200));
                     std::thread::sleep(Duration::from_millis(50));
                 }
             }));
@@ -101,7 +118,9 @@
     for control in &controls {
         let answer = call(*control, "PUT", &path, &[], &late_report, Duration::from_secs(1));
         let status = answer.map_or(0, |answer| answer.status);
-        record.line(&format!("status report {late_seq} of i-app-1 arrives at {control}, which answers {status}"));
+        record.line(&format!(
+            "status report {late_seq} of i-app-1 arrives at {control}, which answers {status}"
+        ));
         if status / 100 == 2 {
             break;
         }
@@ -126,7 +145,13 @@
     }
     let is_served = by_others > 0;
     drop(system);
-    std::process::exit(if late > 0 { 1 } else if is_served { 0 } else { 2 });
+    std::process::exit(if late > 0 {
+        1
+    } else if is_served {
+        0
+    } else {
+        2
+    });
 }
 
 fn fail(system: &System, why: &str) -> ! {
--- a/review/stand/queued_at_stop.rs
+++ b/review/stand/queued_at_stop.rs
@@ -44,12 +44,35 @@
     let has_trouble = has_trouble();
     let mut system = System::start(record.clone(), Site::darnau(), 5, 2);
     let workers = [
-        Worker::start(&system, "i-pool-1", "pool", 61, Work::Engine { slots: SLOTS, event_ms: EVENT_MS }),
-        Worker::start(&system, "i-pool-2", "pool", 62, Work::Engine { slots: SLOTS, event_ms: EVENT_MS }),
-        Worker::start(&system, "i-app-1", "app", 63, Work::Plain { slots: 6, work_ms: 60, bytes: 800 }),
+        Worker::start(
+            &system,
+            "i-pool-1",
+            "pool",
+            61,
+            Work::Engine { slots: SLOTS, event_ms: EVENT_MS },
+        ),
+        Worker::start(
+            &system,
+            "i-pool-2",
+            "pool",
+            62,
+            Work::Engine { slots: SLOTS, event_ms: EVENT_MS },
+        ),
+        Worker::start(
+            &system,
+            "i-app-1",
+            "app",
+            63,
+            Work::Plain { slots: 6, work_ms: 60, bytes: 800 },
+        ),
     ];
-    let manifest =
-        Manifest { version: 7, slots: SLOTS, stream: (4_000, 15_000, 1_000), plain: (300, 4_000), tenants: one_tenant() };
+    let manifest = Manifest {
+        version: 7,
+        slots: SLOTS,
+        stream: (4_000, 15_000, 1_000),
+        plain: (300, 4_000),
+        tenants: one_tenant(),
+    };
     if !system.publish(&manifest.text(), Duration::from_secs(20)) {
         fail(&system, "the manifest was not acknowledged");
     }
@@ -62,7 +85,14 @@
         .map(|n| {
             std::thread::spawn(move || {
                 let headers = client_headers(&format!("warm-{n}"), 15_000, USUAL);
-                call(front, "POST", "/ask/2f", &borrowed(&headers), "prompt", Duration::from_secs(20))
+                call(
+                    front,
+                    "POST",
+                    "/ask/2f",
+                    &borrowed(&headers),
+                    "prompt",
+                    Duration::from_secs(20),
+                )
             })
         })
         .collect();
@@ -85,7 +115,9 @@
     std::thread::sleep(Duration::from_millis(600));
     let running: usize = workers[..2]
         .iter()
-        .map(|worker| worker.runs.lock().unwrap().iter().filter(|id| id.starts_with("fill")).count())
+        .map(|worker| {
+            worker.runs.lock().unwrap().iter().filter(|id| id.starts_with("fill")).count()
+        })
         .sum();
     record.line(&format!("{running} of {} slots are taken", 2 * SLOTS));
 
@@ -97,10 +129,19 @@
                 let headers = client_headers(&format!("first-try-{n}"), DEADLINE_MS, WAITING);
                 let body = format!("prompt {n}");
                 let sent = Instant::now();
-                let answer = call(other, "POST", "/ask/2f", &borrowed(&headers), &body, Duration::from_secs(20));
+                let answer = call(
+                    other,
+                    "POST",
+                    "/ask/2f",
+                    &borrowed(&headers),
+                    &body,
+                    Duration::from_secs(20),
+                );
                 let answer = answer.ok().filter(|answer| answer.status == 503)?;
                 let retry_after: f64 = answer.headers.get("retry-after")?.parse().ok()?;
-                record.line(&format!("client gets for first-try-{n}: 503, Retry-After {retry_after}"));
+                record.line(&format!(
+                    "client gets for first-try-{n}: 503, Retry-After {retry_after}"
+                ));
                 let left_ms = DEADLINE_MS - sent.elapsed().as_millis() as u64;
                 let may_wait_ms = (retry_after * 1e3) as u64;
                 (may_wait_ms <= left_ms / 3)
@@ -132,17 +173,29 @@
                 let left_ms = DEADLINE_MS - first_sent.elapsed().as_millis() as u64;
                 let headers = client_headers(&attempt, left_ms, WAITING);
                 let sent = Instant::now();
-                record.line(&format!("client comes back with {attempt} at {name}, with {left_ms} ms left"));
+                record.line(&format!(
+                    "client comes back with {attempt} at {name}, with {left_ms} ms left"
+                ));
                 let body = format!("prompt {n}");
-                let answered = call(to, "POST", "/ask/2f", &borrowed(&headers), &body, Duration::from_secs(20))
-                    .map_err(|error| error.to_string());
+                let answered = call(
+                    to,
+                    "POST",
+                    "/ask/2f",
+                    &borrowed(&headers),
+                    &body,
+                    Duration::from_secs(20),
+                )
+                .map_err(|error| error.to_string());
                 let waited = sent.elapsed();
                 let seen = match &answered {
                     Ok(answer) if answer.is_complete => format!("{} whole", answer.status),
                     Ok(answer) => format!("{} cut", answer.status),
                     Err(error) => format!("no answer ({error})"),
                 };
-                record.line(&format!("client gets for {attempt}: {seen}, after {} ms", waited.as_millis()));
+                record.line(&format!(
+                    "client gets for {attempt}: {seen}, after {} ms",
+                    waited.as_millis()
+                ));
                 let is_in_time = waited < Duration::from_millis(left_ms);
                 Outcome { attempt, answered, waited, is_in_time }
             })
@@ -169,7 +222,8 @@
             ));
         }
     }
-    let whole = outcomes.iter().filter(|one| one.answered.as_ref().is_ok_and(|a| a.is_complete)).count();
+    let whole =
+        outcomes.iter().filter(|one| one.answered.as_ref().is_ok_and(|a| a.is_complete)).count();
     record.line(&format!("{whole} of {} answered whole, {lost} lost", outcomes.len()));
     for fill in fills {
         fill.join().ok();
@@ -186,7 +240,14 @@
     for edge in &system.edges {
         for n in 0.. {
             let headers = client_headers(&format!("first-{}-{n}", edge.name), 4_000, "");
-            let answer = call(edge.front(), "POST", "/post/2f", &borrowed(&headers), "time", Duration::from_secs(5));
+            let answer = call(
+                edge.front(),
+                "POST",
+                "/post/2f",
+                &borrowed(&headers),
+                "time",
+                Duration::from_secs(5),
+            );
             if answer.is_ok_and(|answer| answer.status == 200) {
                 break;
             }
--- a/review/stand/read_at_stop.rs
+++ b/review/stand/read_at_stop.rs
@@ -23,11 +23,28 @@
     let has_trouble = has_trouble();
     let mut system = System::start(record.clone(), Site::darnau(), 5, 2);
     let workers = [
-        Worker::start(&system, "i-app-1", "app", 63, Work::Plain { slots: 6, work_ms: 60, bytes: BYTES }),
-        Worker::start(&system, "i-app-2", "app", 64, Work::Plain { slots: 6, work_ms: 60, bytes: BYTES }),
+        Worker::start(
+            &system,
+            "i-app-1",
+            "app",
+            63,
+            Work::Plain { slots: 6, work_ms: 60, bytes: BYTES },
+        ),
+        Worker::start(
+            &system,
+            "i-app-2",
+            "app",
+            64,
+            Work::Plain { slots: 6, work_ms: 60, bytes: BYTES },
+        ),
     ];
-    let manifest =
-        Manifest { version: 7, slots: 16, stream: (3_000, 15_000, 800), plain: (1_000, DEADLINE_MS), tenants: one_tenant() };
+    let manifest = Manifest {
+        version: 7,
+        slots: 16,
+        stream: (3_000, 15_000, 800),
+        plain: (1_000, DEADLINE_MS),
+        tenants: one_tenant(),
+    };
     if !system.publish(&manifest.text(), Duration::from_secs(20)) {
         fail(&system, "the manifest was not acknowledged");
     }
@@ -56,11 +73,18 @@
                 });
                 let seen = match &answer {
                     Ok(answer) if answer.is_complete => format!("{} whole", answer.status),
-                    Ok(answer) => format!("{} cut after {} of {BYTES} bytes", answer.status, answer.body.len()),
+                    Ok(answer) => format!(
+                        "{} cut after {} of {BYTES} bytes",
+                        answer.status,
+                        answer.body.len()
+                    ),
                     Err(error) => format!("no answer ({error})"),
                 };
                 let waited = sent.elapsed();
-                record.line(&format!("client gets for {attempt}: {seen}, after {} ms", waited.as_millis()));
+                record.line(&format!(
+                    "client gets for {attempt}: {seen}, after {} ms",
+                    waited.as_millis()
+                ));
                 (attempt, answer.is_ok_and(|answer| answer.is_complete), waited)
             })
         })
@@ -82,7 +106,9 @@
     for (attempt, is_whole, waited) in &outcomes {
         if !is_whole && ran.contains(attempt) && waited.as_millis() < u128::from(DEADLINE_MS) {
             lost += 1;
-            record.line(&format!("LOST: {attempt} has run, and its answer was cut off within its time limit"));
+            record.line(&format!(
+                "LOST: {attempt} has run, and its answer was cut off within its time limit"
+            ));
         }
     }
     let whole = outcomes.iter().filter(|(_, is_whole, _)| *is_whole).count();
--- a/review/stand/seeds.rs
+++ b/review/stand/seeds.rs
@@ -21,10 +21,20 @@
     let serving = if has_trouble() { &system.edges } else { &system.cores };
     let seeds: Vec<_> = serving.iter().take(3).map(|host| host.name.as_str()).collect();
     record.line(&format!("five cores and three edges start; seeds of all: {}", seeds.join(", ")));
-    let _worker =
-        Worker::start(&system, "i-app-1", "app", 63, Work::Plain { slots: 6, work_ms: 60, bytes: 800 });
-    let manifest =
-        Manifest { version: 7, slots: 16, stream: (3_000, 15_000, 800), plain: (300, 4_000), tenants: one_tenant() };
+    let _worker = Worker::start(
+        &system,
+        "i-app-1",
+        "app",
+        63,
+        Work::Plain { slots: 6, work_ms: 60, bytes: 800 },
+    );
+    let manifest = Manifest {
+        version: 7,
+        slots: 16,
+        stream: (3_000, 15_000, 800),
+        plain: (300, 4_000),
+        tenants: one_tenant(),
+    };
     let is_acked = system.publish(&manifest.text(), TRIED_FOR);
     record.line(&format!(
         "the operator's first manifest is {} after {} s",
@@ -35,7 +45,8 @@
     let since = Instant::now();
     while !comes && since.elapsed() < CONTACT + Duration::from_secs(1) {
         for host in system.cores.iter().chain(&system.edges) {
-            let answer = call(host.control(), "GET", "/api/config", &[], "", Duration::from_secs(1));
+            let answer =
+                call(host.control(), "GET", "/api/config", &[], "", Duration::from_secs(1));
             let seen = answer.map_or(0, |answer| answer.status);
             record.line(&format!("GET /api/config at {}: {seen}", host.name));
             comes |= seen == 200;
