Admit nobody under a plan with an empty list of accounts

Cause: an absent and an empty list gave the same plan, and hosts asked for a key only if the list was not empty.

Evidence: an unknown key got 401 before the manifest and 200 after it, so the manifest was in force; a tenant without keys gave 401.

The list is optional now: absent, requests need no key; empty, nobody is admitted but on routes that allow anonymous requests. null stays invalid.

--- a/clayplank-forward/src/admit.rs
+++ b/clayplank-forward/src/admit.rs
@@ -224,7 +224,7 @@
     route: &Route,
     metadata: &RequestMetadata,
 ) -> Result<(Option<String>, u8), Refusal> {
-    if route.allows_anonymous || !plan.has_accounts() {
+    if !plan.requires_key(route) {
         let account = metadata.key.as_deref().and_then(|key| plan.find_account(key));
         return Ok((account.map(|account| account.name.clone()), route.rank));
     }
--- a/clayplank-forward/tests/entry/harness.rs
+++ b/clayplank-forward/tests/entry/harness.rs
@@ -201,7 +201,7 @@
             version: 1,
             routes: vec![route],
             services: vec![service],
-            accounts: Vec::new(),
+            accounts: None,
             limits: CallerLimits::default(),
         };
         Self::start_with_plan(builder, plan, directory, placer).await
--- a/clayplank-forward/tests/entry/slow_readers.rs
+++ b/clayplank-forward/tests/entry/slow_readers.rs
@@ -92,7 +92,7 @@
         version: 1,
         routes: vec![route(kind)],
         services: vec![plain_service()],
-        accounts: Vec::new(),
+        accounts: None,
         limits,
     };
     let builder = EntryBuilder::default().max_buffered_bytes(MAX_HELD_BYTES);
--- a/clayplank-routes/src/index.rs
+++ b/clayplank-routes/src/index.rs
@@ -28,7 +28,8 @@
                 std::cmp::Reverse(plan.routes[position].path_prefix.len())
             });
         }
-        let keys = plan.accounts.iter().enumerate().flat_map(|(position, account)| {
+        let accounts = plan.accounts.iter().flatten().enumerate();
+        let keys = accounts.flat_map(|(position, account)| {
             account.keys.iter().map(move |key| (key.clone(), position))
         });
         let by_key = keys.collect();
@@ -54,12 +55,13 @@
 
     /// Finds the account that a key belongs to.
     pub fn find_account(&self, key: &str) -> Option<&KeyedAccount> {
-        self.by_key.get(key).map(|&position| &self.plan.accounts[position])
+        let accounts = self.plan.accounts.as_deref()?;
+        self.by_key.get(key).map(|&position| &accounts[position])
     }
 
-    /// Whether the plan defines any accounts.
-    pub fn has_accounts(&self) -> bool {
-        !self.plan.accounts.is_empty()
+    /// Whether requests on a route need the key of an account.
+    pub fn requires_key(&self, route: &Route) -> bool {
+        self.plan.accounts.is_some() && !route.allows_anonymous
     }
 
     /// Returns the cost model of a service's engines; `None` for a plain or unknown service.
--- a/clayplank-routes/src/plan.rs
+++ b/clayplank-routes/src/plan.rs
@@ -5,7 +5,7 @@
 use clayplank_placement::{ColdStart, EngineModel};
 use clayplank_settings::{Check, Faults};
 use schemars::JsonSchema;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 /// Routes, services, accounts and limits that all hosts serve by. It is replaced as a
 /// whole.
@@ -18,14 +18,29 @@
     pub routes: Vec<Route>,
     /// Services that routes can refer to.
     pub services: Vec<ServiceGroup>,
-    /// Client accounts that may send requests.
-    #[serde(default)]
-    pub accounts: Vec<KeyedAccount>,
+    /// Client accounts that may send requests; `None` if requests need no key. An empty list admits
+    /// only requests on routes that allow anonymous ones.
+    #[serde(
+        default,
+        deserialize_with = "deserialize_present",
+        skip_serializing_if = "Option::is_none"
+    )]
+    #[schemars(with = "Vec<KeyedAccount>")]
+    pub accounts: Option<Vec<KeyedAccount>>,
     /// Size and time limits on requests from callers.
     #[serde(default)]
     pub limits: CallerLimits,
 }
 
+/// Deserializes a list that is either absent or given in full; `null` is rejected.
+fn deserialize_present<'de, D, T>(deserializer: D) -> Result<Option<Vec<T>>, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Deserialize<'de>,
+{
+    Vec::deserialize(deserializer).map(Some)
+}
+
 /// Whether a request may be sent again after its response was lost, and whether the
 /// response is a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
@@ -200,7 +215,7 @@
 
     fn check_accounts(&self, at: &str, faults: &mut Faults) {
         let mut accounts_by_key: BTreeMap<&str, &str> = BTreeMap::new();
-        for (position, account) in self.accounts.iter().enumerate() {
+        for (position, account) in self.accounts.iter().flatten().enumerate() {
             for (key_position, key) in account.keys.iter().enumerate() {
                 let location = format!("{at}/accounts/{position}/keys/{key_position}");
                 let other_account = accounts_by_key.insert(key, &account.name);
--- a/clayplank-routes/tests/plans.rs
+++ b/clayplank-routes/tests/plans.rs
@@ -77,3 +77,33 @@
     assert_eq!(index.find_account("k2").unwrap().name, "one");
     assert!(index.find_account("k9").is_none());
 }
+
+/// An empty list of accounts was read like an absent one, so that requests needed no key any more.
+#[rstest]
+#[case::absent(None, false)]
+#[case::empty(Some(json!([])), true)]
+fn requests_need_a_key_unless_accounts_are_absent(
+    #[case] accounts: Option<Value>,
+    #[case] requires_key: bool,
+) {
+    let mut plan = plan();
+    plan["routes"][1]["allows_anonymous"] = json!(true);
+    match accounts {
+        Some(accounts) => plan["accounts"] = accounts,
+        None => _ = plan.as_object_mut().unwrap().remove("accounts"),
+    }
+    let parsed = clayplank_settings::parse::<ServingPlan>(&plan.to_string()).unwrap();
+    let written = serde_json::to_string(&parsed).unwrap();
+    assert_eq!(clayplank_settings::parse::<ServingPlan>(&written).unwrap(), parsed);
+    let index = PlanIndex::new(parsed);
+    let requires =
+        |path| index.find_route("a.example", path).map(|route| index.requires_key(route)).unwrap();
+    assert_eq!((requires("/x/"), requires("/x/y/")), (requires_key, false));
+}
+
+#[test]
+fn accounts_that_are_null_are_rejected() {
+    let mut plan = plan();
+    plan["accounts"] = Value::Null;
+    assert!(!faults(&plan).is_empty());
+}
--- a/clayplankd/tests/seeded/guarantees.rs
+++ b/clayplankd/tests/seeded/guarantees.rs
@@ -40,6 +40,30 @@
     assert!(system.entries[0].metrics().contains("clayplank_entry_requests_total"));
 }
 
+/// A plan without any account opened the system to requests with any key, and without one.
+#[test]
+fn no_request_runs_once_a_plan_has_removed_the_last_account() {
+    let system = System::start();
+    let mut without_accounts = plan(2);
+    without_accounts["accounts"] = json!([]);
+    assert_eq!(publish(&system.keepers[0], &without_accounts).status, 200);
+    for entry in 0..system.entries.len() {
+        let mut number = 0;
+        wait_for("the plan at each host", || {
+            number += 1;
+            system.send(entry, &format!("removed-{entry}-{number}"), "/once/x", &[]).status == 401
+        });
+        let attempt = format!("without-{entry}");
+        let no_key = [("x-clayplank-attempt-id", attempt.as_str())];
+        let answer = call(system.entries[entry].callers(), "POST", "/once/x", &no_key, "");
+        assert_eq!((answer.status, system.runs.count(&attempt)), (401, 0));
+    }
+    assert_eq!(publish(&system.keepers[0], &plan(3)).status, 200);
+    wait_for("service under the next plan", || {
+        system.send(0, "restored", "/repeatable/x", &[]).status == 200
+    });
+}
+
 #[test]
 fn a_stream_that_breaks_inside_an_event_resumes_at_another_upstream() {
     let system = System::start();
