Acknowledge a departure only once enough keepers have saved it

Cause: keepers counted a departure once they had it in memory. Their saves ran every 500 ms.

The order of late reports is not the cause: without the kill, the same report changes nothing.

A keeper now answers, and counts its own copy, when the change is on disk.

--- a/clayplankd/src/doors/control_endpoint.rs
+++ b/clayplankd/src/doors/control_endpoint.rs
@@ -207,12 +207,15 @@
     }
 
     /// Reports to the keepers that an upstream accepts no new requests, and acknowledges it only
-    /// once enough of them have received it.
+    /// once enough of them have saved it.
     async fn notify_leader(&self, heartbeat: &Heartbeat) -> Answer {
         let started_ms = now_ms();
         let leader = self.leader().await;
-        let has_local_copy = matches!(self.registry, RegistryAccess::Local { .. });
-        let relayed = self.heartbeat_relay.relay_now(heartbeat, leader.as_ref(), has_local_copy);
+        let local_fleet = match &self.registry {
+            RegistryAccess::Local { fleet, .. } => Some(fleet),
+            RegistryAccess::Remote => None,
+        };
+        let relayed = self.heartbeat_relay.relay_now(heartbeat, leader.as_ref(), local_fleet);
         let is_relayed = relayed.await;
         log::info!(target: log_target::KEEPER,
             upstream = heartbeat.id.as_str(), standing:? = heartbeat.standing,
--- a/clayplankd/src/fleet/fleet_keeper.rs
+++ b/clayplankd/src/fleet/fleet_keeper.rs
@@ -23,6 +23,7 @@
 use crate::doors::contract::{EngineLoadReport, SharedContract};
 use crate::fleet::host_counts::HostCounts;
 use crate::fleet::placement_keeper::PlacementKeeper;
+use crate::fleet::saved_upstreams::SaveProgress;
 use crate::fleet::tunnel_hosts::TunnelHostRegistry;
 use crate::follow::packed_changes::PackedChanges;
 use crate::follow::plan_edits::PlanEdits;
@@ -89,6 +90,7 @@
     permits: Mutex<HashMap<UpstreamId, RateLimit>>,
     /// Cursor of the registry's newest change.
     changed: watch::Sender<Cursor>,
+    save_progress: SaveProgress,
     placement: Arc<PlacementKeeper>,
     /// Cursor of the last registry change that was applied to the engines of `placement`.
     engines_cursor: Mutex<Cursor>,
@@ -120,6 +122,7 @@
             limits: Mutex::new(Limits::new(rand::random())),
             permits: Mutex::default(),
             changed: watch::Sender::new(Cursor::default()),
+            save_progress: SaveProgress::default(),
             placement: Arc::default(),
             engines_cursor: Mutex::default(),
             plan: ArcSwapOption::empty(),
@@ -150,6 +153,16 @@
         }
     }
 
+    /// Waits until the changes of upstreams that this keeper knows now are on disk.
+    pub(crate) async fn wait_until_saved(&self) {
+        let cursor = lock_ignoring_poison(&self.registry).cursor();
+        self.save_progress.wait_until_saved(cursor).await;
+    }
+
+    pub(crate) fn save_progress(&self) -> &SaveProgress {
+        &self.save_progress
+    }
+
     /// Restores the upstreams that this keeper knew before its restart.
     pub(crate) fn restore(&self, known: &[Heartbeat]) {
         lock_ignoring_poison(&self.registry).restore(now_ms(), known);
--- a/clayplankd/src/fleet/heartbeat_relay.rs
+++ b/clayplankd/src/fleet/heartbeat_relay.rs
@@ -12,6 +12,7 @@
 use rand::seq::SliceRandom;
 use tokio::sync::mpsc;
 
+use crate::fleet::fleet_keeper::FleetKeeper;
 use crate::keepers::keeper_client::KeeperClient;
 use crate::process::clock::now_ms;
 use crate::process::lock::lock_ignoring_poison;
@@ -29,7 +30,7 @@
 /// Time-out of a call that relays heartbeats. The next heartbeat makes up for a lost one.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Time-out for enough keepers to accept an urgent heartbeat. This precedes the acknowledgement to
+/// Time-out for enough keepers to save an urgent heartbeat. This precedes the acknowledgement to
 /// the upstream, which waits for one second.
 const URGENT_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -101,22 +102,26 @@
 
     /// Relays immediately that an upstream accepts no new work, which it may not repeat. Returns
     /// whether this outlasts the tolerated losses and reaches all hosts: whether the leader, from
-    /// which they learn it, and more keepers than may fail at once have accepted it.
+    /// which they learn it, and more keepers than may lose their disks at once have saved it. `fleet`
+    /// is that of this host if it is a keeper, and has applied the heartbeat.
     pub(crate) async fn relay_now(
         &self,
         heartbeat: &Heartbeat,
         leader: Option<&HostId>,
-        has_local_copy: bool,
+        fleet: Option<&Arc<FleetKeeper>>,
     ) -> bool {
         let Some(leader) = leader else {
             return false;
         };
         let hosts = self.peer_keepers();
-        let known_keepers = hosts.len() + usize::from(has_local_copy);
+        let known_keepers = hosts.len() + usize::from(fleet.is_some());
         let required_copies = (self.tolerated_losses + 1).min(known_keepers);
-        let mut copies = usize::from(has_local_copy);
-        let mut is_at_leader = has_local_copy && *leader == self.local_host;
-        let mut accepted = self.send_to_all(hosts, heartbeat);
+        let (sender, mut accepted) = mpsc::unbounded_channel();
+        self.send_to_all(hosts, heartbeat, &sender);
+        if let Some(fleet) = fleet {
+            self.save_locally(Arc::clone(fleet), sender);
+        }
+        let (mut copies, mut is_at_leader) = (0, false);
         let enough_copies = async {
             while !is_at_leader || copies < required_copies {
                 let Some(host) = accepted.recv().await else {
@@ -130,25 +135,34 @@
         clayplank_clock::timeout(URGENT_TIMEOUT, enough_copies).await.unwrap_or(false)
     }
 
-    /// Sends an urgent heartbeat to keepers; returns those that accept it, as they do. The calls
+    /// Sends an urgent heartbeat to keepers, and to `accepted` those that have saved it. The calls
     /// continue if the receiver is dropped.
     fn send_to_all(
         &self,
         hosts: Vec<HostId>,
         heartbeat: &Heartbeat,
-    ) -> mpsc::UnboundedReceiver<HostId> {
-        let (sender, accepted) = mpsc::unbounded_channel();
+        accepted: &mpsc::UnboundedSender<HostId>,
+    ) {
         for host in hosts {
-            let (heartbeat_relay, sender) = (self.clone(), sender.clone());
+            let (heartbeat_relay, accepted) = (self.clone(), accepted.clone());
             let heartbeats = [heartbeat.clone()];
             tokio::spawn(async move {
                 if heartbeat_relay.send_with_retries(&host, &heartbeats).await {
                     // The receiver does not wait for all keepers.
-                    sender.send(host).ok();
+                    accepted.send(host).ok();
                 }
             });
         }
-        accepted
+    }
+
+    /// Sends this host to `accepted` once its own registry is saved.
+    fn save_locally(&self, fleet: Arc<FleetKeeper>, accepted: mpsc::UnboundedSender<HostId>) {
+        let local_host = self.local_host.clone();
+        tokio::spawn(async move {
+            fleet.wait_until_saved().await;
+            // The receiver does not wait for all keepers.
+            accepted.send(local_host).ok();
+        });
     }
 
     async fn send_with_retries(&self, host: &HostId, heartbeats: &[Heartbeat]) -> bool {
--- a/clayplankd/src/process/peer_service.rs
+++ b/clayplankd/src/process/peer_service.rs
@@ -7,7 +7,7 @@
 use clayplank_agreement::{Envelope, ReplicaId};
 use clayplank_members::MemberUpdate;
 use clayplank_placement::{Event, PlacementId, PlacementRequest, RunningPlacement};
-use clayplank_registry::{AgedLimit, Heartbeat};
+use clayplank_registry::{AgedLimit, Heartbeat, UpstreamStatus};
 use clayplank_schedule::{GrantHolder, GrantId, RenewedGrant, Usage};
 use clayplank_state::{CommandBody, decode, encode};
 use clayplank_types::{AttemptId, HostId, Incarnation, PoolId, Priority, RequestId, UpstreamId};
@@ -348,8 +348,13 @@
     async fn spread(&self, request: Request<SpreadRequest>) -> RpcResult<SpreadReply> {
         let request = request.into_inner();
         let heartbeats: Vec<Heartbeat> = decode(&request.heartbeats).map_err(invalid_message)?;
-        self.fleet()?.apply(&heartbeats);
-        self.fleet()?.record_limits(decode_limits(&request.limits)?);
+        let fleet = self.fleet()?;
+        fleet.apply(&heartbeats);
+        fleet.record_limits(decode_limits(&request.limits)?);
+        // The upstream is told that it may end once enough keepers have answered this call.
+        if heartbeats.iter().any(|heartbeat| heartbeat.standing != UpstreamStatus::Ready) {
+            fleet.wait_until_saved().await;
+        }
         if let Some(heartbeat_relay) = self.heartbeat_relay.as_ref().filter(|_| request.passes_on) {
             heartbeats.into_iter().for_each(|heartbeat| heartbeat_relay.queue_heartbeat(heartbeat));
         }
--- a/clayplankd/tests/seeded/departures.rs
+++ b/clayplankd/tests/seeded/departures.rs
@@ -123,6 +123,38 @@
     }
 }
 
+/// Departures were acknowledged before they were on disk, and a heartbeat that had been sent before
+/// them registered the upstreams anew.
+#[rstest]
+#[case::draining(Report::Draining)]
+#[case::departure(Report::Departure)]
+fn an_acknowledged_departure_survives_the_kill_of_all_hosts_right_after_it(#[case] report: Report) {
+    let mut system = System::start();
+    let last_ready = system.last_sequence + 1;
+    system.last_sequence = last_ready;
+    for upstream in ["u1", "u2"] {
+        wait_for("an acknowledgement", || report.is_acknowledged(&mut system, 0, upstream));
+    }
+    system.restart_all();
+    wait_for("readiness", || system.entries.iter().all(Host::is_ready));
+    assert_no_request_runs(&system, last_ready);
+}
+
+/// Asserts that no request runs although heartbeats with this sequence number, which say that the
+/// upstreams are ready, arrive at all keepers.
+fn assert_no_request_runs(system: &System, sequence: u64) {
+    let late_heartbeats = system.heartbeat_calls(sequence);
+    for number in 0..20 {
+        for (keeper, path, body) in &late_heartbeats {
+            call(*keeper, "PUT", path, &[], body);
+        }
+        let attempt = format!("late-{number}");
+        system.send(number % system.entries.len(), &attempt, "/repeatable/x", &[]);
+        assert_eq!(system.runs.count(&attempt), 0, "{attempt} ran at a departed upstream");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
 /// The kernel sent the bytes again when the link had recovered, also those of closed connections.
 #[rstest]
 #[case::service(UpstreamKind::Service, false)]
