Tell a new leader of upstreams that drain or have departed

What callers saw: requests reached an upstream whose departure had been acknowledged, once the keepers had restarted under a leader without it and a heartbeat from before the departure had arrived late.

Cause: after a restart a keeper follows the leader without a digest, and digests leave departed upstreams out, so that what only followers know did not reach the leader.

Evidence: a leader whose saved upstreams are gone registered the late heartbeat, while the two other keepers had the departure.

A keeper sends the upstreams that drain or have departed with its first request to a registry that is new to it. Whether a keeper may place depends on ready upstreams only, as before.

--- a/clayplankd/src/fleet/fleet_keeper.rs
+++ b/clayplankd/src/fleet/fleet_keeper.rs
@@ -76,7 +76,7 @@
     started_ms: u64,
     /// Whether a follower knows upstreams, learned from another keeper, that are missing here.
     has_better_informed_follower: AtomicBool,
-    /// Whether an entry host has sent the upstreams that it knows.
+    /// Whether a follower has sent upstreams that it knows to be ready.
     has_received_follower_records: AtomicBool,
     /// Number of hosts queried since the last check of record ages.
     queried_hosts: AtomicU64,
@@ -182,10 +182,11 @@
         Some((cursor, known.cloned().collect()))
     }
 
-    /// Applies the upstreams that an entry host sent because this keeper knows fewer.
+    /// Applies the upstreams that an entry host or another keeper sent because this keeper may know
+    /// fewer.
     pub(crate) fn apply_follower_records(&self, known: &[Heartbeat]) {
-        if !known.is_empty() {
-            self.apply(known);
+        self.apply(known);
+        if known.iter().any(|heartbeat| heartbeat.standing == UpstreamStatus::Ready) {
             self.has_received_follower_records.store(true, Ordering::SeqCst);
         }
     }
@@ -456,6 +457,13 @@
         heartbeats.filter(|one| buckets.contains(&one.id)).cloned().collect()
     }
 
+    /// Newest heartbeats of the upstreams that drain or have departed.
+    pub(crate) fn stopped_upstreams(&self) -> Vec<Heartbeat> {
+        let registry = lock_ignoring_poison(&self.registry);
+        let heartbeats = registry.records().map(|record| &record.heartbeat);
+        heartbeats.filter(|one| one.standing != UpstreamStatus::Ready).cloned().collect()
+    }
+
     /// Takes the plan out of `delta` and returns it packed: as an edit of the version
     /// `plan_version`, which the follower has, or complete if that version is no longer known here.
     /// Returns an empty vector and leaves `delta` unchanged if it has no plan or its plan is not
--- a/clayplankd/src/follow/leader_confirmation.rs
+++ b/clayplankd/src/follow/leader_confirmation.rs
@@ -320,6 +320,12 @@
         } else {
             Vec::new()
         };
+        let mut known = self.fleet.heartbeats_in(position.requested_buckets);
+        let is_new_registry = position.leader.as_ref() != Some(leader) || position.sends_digest;
+        if is_new_registry {
+            // The leader may have lost them, and digests do not cover departed upstreams.
+            known.extend(self.fleet.stopped_upstreams());
+        }
         let now_ms = now_ms();
         let mut tunnel_hosts = self.fleet.tunnel_hosts();
         let asks_tunnel_hosts = tunnel_hosts.take_exchange(now_ms);
@@ -335,7 +341,7 @@
             from_host: self.local_host.to_string(),
             applied_revision: self.applied.borrow().revision,
             cursor: encode(&position.cursor)?,
-            known: encode(&self.fleet.heartbeats_in(position.requested_buckets))?,
+            known: encode(&known)?,
             digest,
             keeper: Some(keeper),
             limits_cursor: encode(&position.limits_cursor)?,
--- a/clayplankd/tests/seeded/departures.rs
+++ b/clayplankd/tests/seeded/departures.rs
@@ -140,6 +140,29 @@
     assert_no_request_runs(&system, last_ready);
 }
 
+/// Keepers that know a departure did not tell a leader that has lost it, as its list of upstreams that
+/// run did not differ from theirs.
+#[rstest]
+#[case::draining(Report::Draining)]
+#[case::departure(Report::Departure)]
+fn a_leader_that_has_lost_a_departure_learns_it_from_the_other_keepers(#[case] report: Report) {
+    let mut system = System::start_with(Topology { entries: 6, ..Topology::default() });
+    let last_ready = system.last_sequence + 1;
+    system.last_sequence = last_ready;
+    for upstream in ["u1", "u2"] {
+        wait_for("an acknowledgement", || report.is_acknowledged(&mut system, 0, upstream));
+    }
+    wait_for("a leader that has lost the departure", || {
+        let forgetful = leader(&system);
+        system.keepers[forgetful].kill();
+        std::fs::remove_file(system.keepers[forgetful].data.join("upstreams")).unwrap();
+        system.restart_all();
+        wait_for("readiness", || system.entries.iter().all(Host::is_ready));
+        leader(&system) == forgetful
+    });
+    assert_no_request_runs(&system, last_ready);
+}
+
 /// Asserts that no request runs although heartbeats with this sequence number, which say that the
 /// upstreams are ready, arrive at all keepers.
 fn assert_no_request_runs(system: &System, sequence: u64) {
