Answer the requests that wait at a host that stops

Cause: only new requests looked at whether the host is closed. Those that waited already, queued, deferred or for the end of a backoff, waited on for their own limits, which are longer than the grace period.

Evidence: the drain used its whole time, no line of the host gave the requests up, and no upstream had received them.

The phases of a shutdown are one value that requests wait for. What no upstream may have run is rejected when the host closes; a queued request whose expected turn is later is rejected at once, to return when the host has closed. That also keeps queued prompts from being placed so late that they are cut off amid their answers.

--- a/clayplank-forward/src/admit.rs
+++ b/clayplank-forward/src/admit.rs
@@ -17,6 +17,7 @@
 use crate::call::{BodyPermit, Call};
 use crate::clock::{millis, now_ms};
 use crate::entry::Entry;
+use crate::gate::SHUTDOWN_RETRY_MS;
 use crate::quarantine::{Admission, QuarantineKeys};
 use crate::refusal::{AnswerBody, Refusal};
 use crate::request_metadata::RequestMetadata;
@@ -35,10 +36,6 @@
 /// requests have finished, and the load balancer may choose another host.
 const BUFFER_FULL_RETRY_MS: u64 = 500;
 
-/// Retry time sent to callers while this host shuts down, in ms; the load balancer routes the retry
-/// to another host.
-const SHUTDOWN_RETRY_MS: u64 = 50;
-
 /// A refusal before the request is forwarded, with what is known of the request by then.
 struct DoorRefusal {
     refusal: Refusal,
--- a/clayplank-forward/src/choice.rs
+++ b/clayplank-forward/src/choice.rs
@@ -10,6 +10,7 @@
 use crate::attempt::BUSY_RETRY_MS;
 use crate::call::Call;
 use crate::clock::millis;
+use crate::gate::SHUTDOWN_RETRY_MS;
 use crate::load::LoadGuard;
 use crate::queue_quota::QueuePermit;
 use crate::refusal::Refusal;
@@ -53,13 +54,18 @@
 
 impl Call {
     /// Chooses an upstream for the next attempt; stops waiting for one as soon as the request is
-    /// quarantined.
+    /// quarantined, or the host closes and no upstream has received the request.
     pub(crate) async fn choose(&self) -> Result<Chosen, Refusal> {
+        let may_be_rejected = !self.may_have_run && self.last_event_at.is_none();
         tokio::select! {
+            biased;
             chosen = self.choose_upstream() => chosen,
             () = self.wait_until_quarantined() => {
                 Err(Refusal::NotRun { retry_after_ms: BUSY_RETRY_MS })
             }
+            () = self.entry.gate.wait_until_closed(), if may_be_rejected => {
+                Err(Refusal::NotRun { retry_after_ms: SHUTDOWN_RETRY_MS })
+            }
         }
     }
 
--- a/clayplank-forward/src/gate.rs
+++ b/clayplank-forward/src/gate.rs
@@ -5,11 +5,30 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
+use clayplank_clock::Instant;
 use clayplank_routes::PlanIndex;
 use tokio::sync::watch;
 
 use crate::clock::now_ms;
 
+/// Retry time sent to callers while this host shuts down, in ms; the load balancer routes the retry
+/// to another host.
+pub(crate) const SHUTDOWN_RETRY_MS: u64 = 50;
+
+/// Phase of a host's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Open,
+    /// The host reports that it is not ready; the load balancer may still send new connections.
+    ShuttingDown {
+        closes_at: Instant,
+    },
+    /// Requests that were not sent to an upstream are rejected.
+    Closed,
+    /// All requests without an answer are abandoned.
+    Ending,
+}
+
 /// The plan in force, its lease, and the number of requests in progress.
 #[derive(Debug)]
 pub struct Gate {
@@ -20,8 +39,7 @@
     lease_ms: AtomicU64,
     /// Whether a plan has ever been confirmed at this host.
     has_been_confirmed: watch::Sender<bool>,
-    is_shutting_down: AtomicBool,
-    is_closed: AtomicBool,
+    phase: watch::Sender<Phase>,
     is_full: AtomicBool,
     is_overloaded: AtomicBool,
     in_progress: AtomicU64,
@@ -35,8 +53,7 @@
             confirmed_until_ms: AtomicU64::new(0),
             lease_ms: AtomicU64::new(lease_ms),
             has_been_confirmed: watch::Sender::new(false),
-            is_shutting_down: AtomicBool::new(false),
-            is_closed: AtomicBool::new(false),
+            phase: watch::Sender::new(Phase::Open),
             is_full: AtomicBool::new(false),
             is_overloaded: AtomicBool::new(false),
             in_progress: AtomicU64::new(0),
@@ -116,24 +133,64 @@
         self.is_overloaded.store(is_overloaded, Ordering::SeqCst);
     }
 
-    /// Marks the host as not ready, permanently.
-    pub fn start_shutdown(&self) {
-        self.is_shutting_down.store(true, Ordering::SeqCst);
+    /// Marks the host as not ready, permanently. It is to be closed at `closes_at`.
+    pub fn start_shutdown(&self, closes_at: Instant) {
+        self.phase.send_replace(Phase::ShuttingDown { closes_at });
     }
 
     /// Whether the host is shutting down.
     pub fn is_shutting_down(&self) -> bool {
-        self.is_shutting_down.load(Ordering::SeqCst)
+        *self.phase.borrow() != Phase::Open
     }
 
-    /// Rejects all further requests, as they could not be completed any more.
+    /// Rejects all requests that were not sent to an upstream, and all further ones, as they could
+    /// not be completed any more.
     pub fn close(&self) {
-        self.is_closed.store(true, Ordering::SeqCst);
+        self.phase.send_replace(Phase::Closed);
     }
 
     /// Whether requests are rejected.
     pub fn is_closed(&self) -> bool {
-        self.is_closed.load(Ordering::SeqCst)
+        match *self.phase.borrow() {
+            Phase::Open | Phase::ShuttingDown { .. } => false,
+            Phase::Closed | Phase::Ending => true,
+        }
+    }
+
+    /// Abandons all requests whose answer has not begun: the process is about to end, and a closed
+    /// connection would not tell their callers whether they have run.
+    pub fn abandon_requests(&self) {
+        self.phase.send_replace(Phase::Ending);
+    }
+
+    /// Waits until the host shuts down; returns the time at which it closes.
+    pub(crate) async fn wait_until_shutting_down(&self) -> Instant {
+        match self.wait_for_phase(|phase| *phase != Phase::Open).await {
+            Phase::ShuttingDown { closes_at } => closes_at,
+            Phase::Open | Phase::Closed | Phase::Ending => Instant::now(),
+        }
+    }
+
+    /// Waits until requests that were not sent are rejected.
+    pub(crate) async fn wait_until_closed(&self) {
+        self.wait_for_phase(|phase| matches!(phase, Phase::Closed | Phase::Ending)).await;
+    }
+
+    /// Awaits the answer to a request; `None` once all requests are abandoned.
+    pub(crate) async fn unless_ending<T>(&self, answer: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            answer = answer => Some(answer),
+            _ = self.wait_for_phase(|phase| *phase == Phase::Ending) => None,
+        }
+    }
+
+    async fn wait_for_phase(&self, is_reached: impl Fn(&Phase) -> bool) -> Phase {
+        let mut phase = self.phase.subscribe();
+        let reached = phase.wait_for(is_reached).await.map(|reached| *reached);
+        // The sender lives as long as `self`.
+        let Ok(reached) = reached else { std::future::pending().await };
+        reached
     }
 
     /// Number of requests between their head and the end of their answer.
--- a/clayplank-forward/src/queueing.rs
+++ b/clayplank-forward/src/queueing.rs
@@ -10,6 +10,7 @@
 use crate::call::{BodyPermit, Call};
 use crate::choice::{MIN_FULL_RETRY_MS, PLACEMENT_RETRY_INTERVAL_MS};
 use crate::clock::millis;
+use crate::gate::SHUTDOWN_RETRY_MS;
 use crate::placer::Placer;
 use crate::queue_quota::QueuePermit;
 
@@ -36,13 +37,15 @@
     Refused,
     /// The placer did not decide while the caller waited; the host refused the request.
     Undecided,
+    /// The host shuts down, and closes before the expected turn of the request.
+    Stopping,
     /// The caller left.
     Left,
 }
 
 impl TurnOutcome {
-    pub(crate) const ALL: [Self; 5] =
-        [Self::Placed, Self::Deferred, Self::Refused, Self::Undecided, Self::Left];
+    pub(crate) const ALL: [Self; 6] =
+        [Self::Placed, Self::Deferred, Self::Refused, Self::Undecided, Self::Stopping, Self::Left];
 
     pub(crate) fn as_str(self) -> &'static str {
         match self {
@@ -50,6 +53,7 @@
             Self::Deferred => "deferred",
             Self::Refused => "refused",
             Self::Undecided => "undecided",
+            Self::Stopping => "stopping",
             Self::Left => "left",
         }
     }
@@ -191,7 +195,18 @@
         self.lock_body_permit().buffer.suspend();
         self.log_queued(expected_ms);
         let decision = self.entry.placer.await_turn(request);
-        let decided = clayplank_clock::timeout(self.max_queue_wait(), decision).await;
+        let decided = clayplank_clock::timeout(self.max_queue_wait(), decision);
+        let decided = tokio::select! {
+            biased;
+            decided = decided => decided,
+            closes_in = self.wait_until_turn_is_too_late(expected_ms) => {
+                let retry_after_ms = closes_in.as_millis() as u64 + SHUTDOWN_RETRY_MS;
+                turn.outcome = TurnOutcome::Stopping;
+                let outcome = PlacementOutcome::Full { retry_after_ms };
+                self.log_decided(&turn, &outcome);
+                return outcome;
+            }
+        };
         let (turn_outcome, outcome) = match decided {
             Ok(outcome @ PlacementOutcome::At(_)) => (TurnOutcome::Placed, outcome),
             Ok(outcome @ PlacementOutcome::Soon { .. }) => (TurnOutcome::Deferred, outcome),
@@ -208,6 +223,18 @@
         outcome
     }
 
+    /// Waits until it is known that the host closes before a turn that is expected in `expected_ms`;
+    /// returns the time until it closes. The load balancer may send the retry here again before that.
+    async fn wait_until_turn_is_too_late(&self, expected_ms: u64) -> Duration {
+        let expected_at = Instant::now() + millis(expected_ms);
+        let closes_at = self.entry.gate.wait_until_shutting_down().await;
+        if expected_at < closes_at {
+            // The turn may come in time; the request is rejected when the host closes.
+            return std::future::pending().await;
+        }
+        closes_at.saturating_duration_since(Instant::now())
+    }
+
     fn log_queued(&self, expected_ms: u64) {
         log::info!(target: "forward",
             request = self.metadata.attempt_id, route = self.route.name,
--- a/clayplank-forward/src/stream.rs
+++ b/clayplank-forward/src/stream.rs
@@ -1,6 +1,7 @@
 //! Forwards event streams: the head is sent with the first event, later events as they arrive.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
@@ -12,7 +13,7 @@
 use crate::buffer_quota::BufferQuota;
 use crate::call::Call;
 use crate::caller_queue::{CallerQueue, QueuedEvent};
-use crate::gate::ProgressGuard;
+use crate::gate::{ProgressGuard, SHUTDOWN_RETRY_MS};
 use crate::headers::strip_hop_by_hop;
 use crate::opening::{Opened, StartedStream, open};
 use crate::pump::Pump;
@@ -26,12 +27,15 @@
 
 /// Forwards a request until its first event; later events are forwarded in a background task.
 pub(crate) async fn run(mut call: Call, guard: ProgressGuard) -> Response<AnswerBody> {
-    let opened = clayplank_clock::timeout_at(call.deadline, open(&mut call)).await;
+    let (entry, deadline) = (Arc::clone(&call.entry), call.deadline);
+    let opened = entry.gate.unless_ending(open(&mut call));
+    let opened = clayplank_clock::timeout_at(deadline, opened).await;
     call.set_answered();
     match opened {
-        Ok(Ok(Opened::Started(started))) => respond(call, guard, *started),
-        Ok(Ok(Opened::Other(response))) => response,
-        Ok(Err(refusal)) => call.abandon(refusal),
+        Ok(Some(Ok(Opened::Started(started)))) => respond(call, guard, *started),
+        Ok(Some(Ok(Opened::Other(response)))) => response,
+        Ok(Some(Err(refusal))) => call.abandon(refusal),
+        Ok(None) => call.abandon(Refusal::NotRun { retry_after_ms: SHUTDOWN_RETRY_MS }),
         Err(_) => {
             call.may_have_run |= !call.tried.is_empty();
             call.abandon(Refusal::TimedOut)
--- a/clayplank-forward/src/unary.rs
+++ b/clayplank-forward/src/unary.rs
@@ -1,5 +1,6 @@
 //! Forwards answers that are not streams: they are read completely before the first byte is sent.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -16,7 +17,7 @@
 use crate::call::Call;
 use crate::choice::Chosen;
 use crate::clock::millis;
-use crate::gate::ProgressGuard;
+use crate::gate::{ProgressGuard, SHUTDOWN_RETRY_MS};
 use crate::headers::strip_hop_by_hop;
 use crate::load::Outcome;
 use crate::refusal::{AnswerBody, Refusal};
@@ -36,11 +37,14 @@
 /// Forwards a request until it has an answer.
 pub(crate) async fn run(mut call: Call, _guard: ProgressGuard) -> Response<AnswerBody> {
     let deadline = call.deadline - ABANDON_MARGIN;
-    let tried = clayplank_clock::timeout_at(deadline, try_upstreams(&mut call)).await;
+    let entry = Arc::clone(&call.entry);
+    let tried = entry.gate.unless_ending(try_upstreams(&mut call));
+    let tried = clayplank_clock::timeout_at(deadline, tried).await;
     call.set_answered();
     match tried {
-        Ok(Ok(response)) => response,
-        Ok(Err(refusal)) => call.abandon(refusal),
+        Ok(Some(Ok(response))) => response,
+        Ok(Some(Err(refusal))) => call.abandon(refusal),
+        Ok(None) => call.abandon(Refusal::NotRun { retry_after_ms: SHUTDOWN_RETRY_MS }),
         Err(_) => {
             call.may_have_run |= call.sent_count > 0 || !call.tried.is_empty();
             call.deadline = Instant::now();
--- a/clayplank-forward/tests/entry/main.rs
+++ b/clayplank-forward/tests/entry/main.rs
@@ -20,4 +20,5 @@
 mod rate_limits;
 mod replaced_upstreams;
 mod slow_readers;
+mod stopping;
 mod suspended;
--- a/clayplankd/src/process/seeded.rs
+++ b/clayplankd/src/process/seeded.rs
@@ -37,7 +37,8 @@
 /// aborted at the end of the grace period.
 const BALANCER_DELAY: Duration = Duration::from_millis(2_700);
 
-/// Delay between the end of the last request and the stop, in which the last bytes are sent.
+/// Delay between the end of the last request and the stop, in which the last bytes are sent, among
+/// them those that tell callers that their requests are abandoned.
 const FLUSH_DELAY: Duration = Duration::from_millis(150);
 
 /// Draining ends this long before the grace period, so that the last bytes can still be sent.
@@ -198,21 +199,24 @@
         log::info!(target: log_target::DAEMON, cut_off = cut_off; "Stopped");
     }
 
-    /// Fails the readiness check, then rejects new requests, and waits for those in progress, also
-    /// those of peers in tunnels, until the grace period is nearly over.
+    /// Fails the readiness check, then rejects new requests and those that still wait for an
+    /// upstream. Waits until the answers to the others are written, also those of peers in tunnels, or
+    /// until the grace period is nearly over.
     async fn drain(&self, gate: &Gate) {
-        let end =
-            Instant::now() + Duration::from_secs_f64(self.settings.bounds.grace_s) - GRACE_MARGIN;
+        let started_at = Instant::now();
+        let closes_at = started_at + BALANCER_DELAY;
+        let end = started_at + Duration::from_secs_f64(self.settings.bounds.grace_s) - GRACE_MARGIN;
         log::info!(target: log_target::DAEMON, in_progress = gate.in_progress(); "Shutting down; draining requests");
-        gate.start_shutdown();
+        gate.start_shutdown(closes_at);
         self.tunnels.close();
-        clayplank_clock::sleep(BALANCER_DELAY).await;
+        clayplank_clock::sleep_until(closes_at).await;
         gate.close();
         self.closing.send_replace(true);
         let is_busy = || gate.in_progress() > 0 || self.tunnels.open_tunnels() > 0;
         while is_busy() && Instant::now() < end {
             clayplank_clock::sleep(DRAIN_POLL_INTERVAL).await;
         }
+        gate.abandon_requests();
         clayplank_clock::sleep(FLUSH_DELAY).await;
     }
 }
--- a/clayplankd/tests/seeded/main.rs
+++ b/clayplankd/tests/seeded/main.rs
@@ -24,6 +24,7 @@
 mod replacement;
 mod signals;
 mod soak;
+mod stopping;
 mod system;
 mod upstream_restarts;
 mod upstreams;
