Wait at a planned stop until callers have received their answers

Cause: a request counted as in progress until its answer was handed to the HTTP library, which writes it as the caller reads.

Evidence: the upstream had given the whole answer before the signal; what the operating system had buffered arrived, and the rest did not.

The drain now also waits for the open connections on which a request was sent. Idle ones close as soon as the host closes, so that those that remain have an answer that is not written.

--- a/clayplank-forward/src/gate.rs
+++ b/clayplank-forward/src/gate.rs
@@ -43,6 +43,8 @@
     is_full: AtomicBool,
     is_overloaded: AtomicBool,
     in_progress: AtomicU64,
+    /// Number of open connections on which a caller has sent a request.
+    used_connections: AtomicU64,
 }
 
 impl Gate {
@@ -57,6 +59,7 @@
             is_full: AtomicBool::new(false),
             is_overloaded: AtomicBool::new(false),
             in_progress: AtomicU64::new(0),
+            used_connections: AtomicU64::new(0),
         }
     }
 
@@ -198,6 +201,18 @@
         self.in_progress.load(Ordering::SeqCst)
     }
 
+    /// Number of open connections on which a caller has sent a request. An answer may not be written
+    /// completely while its connection is open.
+    pub fn used_connections(&self) -> u64 {
+        self.used_connections.load(Ordering::SeqCst)
+    }
+
+    /// Counts a connection on which a request was received until the guard is dropped.
+    pub(crate) fn enter_connection(self: &Arc<Self>) -> ConnectionGuard {
+        self.used_connections.fetch_add(1, Ordering::SeqCst);
+        ConnectionGuard(Arc::clone(self))
+    }
+
     /// Counts a request until the guard is dropped.
     pub(crate) fn enter(self: &Arc<Self>) -> ProgressGuard {
         self.in_progress.fetch_add(1, Ordering::SeqCst);
@@ -214,3 +229,13 @@
         self.0.in_progress.fetch_sub(1, Ordering::SeqCst);
     }
 }
+
+/// One open connection on which a request was received.
+#[derive(Debug)]
+pub(crate) struct ConnectionGuard(Arc<Gate>);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.used_connections.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- a/clayplank-forward/src/listener.rs
+++ b/clayplank-forward/src/listener.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::pin::pin;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -129,7 +129,9 @@
 async fn serve_caller(stream: TcpStream, entry: Arc<Entry>, mut closing: watch::Receiver<bool>) {
     let plan = entry.gate.plan();
     let idle_timeout = plan.map(|plan| Duration::from_millis(plan.plan().limits.idle_timeout_ms));
+    let use_guard = OnceLock::new();
     let service = service_fn(move |request: Request<Incoming>| {
+        use_guard.get_or_init(|| entry.gate.enter_connection());
         let entry = Arc::clone(&entry);
         async move { Ok::<_, Infallible>(entry.answer(request).await) }
     });
--- a/clayplankd/src/process/seeded.rs
+++ b/clayplankd/src/process/seeded.rs
@@ -212,7 +212,10 @@
         clayplank_clock::sleep_until(closes_at).await;
         gate.close();
         self.closing.send_replace(true);
-        let is_busy = || gate.in_progress() > 0 || self.tunnels.open_tunnels() > 0;
+        let is_busy = || {
+            let has_callers = gate.in_progress() > 0 || gate.used_connections() > 0;
+            has_callers || self.tunnels.open_tunnels() > 0
+        };
         while is_busy() && Instant::now() < end {
             clayplank_clock::sleep(DRAIN_POLL_INTERVAL).await;
         }
