Take the buffer quota for a whole answer at once

Cause: answers are read whole and took the quota of 48 MiB piece by piece, so that all held a part and waited for the rest.

Evidence: the upstreams were blocked in writing while the callers read; the buffered bytes stood at the quota.

An answer takes the quota for its declared length, or the largest size, at once; whoever has it can finish. Answers to streaming requests that are no streams were read without a limit and have the same one now.

Test: large_answers_that_exceed_the_limit_together_are_all_delivered, two cases, failed on with 504 and pass.

--- a/clayplank-forward/src/buffer_quota.rs
+++ b/clayplank-forward/src/buffer_quota.rs
@@ -19,7 +19,7 @@
 
 /// Bytes of each request and each answer that are not counted: nearly all are smaller, and thus
 /// never wait for the few large ones.
-const UNCOUNTED_BYTES: usize = 16 << 10;
+pub(crate) const UNCOUNTED_BYTES: usize = 16 << 10;
 
 /// Maximum number of bytes passed to a connection at once; the rest remains counted.
 const MAX_CHUNK_BYTES: usize = 16 << 10;
@@ -46,6 +46,15 @@
         self.suspended_units += self.permit.take().map_or(0, |permit| permit.num_permits());
     }
 
+    /// Gives back what exceeds this number of bytes.
+    pub(crate) fn shrink_to(&mut self, bytes: usize) {
+        self.bytes = self.bytes.min(bytes);
+        let units = self.bytes.saturating_sub(UNCOUNTED_BYTES).div_ceil(UNIT_BYTES);
+        if let Some(permit) = &mut self.permit {
+            drop(permit.split(permit.num_permits().saturating_sub(units)));
+        }
+    }
+
     /// Adds bytes and returns how many of them count towards the quota.
     fn grow(&mut self, bytes: usize) -> usize {
         let before = self.bytes.saturating_sub(UNCOUNTED_BYTES);
--- a/clayplank-forward/src/lib.rs
+++ b/clayplank-forward/src/lib.rs
@@ -57,6 +57,7 @@
 mod tunnel_access;
 mod unary;
 mod upstream_stats;
+mod whole_body;
 
 pub use availability::NextOpening;
 pub use budget::{BudgetLimits, RetryBudget};
--- a/clayplank-forward/src/opening.rs
+++ b/clayplank-forward/src/opening.rs
@@ -11,15 +11,17 @@
 
 use crate::answer::parse_framing;
 use crate::attempt::{Attempt, BUSY_RETRY_MS, CUT_OFF_RETRY_MS};
+use crate::buffer_quota::CountedBody;
 use crate::call::Call;
 use crate::choice::Chosen;
 use crate::clock::millis;
 use crate::events::StreamEvent;
 use crate::headers::strip_hop_by_hop;
 use crate::load::{LoadGuard, Outcome};
-use crate::refusal::{AnswerBody, Refusal, full};
+use crate::refusal::{AnswerBody, Refusal};
 use crate::source::{EventSource, Next};
 use crate::survivals::AnswerProgress;
+use crate::whole_body::read_whole_body;
 
 /// The time-out for the first event is the expected time multiplied by this factor, plus a margin.
 const FIRST_EVENT_FACTOR: f64 = 4.0;
@@ -165,20 +167,18 @@
     let framing = parse_framing(head.status, &head.headers);
     load.record_outcome(if is_failure { Outcome::Failed } else { Outcome::Good });
     strip_hop_by_hop(&mut head.headers);
-    match body.collect().await {
-        Ok(_) if !load.is_complete_at_close(framing).await => {
+    match read_whole_body(body, &call.entry.buffer_quota).await {
+        Some(_) if !load.is_complete_at_close(framing).await => {
             load.record_outcome(Outcome::Broken);
             call.record_break(upstream, AnswerProgress::default());
             OpenResult::MayHaveRun
         }
-        Ok(collected) => {
+        Some((bytes, buffer_permit)) => {
             call.record_answered(upstream, Instant::now());
-            OpenResult::Other(Response::from_parts(head, full(collected.to_bytes())), !is_failure)
-        }
-        Err(error) => {
-            log::info!(target: "forward", "A response from an upstream broke off: {error}.");
-            OpenResult::MayHaveRun
+            let body = CountedBody::new(bytes, buffer_permit).boxed_unsync();
+            OpenResult::Other(Response::from_parts(head, body), !is_failure)
         }
+        None => OpenResult::MayHaveRun,
     }
 }
 
--- a/clayplank-forward/src/unary.rs
+++ b/clayplank-forward/src/unary.rs
@@ -3,17 +3,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use clayplank_clock::Instant;
 use clayplank_types::UpstreamId;
 use http::Response;
 use http::response::Parts;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
 use crate::answer::parse_framing;
 use crate::attempt::{Attempt, BUSY_RETRY_MS, CUT_OFF_RETRY_MS};
-use crate::buffer_quota::{BufferPermit, BufferQuota, CountedBody};
+use crate::buffer_quota::{BufferPermit, CountedBody};
 use crate::call::Call;
 use crate::choice::Chosen;
 use crate::clock::millis;
@@ -22,9 +21,7 @@
 use crate::load::Outcome;
 use crate::refusal::{AnswerBody, Refusal};
 use crate::survivals::AnswerProgress;
-
-/// Maximum size of an answer, in bytes; callers' requests are no larger either.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
+use crate::whole_body::read_whole_body;
 
 /// Time-out of one upstream for a repeatable request, in latency goals of the route, while another
 /// upstream can be tried.
@@ -119,7 +116,7 @@
     let begun_at = Instant::now();
     let framing = parse_framing(response.status(), response.headers());
     let (head, body) = response.into_parts();
-    let read = clayplank_clock::timeout(timeout, read_complete(body, &call.entry.buffer_quota));
+    let read = clayplank_clock::timeout(timeout, read_whole_body(body, &call.entry.buffer_quota));
     // An answer of a replaced upstream counts as incomplete.
     let mut read = load.unless_replaced(read).await.unwrap_or(Ok(None));
     if matches!(read, Ok(Some(_))) && !load.is_complete_at_close(framing).await {
@@ -159,36 +156,6 @@
     }
 }
 
-/// Reads a complete body; `None` if it broke off or is too large. Stops reading from the upstream
-/// while the buffer quota of this host is used up.
-async fn read_complete(
-    mut body: Incoming,
-    buffer_quota: &BufferQuota,
-) -> Option<(Bytes, BufferPermit)> {
-    let mut read = BytesMut::new();
-    let mut buffer_permit = BufferPermit::default();
-    while let Some(frame) = body.frame().await {
-        let frame = match frame {
-            Ok(frame) => frame,
-            Err(error) => {
-                log::info!(target: "forward", "A response from an upstream broke off: {error}.");
-                return None;
-            }
-        };
-        let Some(bytes) = frame.data_ref() else {
-            continue;
-        };
-        if read.len() + bytes.len() > MAX_ANSWER_BYTES {
-            log::info!(target: "forward",
-                "A response from an upstream exceeds {MAX_ANSWER_BYTES} bytes.");
-            return None;
-        }
-        buffer_quota.acquire(&mut buffer_permit, bytes.len()).await;
-        read.extend_from_slice(bytes);
-    }
-    Some((read.freeze(), buffer_permit))
-}
-
 fn finish(call: &Call, answer: CompleteAnswer) -> Response<AnswerBody> {
     let CompleteAnswer { upstream, mut head, bytes, buffer_permit } = answer;
     strip_hop_by_hop(&mut head.headers);
--- a/clayplank-forward/tests/entry/slow_readers.rs
+++ b/clayplank-forward/tests/entry/slow_readers.rs
@@ -7,6 +7,7 @@
 
 use clayplank_forward::{Directory, EntryBuilder};
 use clayplank_routes::{CallerLimits, RequestKind, ServingPlan};
+use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
@@ -29,8 +30,8 @@
 /// A wait that takes longer fails the test; no tested behaviour depends on this time.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Starts an upstream that answers with as many bytes as the path names. On `/mute` it reads no body
-/// and never answers.
+/// Starts an upstream that answers with as many bytes as the path names, below `/paced/` and
+/// `/chunked/` slowly. On `/mute` it reads no body and never answers.
 async fn start_upstream() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
@@ -50,8 +51,11 @@
         // Keeps the connection open, and reads nothing more.
         return std::future::pending().await;
     }
-    let bytes: usize = path.trim_start_matches('/').parse().unwrap_or(2);
     let attempt = header(&head, "x-clayplank-attempt-id");
+    if let Some((_, pace, bytes)) = parse_paced(&path) {
+        return send_paced(stream, &attempt, pace == "chunked", bytes).await;
+    }
+    let bytes: usize = path.trim_start_matches('/').parse().unwrap_or(2);
     let answer = format!(
         "HTTP/1.1 200 OK\r\ncontent-length: {bytes}\r\nx-clayplank-seal: s\r\nx-clayplank-attempt-id: {attempt}\r\n\r\n"
     );
@@ -62,6 +66,38 @@
     stream.read_to_end(&mut Vec::new()).await.ok();
 }
 
+fn parse_paced(path: &str) -> Option<(&str, &str, usize)> {
+    let mut parts = path.splitn(3, '/');
+    Some((parts.next()?, parts.next()?, parts.next()?.parse().ok()?))
+}
+
+/// Sends an answer in pieces, so that several answers arrive at the same time.
+async fn send_paced(mut stream: TcpStream, attempt: &str, is_chunked: bool, bytes: usize) {
+    const PIECE_BYTES: usize = 64 << 10;
+    let framing = match is_chunked {
+        true => "transfer-encoding: chunked".to_owned(),
+        false => format!("content-length: {bytes}"),
+    };
+    let head = format!(
+        "HTTP/1.1 200 OK\r\n{framing}\r\nx-clayplank-seal: s\r\nx-clayplank-attempt-id: {attempt}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.ok();
+    for _ in 0..bytes / PIECE_BYTES {
+        let mut piece = vec![b'a'; PIECE_BYTES];
+        if is_chunked {
+            let size_line = format!("{PIECE_BYTES:x}\r\n");
+            piece = [size_line.as_bytes(), &piece, b"\r\n"].concat();
+        }
+        // The host may close the connection before the answer is complete.
+        stream.write_all(&piece).await.ok();
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    if is_chunked {
+        stream.write_all(b"0\r\n\r\n").await.ok();
+    }
+    stream.read_to_end(&mut Vec::new()).await.ok();
+}
+
 async fn read_head(stream: &mut TcpStream) -> String {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
@@ -187,3 +223,30 @@
     );
     wait_until("the release of all buffered bytes", || buffered_bytes(&host) == 0).await;
 }
+
+/// Answers that were read at the same time each held a part of the quota, and waited for the rest until
+/// their time limits.
+#[rstest]
+#[case::with_a_length("paced")]
+#[case::in_chunks("chunked")]
+#[tokio::test]
+async fn large_answers_that_exceed_the_limit_together_are_all_delivered(#[case] pace: &str) {
+    const ANSWER_BYTES: usize = 3 * MIB;
+    let host = start_host(RequestKind::Unrepeatable).await;
+    let path = format!("/{pace}/{ANSWER_BYTES}");
+    let mut callers = Vec::new();
+    for number in 0..2 * MAX_HELD_BYTES / ANSWER_BYTES {
+        let mut caller = host.connect().await;
+        let request = request(&path, &format!("large-{number}"), 0);
+        caller.write_all(request.as_bytes()).await.unwrap();
+        callers.push(caller);
+    }
+    for mut caller in callers {
+        let head = answer_head(&mut caller).await;
+        assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+        let mut body = vec![0; ANSWER_BYTES];
+        let read = tokio::time::timeout(WAIT_TIMEOUT, caller.read_exact(&mut body)).await;
+        read.unwrap().unwrap();
+    }
+    wait_until("the release of all buffered bytes", || buffered_bytes(&host) == 0).await;
+}
