Read answers to commands and load reports up to a limit

Cause: these answers were read whole, bounded by a time-out alone.

They are read up to 256 KiB now; a longer one counts as no answer.

--- a/clayplank-forward/src/exchange.rs
+++ b/clayplank-forward/src/exchange.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use clayplank_connect::{ConnectError, Connector};
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -18,6 +18,9 @@
 /// Maximum size of a response head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Maximum size of the response body to a small request, in bytes; the largest are load reports.
+const MAX_SMALL_BODY_BYTES: usize = 256 << 10;
+
 /// Reason why a request got no response.
 #[derive(Debug, thiserror::Error)]
 pub enum ExchangeError {
@@ -35,9 +38,9 @@
     /// The connection could not be opened, or failed.
     #[error(transparent)]
     Exchange(#[from] ExchangeError),
-    /// The response broke off.
-    #[error("the answer broke off: {0}")]
-    BrokenOff(#[source] hyper::Error),
+    /// The body of the response broke off or is too large.
+    #[error("the body of the answer could not be read: {0}")]
+    Body(#[source] Box<dyn std::error::Error + Send + Sync>),
     /// The response did not arrive within the time-out.
     #[error("no answer in time")]
     TimedOut,
@@ -115,7 +118,8 @@
         let (response, _connection) =
             exchange(stream, tunnel_host, request, std::future::pending()).await?;
         let status = response.status();
-        let body = response.into_body().collect().await.map_err(CallError::BrokenOff)?;
+        let body = Limited::new(response.into_body(), MAX_SMALL_BODY_BYTES);
+        let body = body.collect().await.map_err(CallError::Body)?;
         Ok((status, body.to_bytes()))
     };
     clayplank_clock::timeout(timeout, call).await.map_err(|_| CallError::TimedOut)?
--- a/clayplank-forward/src/reserve.rs
+++ b/clayplank-forward/src/reserve.rs
@@ -182,7 +182,7 @@
                 match error {
                     CallError::Exchange(ExchangeError::Connect(_)) => CommandResult::NotSent,
                     CallError::Exchange(ExchangeError::Failed(_))
-                    | CallError::BrokenOff(_)
+                    | CallError::Body(_)
                     | CallError::TimedOut => CommandResult::Unknown,
                 }
             }
--- a/clayplank-forward/tests/entry/main.rs
+++ b/clayplank-forward/tests/entry/main.rs
@@ -11,6 +11,7 @@
 mod deadlines;
 mod delayed_commands;
 mod departing;
+mod endless_bytes;
 mod harness;
 mod log_lines;
 mod overload;
