Keep an upstream that lacks the version that a caller demands

What callers saw: after one request with a version that no engine has, that host sent the engine nothing for two minutes.

Cause: 421 was taken for the answer of another incarnation at the address, also where the caller itself had named a version.

Such a 421 says only that the request did not run.

Test: an_upstream_that_lacks_a_demanded_version_serves_other_requests failed before (503 for a request without the demand) in both cases, and passes.

--- a/clayplank-forward/src/attempt.rs
+++ b/clayplank-forward/src/attempt.rs
@@ -158,6 +158,13 @@
                 self.log_attempt(upstream, "not_run", head.status.as_str());
                 Attempt::NotRun
             }
+            // The upstream refuses the version that the caller demands, which says nothing about its
+            // incarnation.
+            Verdict::Replaced if self.head.headers.contains_key(&names.expect_version) => {
+                self.may_have_run = may_have_run_before;
+                self.log_attempt(upstream, "not_run", head.status.as_str());
+                Attempt::NotRun
+            }
             Verdict::Replaced => {
                 self.may_have_run = may_have_run_before;
                 self.entry.directory.record_replaced(upstream);
--- a/clayplank-forward/src/names.rs
+++ b/clayplank-forward/src/names.rs
@@ -20,6 +20,9 @@
     pub account: HeaderName,
     /// Incarnation of the upstream that may run the request; no other may.
     pub expect_upstream: HeaderName,
+    /// Version of the weights that the caller demands; an engine with another one does not run the
+    /// request.
+    pub expect_version: HeaderName,
     /// Engine that caused a request not to be run, which may be a helper.
     pub at_fault: HeaderName,
     /// Mark by which an upstream identifies an answer as its own.
@@ -48,6 +51,7 @@
             prompt_parts: HeaderName::from_static("x-clayplank-prompt-parts"),
             account: HeaderName::from_static("x-clayplank-account"),
             expect_upstream: HeaderName::from_static("x-clayplank-expect-upstream"),
+            expect_version: HeaderName::from_static("x-clayplank-expect-version"),
             at_fault: HeaderName::from_static("x-clayplank-at-fault"),
             seal: HeaderName::from_static("x-clayplank-seal"),
             not_run: HeaderName::from_static("x-clayplank-not-run"),
--- a/clayplank-forward/tests/entry/main.rs
+++ b/clayplank-forward/tests/entry/main.rs
@@ -10,6 +10,7 @@
 mod connection_limit;
 mod deadlines;
 mod delayed_commands;
+mod demanding_callers;
 mod departing;
 mod endless_bytes;
 mod harness;
