Reject a plan with routes whose hosts differ only in case

Hosts are looked up without regard to case, so that one of two such routes was never found. The plan was valid, as hosts were compared letter for letter.

Test: routes_whose_hosts_differ_only_in_case_are_rejected.

--- a/clayplank-routes/src/plan.rs
+++ b/clayplank-routes/src/plan.rs
@@ -80,7 +80,7 @@
 pub struct Route {
     /// Name of the route in logs.
     pub name: String,
-    /// Host name in the request, without the port.
+    /// Host name in the request, without the port; its case does not matter.
     pub host: String,
     /// Prefix of the request path; of several matching routes, the longest prefix applies.
     pub path_prefix: String,
@@ -203,7 +203,8 @@
         let mut host_prefixes = BTreeSet::new();
         for (position, route) in self.routes.iter().enumerate() {
             let at = format!("{at}/routes/{position}");
-            let is_unique = host_prefixes.insert((route.host.as_str(), route.path_prefix.as_str()));
+            let host = route.host.to_ascii_lowercase();
+            let is_unique = host_prefixes.insert((host, route.path_prefix.as_str()));
             faults.require(
                 is_unique,
                 &format!("{at}/path_prefix"),
--- a/clayplank-routes/tests/plans.rs
+++ b/clayplank-routes/tests/plans.rs
@@ -107,3 +107,12 @@
     plan["accounts"] = Value::Null;
     assert!(!faults(&plan).is_empty());
 }
+
+/// Guards against two routes for the same requests, of which one is never found.
+#[test]
+fn routes_whose_hosts_differ_only_in_case_are_rejected() {
+    let mut plan = plan();
+    plan["routes"][0]["host"] = json!("A.Example");
+    plan["routes"][1]["path_prefix"] = json!("/x/");
+    assert_eq!(faults(&plan), ["/routes/1/path_prefix: another route has this host and prefix"]);
+}
