Accept up to 512 headers in requests and answers

What callers saw: 431 for requests with more than 100 headers, whatever their size; answers with as many were lost.

Cause: the default of the HTTP library, below what the plan's limit for a head allows.

Test: requests_and_answers_may_have_several_hundred_headers failed before with 431 and passes.

--- a/clayplank-forward/src/exchange.rs
+++ b/clayplank-forward/src/exchange.rs
@@ -18,6 +18,9 @@
 /// Maximum size of a response head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Maximum number of headers of a response.
+const MAX_HEADERS: usize = 512;
+
 /// Maximum size of the response body to a small request, in bytes; the largest are load reports.
 const MAX_SMALL_BODY_BYTES: usize = 256 << 10;
 
@@ -82,6 +85,7 @@
 ) -> Result<(Response<Incoming>, Connection), ExchangeError> {
     let (mut sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
+        .max_headers(MAX_HEADERS)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(ExchangeError::Failed)?;
--- a/clayplank-forward/src/listener.rs
+++ b/clayplank-forward/src/listener.rs
@@ -26,6 +26,9 @@
 /// Maximum size of a request head, in bytes; the plan's limit is lower.
 const MAX_HEAD_BYTES: usize = 32 << 10;
 
+/// Maximum number of headers of a request.
+const MAX_HEADERS: usize = 512;
+
 /// Idle time-out of connections if the plan sets none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -139,7 +142,8 @@
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout.unwrap_or(DEFAULT_IDLE_TIMEOUT) + MIN_HEAD_TIMEOUT)
-        .max_buf_size(MAX_HEAD_BYTES);
+        .max_buf_size(MAX_HEAD_BYTES)
+        .max_headers(MAX_HEADERS);
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
     let served = tokio::select! {
         served = connection.as_mut() => served,
--- a/clayplank-forward/tests/entry/demanding_callers.rs
+++ b/clayplank-forward/tests/entry/demanding_callers.rs
@@ -8,7 +8,9 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 
-use crate::harness::{Host, TestPlacer, plain_service, read_some, record, route};
+use crate::harness::{
+    Host, TestPlacer, answering_upstream, plain_service, read_some, record, route,
+};
 
 const VALID: &str = "HTTP/1.1 200 OK\r\nx-clayplank-attempt-id: a\r\nx-clayplank-seal: s\r\n";
 
@@ -58,3 +60,18 @@
     let other = call_with(&host, "").await;
     assert!(other.starts_with("HTTP/1.1 200"), "{other}");
 }
+
+/// Requests and answers with more than 100 headers were rejected, whatever their size.
+#[tokio::test]
+async fn requests_and_answers_may_have_several_hundred_headers() {
+    let headers = |name: &str| -> String {
+        (0..300).map(|number| format!("{name}-{number}: 1\r\n")).collect()
+    };
+    let directory = Arc::new(Directory::default());
+    let head = format!("{VALID}{}", headers("x-b"));
+    directory.apply(vec![answering_upstream("u", &[&head]).await]);
+    let host = start(directory, RequestKind::Unrepeatable).await;
+    let answer = call_with(&host, &headers("x-a")).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.contains("x-b-299: 1"), "{answer}");
+}
