--- a/clayplank-forward/src/choice.rs
+++ b/clayplank-forward/src/choice.rs
@@ -54,7 +54,7 @@
 
 impl Call {
     /// Chooses an upstream for the next attempt; stops waiting for one as soon as the request is
-    /// quarantined, or the host closes and no upstream has received the request.
+    /// quarantined, or the host closes and no upstream may have run the request.
     pub(crate) async fn choose(&self) -> Result<Chosen, Refusal> {
         let may_be_rejected = !self.may_have_run && self.last_event_at.is_none();
         tokio::select! {
--- a/clayplankd/tests/seeded/soak/checks.rs
+++ b/clayplankd/tests/seeded/soak/checks.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::operators::read_back;
-use super::record::{ObservedRequest, is_interrupted};
+use super::record::{ObservedRequest, is_interrupted, is_unanswered};
 use super::run::Shared;
 use super::schedule::{ENTRIES, Step};
 use crate::client::call;
@@ -98,8 +98,9 @@
     spans.iter().all(|(from, until)| ended_at < *from || sent_at > *until)
 }
 
-/// Requests that planned operations interrupted: those that ran and got no complete answer, outside
-/// the periods affected by unplanned faults and by the final kill of all hosts.
+/// Requests that planned operations interrupted: those that ran and got no complete answer, and those
+/// that waited and got none, outside the periods affected by unplanned faults and by the final kill of
+/// all hosts.
 pub fn check_interrupted(
     observed: &[ObservedRequest],
     schedule: &[Step],
@@ -111,7 +112,7 @@
     let cut = observed
         .iter()
         .filter(|one| is_calm(&spans, one.sent_at, one.ended_at))
-        .filter(|observed| is_interrupted(observed, count(&observed.attempt)));
+        .filter(|one| is_interrupted(one, count(&one.attempt)) || is_unanswered(one));
     cut.map(|observed| {
         let sent_ms = observed.sent_at.duration_since(started_at).as_millis();
         let status = observed.answer.as_ref().map(|answer| answer.status);
--- a/clayplankd/tests/seeded/soak/record.rs
+++ b/clayplankd/tests/seeded/soak/record.rs
@@ -1,7 +1,7 @@
 //! Observations of callers and operators, and the violations found in them.
 
 use std::sync::Mutex;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::answer::Answer;
 
@@ -90,3 +90,15 @@
     let is_in_time = observed.ended_at < observed.deadline;
     runs > 0 && observed.requested_fault.is_none() && !is_complete && is_in_time
 }
+
+/// Time after which a host without an unplanned fault has read a request; an overloaded one closes
+/// connections unread.
+const READ_TIME: Duration = Duration::from_secs(1);
+
+/// Whether a request that a host had time to read got no answer at all before its deadline, even if no
+/// upstream has run it.
+pub fn is_unanswered(observed: &ObservedRequest) -> bool {
+    let has_been_read = observed.ended_at - observed.sent_at > READ_TIME;
+    let is_in_time = observed.ended_at < observed.deadline;
+    has_been_read && is_in_time && observed.requested_fault.is_none() && observed.answer.is_none()
+}
