--- a/clayplankd/tests/seeded/guarantees.rs
+++ b/clayplankd/tests/seeded/guarantees.rs
@@ -9,7 +9,7 @@
 
 use crate::answer::Answer;
 use crate::client::call;
-use crate::system::{KEY, System, plan, publish, wait_for};
+use crate::system::{KEY, System, Topology, plan, publish, wait_for};
 
 #[test]
 fn answers_pass_unchanged_and_faults_are_reported_accurately() {
@@ -64,6 +64,18 @@
     });
 }
 
+/// An edit of the plan with version 0 was sent to hosts that have no plan.
+#[test]
+fn a_host_that_starts_after_a_plan_with_version_0_gets_the_next_plan() {
+    let topology = Topology { first_plan_version: 0, ..Topology::default() };
+    let mut system = System::start_with(topology);
+    assert_eq!(publish(&system.keepers[0], &plan(1)).status, 200);
+    system.entries[0].kill();
+    system.entries[0].start();
+    wait_for("readiness", || system.entries[0].is_ready());
+    assert_eq!(system.send(0, "a1", "/repeatable/x", &[]).status, 200);
+}
+
 #[test]
 fn a_stream_that_breaks_inside_an_event_resumes_at_another_upstream() {
     let system = System::start();
--- a/clayplankd/tests/seeded/system.rs
+++ b/clayplankd/tests/seeded/system.rs
@@ -51,6 +51,8 @@
     pub bootstraps_from_entries: bool,
     /// Additional entry hosts without a control listener, to which tests send no requests.
     pub idle_entries: usize,
+    /// Version of the first plan.
+    pub first_plan_version: u64,
 }
 
 impl Default for Topology {
@@ -63,6 +65,7 @@
             has_combined_roles: false,
             bootstraps_from_entries: false,
             idle_entries: 0,
+            first_plan_version: 1,
         }
     }
 }
@@ -157,7 +160,7 @@
         system.idle_entries.iter_mut().for_each(Host::start);
         system.start_upstream("u1", 21);
         system.start_upstream("u2", 22);
-        system.wait_for_plan(&plan(1));
+        system.wait_for_plan(&plan(topology.first_plan_version));
         let entries = &system.entries;
         wait_for("readiness", || entries.iter().all(Host::is_ready));
         system.send_heartbeats_until_served();
