--- a/clayplankd/tests/seeded/queued.rs
+++ b/clayplankd/tests/seeded/queued.rs
@@ -22,7 +22,7 @@
 const REQUESTS: usize = 6;
 
 /// Tokens of the prompt and of the answer. All requests are served within their goal of 3 s.
-const TOKENS: &str = "2000,700";
+pub const TOKENS: &str = "2000,700";
 
 /// Duration of a stream of this length: 16 passes of 43 ms each.
 const STREAM_TIME: Duration = Duration::from_millis(700);
@@ -54,13 +54,13 @@
     }
 }
 
-struct QueueSystem {
-    system: System,
+/// A system whose entry hosts have an admission queue, before one small engine.
+pub struct QueueSystem {
+    pub system: System,
 }
 
 impl QueueSystem {
-    /// Starts a system whose entry hosts have memory for waiting requests, before one small engine.
-    fn start() -> Self {
+    pub fn start() -> Self {
         let mut system = System::start_with(Topology::default());
         enable_queue(&mut system);
         let model = EngineModel { slots: SLOTS, ..EngineModel::default() };
--- a/clayplankd/tests/seeded/stopping.rs
+++ b/clayplankd/tests/seeded/stopping.rs
@@ -4,14 +4,12 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
-use clayplank_placement::EngineModel;
 use serde_json::{Value, json};
 use socket2::{Domain, Socket, Type};
 
 use crate::answer::Answer;
 use crate::failover::leader;
-use crate::guarantees::plan_with_engines;
-use crate::queued::{SLOTS, enable_queue, wait_for_prompts};
+use crate::queued::{QueueSystem, TOKENS};
 use crate::system::{KEY, System, call_with_headers, plan, wait_for};
 
 /// Callers of a host that stops; their streams take longer in total than it has left.
@@ -21,20 +19,11 @@
 /// its process.
 #[test]
 fn requests_that_wait_at_a_stopping_host_are_answered() {
-    let mut system = System::start();
-    enable_queue(&mut system);
-    let model = EngineModel { slots: SLOTS, ..EngineModel::default() };
-    system.start_engine("e1", 31, model.clone());
-    let mut plan = plan_with_engines(2, &model);
-    if let Some(route) = plan["routes"].as_array_mut().unwrap().last_mut() {
-        route["goal_ms"] = json!(9_000);
-    }
-    system.wait_for_plan(&plan);
-    wait_for_prompts(&system);
+    let QueueSystem { mut system } = QueueSystem::start();
     let address = system.entries[0].callers();
     let send = |number: usize| {
         let attempt = format!("stopped-{number}");
-        let tokens = [("x-clayplank-tokens", "2000,700")];
+        let tokens = [("x-clayplank-tokens", TOKENS)];
         call_with_headers(address, &attempt, 9_000, "/prompt/x", &tokens, "body")
     };
     let answers: Vec<Answer> = std::thread::scope(|scope| {
