--- a/clayplank-routes/src/plan.rs
+++ b/clayplank-routes/src/plan.rs
@@ -5,7 +5,7 @@
 use clayplank_placement::{ColdStart, EngineModel};
 use clayplank_settings::{Check, Faults};
 use schemars::JsonSchema;
-use serde::{Deserialize, Deserializer, Serialize};
+use serde::{Deserialize, Serialize};
 
 /// Routes, services, accounts and limits that all hosts serve by. It is replaced as a
 /// whole.
@@ -22,7 +22,7 @@
     /// only requests on routes that allow anonymous ones.
     #[serde(
         default,
-        deserialize_with = "deserialize_present",
+        deserialize_with = "clayplank_settings::deserialize_present",
         skip_serializing_if = "Option::is_none"
     )]
     #[schemars(with = "Vec<KeyedAccount>")]
@@ -32,15 +32,6 @@
     pub limits: CallerLimits,
 }
 
-/// Deserializes a list that is either absent or given in full; `null` is rejected.
-fn deserialize_present<'de, D, T>(deserializer: D) -> Result<Option<Vec<T>>, D::Error>
-where
-    D: Deserializer<'de>,
-    T: Deserialize<'de>,
-{
-    Vec::deserialize(deserializer).map(Some)
-}
-
 /// Whether a request may be sent again after its response was lost, and whether the
 /// response is a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
--- a/clayplank-settings/src/lib.rs
+++ b/clayplank-settings/src/lib.rs
@@ -16,6 +16,7 @@
 mod check;
 mod host;
 mod key;
+mod optional;
 mod resources;
 mod seeded;
 
@@ -27,5 +28,6 @@
     LogSettings, Operator, PlatformSource, Role, ServiceSettings, Timing, Upstream,
 };
 pub use key::{KeyDigest, MalformedDigest};
+pub use optional::deserialize_present;
 pub use resources::Resources;
 pub use seeded::{SeededListen, SeededSettings};
