Keepers: report each upstream to a new leader once

An upstream that drains and lies in a requested bucket was listed twice, by two methods that read the registry one after the other. One reads it once.

--- a/clayplankd/src/fleet/fleet_keeper.rs
+++ b/clayplankd/src/fleet/fleet_keeper.rs
@@ -450,18 +450,16 @@
         lock_ignoring_poison(&self.registry).digest()
     }
 
-    /// Newest heartbeats of the upstreams in the given buckets of the digest.
-    pub(crate) fn heartbeats_in(&self, buckets: Buckets) -> Vec<Heartbeat> {
-        let registry = lock_ignoring_poison(&self.registry);
-        let heartbeats = registry.records().map(|record| &record.heartbeat);
-        heartbeats.filter(|one| buckets.contains(&one.id)).cloned().collect()
-    }
-
-    /// Newest heartbeats of the upstreams that drain or have departed.
-    pub(crate) fn stopped_upstreams(&self) -> Vec<Heartbeat> {
+    /// Newest heartbeats of the upstreams in the given buckets of the digest. `includes_stopped` adds
+    /// all that drain or have departed.
+    pub(crate) fn heartbeats_in(&self, buckets: Buckets, includes_stopped: bool) -> Vec<Heartbeat> {
+        let is_included = |one: &&Heartbeat| {
+            let is_stopped = one.standing != UpstreamStatus::Ready;
+            buckets.contains(&one.id) || (includes_stopped && is_stopped)
+        };
         let registry = lock_ignoring_poison(&self.registry);
         let heartbeats = registry.records().map(|record| &record.heartbeat);
-        heartbeats.filter(|one| one.standing != UpstreamStatus::Ready).cloned().collect()
+        heartbeats.filter(is_included).cloned().collect()
     }
 
     /// Takes the plan out of `delta` and returns it packed: as an edit of the version
--- a/clayplankd/src/follow/leader_confirmation.rs
+++ b/clayplankd/src/follow/leader_confirmation.rs
@@ -320,12 +320,10 @@
         } else {
             Vec::new()
         };
-        let mut known = self.fleet.heartbeats_in(position.requested_buckets);
+        // A leader with a new registry may have lost upstreams that drain or have departed, and digests
+        // do not cover the latter.
         let is_new_registry = position.leader.as_ref() != Some(leader) || position.sends_digest;
-        if is_new_registry {
-            // The leader may have lost them, and digests do not cover departed upstreams.
-            known.extend(self.fleet.stopped_upstreams());
-        }
+        let known = self.fleet.heartbeats_in(position.requested_buckets, is_new_registry);
         let now_ms = now_ms();
         let mut tunnel_hosts = self.fleet.tunnel_hosts();
         let asks_tunnel_hosts = tunnel_hosts.take_exchange(now_ms);
