Tests: one wait, and one start of departures, for the tests that need them

wait_until stood in two files of the entry tests and again inside a new one, its time-out in five; the harness has them now. Two tests of departures began with the same lines. All assertions are as they were.

--- a/clayplank-forward/tests/entry/delayed_commands.rs
+++ b/clayplank-forward/tests/entry/delayed_commands.rs
@@ -14,10 +14,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::harness::PathCommands;
-
-/// A wait that takes longer fails the test; no tested behaviour depends on this time.
-const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
+use crate::harness::{PathCommands, WAIT_TIMEOUT};
 
 /// An engine whose reservations do not expire: only a release frees the memory.
 #[derive(Default)]
--- a/clayplank-forward/tests/entry/harness.rs
+++ b/clayplank-forward/tests/entry/harness.rs
@@ -276,3 +276,16 @@
     let count = stream.read(&mut bytes).await.unwrap_or_default();
     String::from_utf8_lossy(&bytes[..count]).into_owned()
 }
+
+/// A wait that takes longer fails the test; no tested behaviour depends on this time.
+pub const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Waits until a condition holds.
+pub async fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let waited = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    assert!(tokio::time::timeout(WAIT_TIMEOUT, waited).await.is_ok(), "{what} did not happen");
+}
--- a/clayplank-forward/tests/entry/log_lines.rs
+++ b/clayplank-forward/tests/entry/log_lines.rs
@@ -13,7 +13,9 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-use crate::harness::{Host, TestPlacer, answering_upstream, plain_service, read_some, route};
+use crate::harness::{
+    Host, TestPlacer, WAIT_TIMEOUT, answering_upstream, plain_service, read_some, route,
+};
 
 /// Time until the deadline of each request, in ms.
 const DEADLINE_MS: u64 = 5_000;
@@ -21,9 +23,6 @@
 /// Maximum time between two readings of the clock for one line, on a busy machine, in ms.
 const MAX_READING_GAP_MS: u64 = 200;
 
-/// A wait that takes longer fails the test; no tested behaviour depends on this time.
-const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
-
 /// Fields of a line, and its message under the key `message`.
 type Line = BTreeMap<String, String>;
 
--- a/clayplank-forward/tests/entry/queueing.rs
+++ b/clayplank-forward/tests/entry/queueing.rs
@@ -17,7 +17,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::harness::{
-    Host, TestPlacer, Turn, answering_upstream, plain_service, read_some, record, route,
+    Host, TestPlacer, Turn, answering_upstream, plain_service, read_some, record, route, wait_until,
 };
 
 const ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
@@ -26,9 +26,6 @@
 /// Bounds that no test of a single request reaches.
 const AMPLE: QueueLimits = QueueLimits { requests: 8, bytes: 1 << 20 };
 
-/// A wait that takes longer fails the test; no tested behaviour depends on this time.
-const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
-
 /// What the placer was asked.
 type Requests = Arc<Mutex<Vec<PlacementRequest>>>;
 
@@ -153,15 +150,6 @@
     }
 }
 
-async fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
-    let waited = async {
-        while !condition() {
-            tokio::time::sleep(Duration::from_millis(2)).await;
-        }
-    };
-    assert!(tokio::time::timeout(WAIT_TIMEOUT, waited).await.is_ok(), "{what} did not happen");
-}
-
 async fn after(delay_ms: u64, outcome: PlacementOutcome) -> PlacementOutcome {
     tokio::time::sleep(Duration::from_millis(delay_ms)).await;
     outcome
--- a/clayplank-forward/tests/entry/slow_readers.rs
+++ b/clayplank-forward/tests/entry/slow_readers.rs
@@ -11,7 +11,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
-use crate::harness::{Host, TestPlacer, plain_service, record, route};
+use crate::harness::{Host, TestPlacer, WAIT_TIMEOUT, plain_service, record, route, wait_until};
 
 const MIB: usize = 1 << 20;
 
@@ -27,9 +27,6 @@
 /// Idle time-out of the host's connections, in ms.
 const IDLE_TIMEOUT_MS: u64 = 1_500;
 
-/// A wait that takes longer fails the test; no tested behaviour depends on this time.
-const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
-
 /// Starts an upstream that answers with as many bytes as the path names, below `/paced/` and
 /// `/chunked/` slowly. On `/mute` it reads no body and never answers.
 async fn start_upstream() -> SocketAddr {
@@ -162,15 +159,6 @@
     line.unwrap().rsplit(' ').next().unwrap().parse().unwrap()
 }
 
-async fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
-    let waited = async {
-        while !condition() {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
-    };
-    assert!(tokio::time::timeout(WAIT_TIMEOUT, waited).await.is_ok(), "{what} did not happen");
-}
-
 #[tokio::test]
 async fn callers_that_read_nothing_delay_no_others_and_are_disconnected() {
     let host = start_host(RequestKind::Repeatable).await;
--- a/clayplank-forward/tests/entry/stopping.rs
+++ b/clayplank-forward/tests/entry/stopping.rs
@@ -11,10 +11,9 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::harness::{Host, TestPlacer, plain_service, read_some, record, route};
-
-/// A wait that takes longer fails the test; no tested behaviour depends on this time.
-const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
+use crate::harness::{
+    Host, TestPlacer, WAIT_TIMEOUT, plain_service, read_some, record, route, wait_until,
+};
 
 /// Time from the start of a shutdown until the host closes.
 const CLOSE_DELAY: Duration = Duration::from_millis(1_500);
@@ -42,12 +41,7 @@
 
 /// Waits until the host has read a request.
 async fn wait_for_arrival(host: &Host) {
-    let arrived = async {
-        while host.gate.in_progress() == 0 {
-            tokio::time::sleep(Duration::from_millis(2)).await;
-        }
-    };
-    tokio::time::timeout(WAIT_TIMEOUT, arrived).await.unwrap();
+    wait_until("the arrival of the request", || host.gate.in_progress() > 0).await;
     // It is read before it waits.
     tokio::time::sleep(Duration::from_millis(50)).await;
 }
--- a/clayplankd/tests/seeded/departures.rs
+++ b/clayplankd/tests/seeded/departures.rs
@@ -35,6 +35,17 @@
         };
         answer.status == 200
     }
+
+    /// Reports for both upstreams until it is acknowledged; returns the sequence number of a heartbeat
+    /// that they sent just before.
+    fn end_all_upstreams(self, system: &mut System) -> u64 {
+        system.last_sequence += 1;
+        let last_ready = system.last_sequence;
+        for upstream in ["u1", "u2"] {
+            wait_for("an acknowledgement", || self.is_acknowledged(system, 0, upstream));
+        }
+        last_ready
+    }
 }
 
 /// The next leader knew the upstream's last heartbeat only, which says that it is ready.
@@ -130,11 +141,7 @@
 #[case::departure(Report::Departure)]
 fn an_acknowledged_departure_survives_the_kill_of_all_hosts_right_after_it(#[case] report: Report) {
     let mut system = System::start();
-    let last_ready = system.last_sequence + 1;
-    system.last_sequence = last_ready;
-    for upstream in ["u1", "u2"] {
-        wait_for("an acknowledgement", || report.is_acknowledged(&mut system, 0, upstream));
-    }
+    let last_ready = report.end_all_upstreams(&mut system);
     system.restart_all();
     wait_for("readiness", || system.entries.iter().all(Host::is_ready));
     assert_no_request_runs(&system, last_ready);
@@ -147,11 +154,7 @@
 #[case::departure(Report::Departure)]
 fn a_leader_that_has_lost_a_departure_learns_it_from_the_other_keepers(#[case] report: Report) {
     let mut system = System::start_with(Topology { entries: 6, ..Topology::default() });
-    let last_ready = system.last_sequence + 1;
-    system.last_sequence = last_ready;
-    for upstream in ["u1", "u2"] {
-        wait_for("an acknowledgement", || report.is_acknowledged(&mut system, 0, upstream));
-    }
+    let last_ready = report.end_all_upstreams(&mut system);
     wait_for("a leader that has lost the departure", || {
         let forgetful = leader(&system);
         system.keepers[forgetful].kill();
