Reports: tell the next leader of the ends of streams

What callers saw: after the leader of the keepers was killed, requests waited up to a second for slots that were free.

Cause: hosts report the end of a stream once. Reports to the leader that had ended failed, and reports to its deputy were lost once that had sent its placements to the next leader. A list of running placements removes a placement only a second after it was taken over.

Why it works: events are repeated until a keeper accepts them, and a change of the keeper that places repeats recent ends. Repeated ends have no effect.

--- a/clayplank-placement/src/engine_loads.rs
+++ b/clayplank-placement/src/engine_loads.rs
@@ -19,6 +19,8 @@
     placements: HashMap<PlacementId, Placement>,
     pub(crate) split_load: SplitLoad,
     pub(crate) slot_times: SlotTimes,
+    /// Number of placements that were dropped because their hosts no longer listed them.
+    pub(crate) unlisted_total: u64,
 }
 
 impl EngineLoads {
@@ -225,6 +227,7 @@
             id.host == host && placement.is_settled(now_ms) && !is_listed(id)
         });
         let finished: Vec<_> = finished.map(|(id, _)| *id).collect();
+        self.unlisted_total += finished.len() as u64;
         for id in finished {
             self.end(now_ms, id, |_| {});
         }
--- a/clayplank-placement/src/fleet.rs
+++ b/clayplank-placement/src/fleet.rs
@@ -258,6 +258,12 @@
         self.loads.clear();
     }
 
+    /// Number of placements that were dropped because their hosts no longer listed them: reports of
+    /// their ends did not arrive.
+    pub fn unlisted_total(&self) -> u64 {
+        self.loads.unlisted_total
+    }
+
     /// Adds the placements that a host reports as running, and drops those of its older placements
     /// that it does not list.
     pub fn sync_host(&mut self, now_ms: f64, host: u64, running: &[RunningPlacement]) {
--- a/clayplankd/src/fleet.rs
+++ b/clayplankd/src/fleet.rs
@@ -2,6 +2,7 @@
 //! of prompts on them, and the reports that hosts exchange about engines and upstreams.
 
 pub(crate) mod decision_log;
+pub(crate) mod event_reports;
 pub(crate) mod fleet_engines;
 pub(crate) mod fleet_keeper;
 pub(crate) mod heartbeat_relay;
--- a/clayplankd/src/fleet/placement_client.rs
+++ b/clayplankd/src/fleet/placement_client.rs
@@ -17,10 +17,8 @@
     AWAIT_TIMEOUT_MS, Decisions, TurnKeepers, WaitingTurns, await_turn, run_await_loop,
 };
 use clayplank_types::{DataCentre, HostId};
-use clayplank_wire::{
-    AwaitTurnsRequest, PlaceRequest, ReportRequest, TakeTurnReply, TakeTurnRequest,
-};
-use tokio::sync::mpsc;
+use clayplank_wire::{AwaitTurnsRequest, PlaceRequest, TakeTurnReply, TakeTurnRequest};
+use tokio::sync::{mpsc, watch};
 
 use crate::fleet::fleet_engines::{set_cordoned, set_engines, update_engines};
 use crate::fleet::unreachable::Unreachable;
@@ -38,15 +36,9 @@
 /// leader is found: elections take about half a second.
 const KEEPER_BACKOFF_MS: u64 = 400;
 
-/// Time for which events of placements are collected into one call.
-const BATCH_DELAY: Duration = Duration::from_millis(15);
-
 /// Time-out of a call that awaits decisions on queued requests.
 const AWAIT_TIMEOUT: Duration = Duration::from_millis(AWAIT_TIMEOUT_MS);
 
-/// Time-out of a report of events to a keeper. The next renewal makes up for lost ones.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Receiving ends of the queues of a link, whose contents are reported to the keepers.
 #[derive(Debug)]
 pub(crate) struct Reports {
@@ -204,6 +196,11 @@
         if is_unresponsive { self.keepers.deputy() } else { self.keepers.leader() }
     }
 
+    /// Subscribes to the found leader and its changes.
+    pub(crate) fn subscribe_leader(&self) -> watch::Receiver<Option<HostId>> {
+        self.keepers.subscribe_leader()
+    }
+
     fn place_locally(&self, placement_request: &PlacementRequest) -> PlacementOutcome {
         log::info!(target: log_target::MEMBERS, prompt_tokens = placement_request.prompt_tokens; "Chooses engines by itself");
         lock_ignoring_poison(&self.local_fleet).place(monotonic_now_ms(), placement_request)
@@ -451,28 +448,3 @@
         placement_client.deputy_unresponsive_until_ms.store(0, Ordering::SeqCst);
     }
 }
-
-/// Reports events of placements to the keeper that places prompts.
-pub(crate) async fn run_event_reports(
-    placement_client: Arc<PlacementClient>,
-    mut events: mpsc::UnboundedReceiver<(PlacementId, Event)>,
-) {
-    while let Some(first) = events.recv().await {
-        clayplank_clock::sleep(BATCH_DELAY).await;
-        let mut batch = vec![first];
-        while let Ok(event) = events.try_recv() {
-            batch.push(event);
-        }
-        let (Some(keeper), Ok(events)) = (placement_client.placing_keeper(), encode(&batch)) else {
-            continue;
-        };
-        let request = ReportRequest { events, ..ReportRequest::default() };
-        let sent = placement_client
-            .peers
-            .call(&keeper, REPORT_TIMEOUT, |mut client| async move { client.report(request).await })
-            .await;
-        if let Err(error) = sent {
-            log::debug!(target: log_target::MEMBERS, "Failed to report events of placements to {keeper}: {error}.");
-        }
-    }
-}
--- a/clayplankd/src/fleet/placement_keeper.rs
+++ b/clayplankd/src/fleet/placement_keeper.rs
@@ -304,11 +304,15 @@
 
     /// Metrics in the Prometheus text format.
     pub(crate) fn to_text(&self) -> String {
-        let (placed, stats) = {
+        let (placed, unlisted, stats) = {
             let queue = self.lock_queue();
-            (queue.admission().fleet().placed_count(), *queue.admission().stats())
+            let fleet = queue.admission().fleet();
+            (fleet.placed_count(), fleet.unlisted_total(), *queue.admission().stats())
         };
-        format!("clayplank_keeper_placements {placed}\n") + &queue_text(&stats)
+        format!(
+            "clayplank_keeper_placements {placed}\n\
+             clayplank_keeper_unlisted_placements_total {unlisted}\n"
+        ) + &queue_text(&stats)
     }
 }
 
--- a/clayplankd/src/process/seeded_entry.rs
+++ b/clayplankd/src/process/seeded_entry.rs
@@ -15,10 +15,9 @@
 use tokio::sync::watch;
 
 use crate::doors::contract::SharedContract;
+use crate::fleet::event_reports::run_event_reports;
 use crate::fleet::limit_reports::{run_limit_refresh, run_limit_reports};
-use crate::fleet::placement_client::{
-    PlacementClient, run_awaited_turns, run_backoff_reset, run_event_reports,
-};
+use crate::fleet::placement_client::{PlacementClient, run_awaited_turns, run_backoff_reset};
 use crate::fleet::termination_reports::{TerminationReporter, run_termination_reports};
 use crate::follow::follow_metrics::FollowMetrics;
 use crate::follow::follow_task::{FollowTask, run_follow_task};
--- a/clayplankd/tests/seeded/failover.rs
+++ b/clayplankd/tests/seeded/failover.rs
@@ -142,6 +142,46 @@
     assert!(took < FORGET_TIME, "{took:?}");
 }
 
+/// Guards against slots that the next leader counts as taken until the lists of running placements of
+/// their host contradict it: ends that were reported to the former leader or its deputy were lost.
+#[test]
+fn the_next_leader_learns_of_streams_that_ended_while_there_was_no_leader() {
+    const STREAMS: u32 = 12;
+    /// The last stream has started, and the first one is about to end.
+    const ALL_STARTED: Duration = Duration::from_millis(750);
+    let mut system = System::start_with(Topology { keepers: 3, entries: 1, ..Topology::default() });
+    system.start_engine("e1", 31, EngineModel::default());
+    system.wait_for_plan(&plan_with_engines(2, &EngineModel::default()));
+    let tokens = [("x-clayplank-tokens", "2000,700")];
+    wait_for("an answer to a prompt", || {
+        system.send(0, "first", "/prompt/x", &tokens).status == 200
+    });
+    let killed = leader(&system);
+    std::thread::scope(|scope| {
+        for number in 0..STREAMS {
+            let system = &system;
+            scope.spawn(move || {
+                std::thread::sleep(Duration::from_millis(50) * number);
+                system.send(0, &format!("stream-{number}"), "/prompt/x", &tokens)
+            });
+        }
+        std::thread::sleep(ALL_STARTED);
+        system.keepers[killed].signal("-KILL");
+    });
+    system.keepers[killed].kill();
+    let others: Vec<_> =
+        system.keepers.iter().enumerate().filter(|(at, _)| *at != killed).collect();
+    wait_for("the end of all placements", || {
+        let is_idle = |keeper: &Host| keeper.metrics().contains("clayplank_keeper_placements 0\n");
+        others.iter().all(|(_, keeper)| is_idle(keeper))
+    });
+    for (_, keeper) in others {
+        let metrics = keeper.metrics();
+        let is_told = metrics.contains("clayplank_keeper_unlisted_placements_total 0\n");
+        assert!(is_told, "{metrics}");
+    }
+}
+
 /// Guards against slots that the leader counts as taken after a stream has ended: a list of running
 /// placements that was made before the end reaches the leader after its report.
 #[test]
