Queue: let go of exclusions that are over

What callers saw: the first prompt after a start waited for 8 s beside an idle engine, and was refused at its last chance.

Cause: a request names the engines that must not serve it, among them those that its host can't use at the moment: not known yet, in a backoff, or unreachable from it. A queued request kept this list for its whole wait, and a deferred one the engines that its host did not know.

Evidence: the slow start in 6 of 40 runs of a test of the queue; in the log of one, the host discarded a placement on an engine that it learned of 20 ms later, and its next request was queued with one free slot and none taken until it was refused 7.96 s later with two free slots.

Why it works: hosts list queued requests without exclusions whose time is over, and keepers take the exclusions from each list.

The new tests of the keeper's and of the host's part failed without them.

--- a/clayplank-admission/src/admission.rs
+++ b/clayplank-admission/src/admission.rs
@@ -54,14 +54,14 @@
         outcome
     }
 
-    /// Renews the lease of a host's queued requests, and queues those that are unknown here.
+    /// Renews a host's queued requests, and queues those that are unknown here.
     pub fn renew(&mut self, now_ms: f64, host: u64, queued: &[PlacementRequest]) {
         self.now_ms = now_ms;
         self.drop_stale(now_ms);
         let mut has_unknown = false;
         for request in queued.iter().filter(|request| request.id.host == host) {
             if let Some(entry) = self.queue.get_mut(request.id) {
-                entry.renew_lease(now_ms);
+                entry.renew(now_ms, request);
             } else if !self.has_decision(request.id) {
                 self.release_unknown_placement(now_ms, request.id);
                 self.enqueue_unknown(now_ms, request);
--- a/clayplank-admission/src/queue.rs
+++ b/clayplank-admission/src/queue.rs
@@ -115,6 +115,12 @@
         self.lease_until_ms = now_ms + QUEUE_LEASE_MS;
     }
 
+    /// Renews the lease, and takes over from the host's list which engines must not serve it now.
+    pub(crate) fn renew(&mut self, now_ms: f64, listed: &PlacementRequest) {
+        self.renew_lease(now_ms);
+        self.request.avoid.clone_from(&listed.avoid);
+    }
+
     /// Time to the first token if it is placed now, in ms.
     fn first_token_ms(&self, backlog_ms: f64) -> f64 {
         self.demand.first_token_ms + backlog_ms
--- a/clayplank-admission/tests/queue.rs
+++ b/clayplank-admission/tests/queue.rs
@@ -107,6 +107,23 @@
     }
 }
 
+/// Guards against requests that wait beside idle engines: their hosts could not use these for a short
+/// time when they were queued.
+#[test]
+fn a_queued_request_is_placed_on_an_engine_that_its_host_avoids_no_longer() {
+    let mut admission = empty(1, SLOTS);
+    let mut request = short(id(WAITING, 1));
+    request.avoid = vec![UpstreamId::new("engine-0")];
+    queue(&mut admission, 0.0, &request);
+    admission.renew(50.0, WAITING, &[waited(&request, 50.0)]);
+    admission.advance(50.0);
+    assert!(!is_placed(&mut admission, request.id));
+    request.avoid.clear();
+    admission.renew(150.0, WAITING, &[waited(&request, 150.0)]);
+    admission.advance(150.0);
+    assert!(is_placed(&mut admission, request.id));
+}
+
 /// A host asks again when a reply was lost; a second placement would occupy a second slot.
 #[test]
 fn a_placement_is_answered_again_when_the_reply_was_lost() {
--- a/clayplank-forward/src/availability.rs
+++ b/clayplank-forward/src/availability.rs
@@ -134,15 +134,18 @@
         self.usable_record(id).is_some()
     }
 
-    /// Upstreams of a service that want no requests from this host.
-    pub fn unavailable(&self, service: &str) -> Vec<UpstreamId> {
+    /// Upstreams of a service that want no requests from this host, and the remaining times of their
+    /// backoffs in ms; `None` for those that are leaving.
+    pub fn unavailable(&self, service: &str) -> Vec<(UpstreamId, Option<u64>)> {
         let now_ms = now_ms();
         let inner = self.lock();
         let in_force = inner.unavailable.iter().filter(|(_, one)| one.is_in_force(now_ms));
         let is_of_service = |id: &UpstreamId| {
             inner.records.get(id).is_some_and(|record| record.heartbeat.service == service)
         };
-        in_force.map(|(id, _)| id).filter(|id| is_of_service(id)).cloned().collect()
+        let of_service = in_force.filter(|(id, _)| is_of_service(id));
+        let left_ms = |one: &Unavailability| (!one.is_leaving).then(|| one.backoff_left_ms(now_ms));
+        of_service.map(|(id, one)| (id.clone(), left_ms(one))).collect()
     }
 
     /// Time until the first upstream of a service ends its backoff; zero if one accepts requests
--- a/clayplank-forward/src/choice.rs
+++ b/clayplank-forward/src/choice.rs
@@ -27,6 +27,10 @@
 /// Interval between two attempts to place a stream that has started and has to continue, in ms.
 pub(crate) const PLACEMENT_RETRY_INTERVAL_MS: u64 = 40;
 
+/// Time for which the placer avoids an engine that it knows to accept requests and this host does
+/// not, in ms. They learn of an engine within some ms of each other.
+const NOT_ACCEPTING_MS: f64 = 300.0;
+
 /// An upstream chosen for an attempt.
 pub(crate) struct Chosen {
     pub(crate) record: Record,
@@ -77,12 +81,15 @@
     async fn choose_engine(&self) -> Result<Chosen, Refusal> {
         let mut deferred_ms = 0;
         // Engines that this host knows not to accept the request, while the placer does not.
-        let mut not_accepting = Vec::new();
+        let mut not_accepting: Vec<UpstreamId> = Vec::new();
         loop {
             deferred_ms += self.wait_for_backoff().await?;
             let queue_permit = self.queue_permit();
             let mut request = self.placement_request(queue_permit.as_ref());
-            request.avoid.extend_from_slice(&not_accepting);
+            not_accepting.retain(|engine| !self.entry.directory.accepts_request(engine));
+            for engine in &not_accepting {
+                request.avoid_for(engine.clone(), NOT_ACCEPTING_MS);
+            }
             let placed = self.place(&request).await;
             // A deferred request does not wait in the queue.
             self.release_queue_permit(queue_permit);
@@ -189,7 +196,12 @@
         request.data_centre = self.entry.data_centre.clone();
         request.avoid = [self.tried.as_slice(), &self.failed_helpers].concat();
         request.is_returning = !request.avoid.is_empty();
-        request.avoid.extend(self.entry.directory.unavailable(&self.service));
+        for (engine, left_ms) in self.entry.directory.unavailable(&self.service) {
+            match left_ms {
+                Some(left_ms) => request.avoid_for(engine, left_ms as f64),
+                None => request.avoid.push(engine),
+            }
+        }
         request.route = self.route.name.clone();
         request.route_limit_ms = self.route.time_limit_ms as f64;
         request.sent_limit_ms =
--- a/clayplank-forward/tests/entry/departing.rs
+++ b/clayplank-forward/tests/entry/departing.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use clayplank_connect::Connector;
 use clayplank_forward::{Directory, EntryBuilder, Placer};
@@ -70,6 +71,39 @@
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
 }
 
+/// Guards against prompts that wait beside an idle engine, which their host learned of while they were
+/// deferred.
+#[tokio::test]
+async fn a_deferred_prompt_is_served_by_an_engine_that_its_host_learns_of_meanwhile() {
+    let engine = UpstreamId::new("a");
+    let record = answering_upstream("a", &[ANSWER]).await;
+    let directory = Arc::new(Directory::default());
+    directory.apply(vec![answering_upstream("b", &[ANSWER]).await]);
+    let known = Arc::clone(&directory);
+    let deferrals = AtomicUsize::new(0);
+    let placer = TestPlacer::placing(move |request| {
+        if request.avoid.contains(&engine) {
+            known.apply(vec![record.clone()]);
+            return match deferrals.fetch_add(1, Ordering::SeqCst) {
+                0 => PlacementOutcome::Soon { again_in_ms: 1 },
+                _ => PlacementOutcome::Full { retry_after_ms: 1_000 },
+            };
+        }
+        let (engine, helpers) = (engine.clone(), Vec::new());
+        PlacementOutcome::At(Assignment { engine, helpers, first_token_ms: 10.0 })
+    });
+    let host = Host::start(
+        EntryBuilder::default(),
+        route(RequestKind::ResumableStream),
+        ServiceGroup { engine: Some(EngineModel::default()), ..plain_service() },
+        directory,
+        Arc::new(placer) as Arc<dyn Placer>,
+    )
+    .await;
+    let answer = host.call().await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
 /// The caller was refused, although another engine was idle.
 #[rstest]
 #[case::engine("a")]
--- a/clayplank-placement/src/request.rs
+++ b/clayplank-placement/src/request.rs
@@ -42,8 +42,13 @@
     pub pause_goal_ms: f64,
     /// Data centre of the requesting host.
     pub data_centre: DataCentre,
-    /// Engines that have failed this request.
+    /// Engines that must not serve this request: they have failed it, or do not accept requests of its
+    /// host now.
     pub avoid: Vec<UpstreamId>,
+    /// Engines of `avoid` that its host may use again, and the times until then in ms. Keepers learn of
+    /// it by the next list of the requests that the host has queued.
+    #[serde(skip)]
+    pub(crate) avoid_for_ms: Vec<(UpstreamId, f64)>,
     /// Whether it was refused before and will not be retried again.
     pub is_returning: bool,
     /// Time since the caller's first try if this is a retry after a refusal, in ms; 0 otherwise.
@@ -99,6 +104,7 @@
             pause_goal_ms: NO_PAUSE_GOAL_MS,
             data_centre: DataCentre::default(),
             avoid: Vec::new(),
+            avoid_for_ms: Vec::new(),
             is_returning: false,
             since_first_try_ms: 0.0,
             has_begun: false,
@@ -106,9 +112,24 @@
         }
     }
 
+    /// Avoids an engine for a time, in ms. One that is avoided for good stays so.
+    pub fn avoid_for(&mut self, engine: UpstreamId, time_ms: f64) {
+        if !self.avoid.contains(&engine) {
+            self.avoid.push(engine.clone());
+            self.avoid_for_ms.push((engine, time_ms));
+        } else if let Some((_, left_ms)) = self.avoid_for_ms.iter_mut().find(|one| one.0 == engine)
+        {
+            *left_ms = left_ms.max(time_ms);
+        }
+    }
+
     /// Copy of the request after its caller has waited for `elapsed_ms` more.
     pub fn aged(&self, elapsed_ms: f64) -> Self {
         let mut request = self.clone();
+        request.avoid_for_ms.iter_mut().for_each(|(_, left_ms)| *left_ms -= elapsed_ms);
+        for (engine, _) in request.avoid_for_ms.extract_if(.., |(_, left_ms)| *left_ms <= 0.0) {
+            request.avoid.retain(|avoided| *avoided != engine);
+        }
         request.waited_ms += elapsed_ms;
         request.goal_ms = (request.goal_ms - elapsed_ms).max(MIN_GOAL_MS);
         request.limit_ms = (request.limit_ms - elapsed_ms).max(0.0);
--- a/clayplank-placement/tests/decisions.rs
+++ b/clayplank-placement/tests/decisions.rs
@@ -307,6 +307,17 @@
     }
 }
 
+/// Guards against requests that exclude an engine for as long as they wait, though their host may use
+/// it again.
+#[test]
+fn an_engine_that_a_request_avoids_for_a_time_serves_it_afterwards() {
+    let mut fleet = fleet_of(1, &EngineModel::default());
+    let mut request = short(1);
+    request.avoid_for(engine(0), 100.0);
+    assert!(!matches!(fleet.place(50.0, &request.aged(50.0)), PlacementOutcome::At(_)));
+    assert!(matches!(fleet.place(100.0, &request.aged(100.0)), PlacementOutcome::At(_)));
+}
+
 #[test]
 fn a_failed_helper_is_avoided_and_the_primary_engine_is_not() {
     let mut fleet = fleet_of(18, &EngineModel::default());
--- a/clayplankd/src/fleet/placement_client.rs
+++ b/clayplankd/src/fleet/placement_client.rs
@@ -209,9 +209,9 @@
     /// Returns the request with the engines that this host failed to connect to recently excluded.
     fn without_unreachable(&self, placement_request: &PlacementRequest) -> PlacementRequest {
         let mut placement_request = placement_request.clone();
-        placement_request
-            .avoid
-            .extend(lock_ignoring_poison(&self.unreachable).ids(now_ms()).cloned());
+        for (engine, left_ms) in lock_ignoring_poison(&self.unreachable).engines(now_ms()) {
+            placement_request.avoid_for(engine.clone(), left_ms as f64);
+        }
         placement_request
     }
 
--- a/clayplankd/src/fleet/unreachable.rs
+++ b/clayplankd/src/fleet/unreachable.rs
@@ -18,9 +18,9 @@
         self.0.insert(id, now_ms + AVOID_MS);
     }
 
-    /// Engines that this host avoids at `now_ms`.
-    pub(crate) fn ids(&mut self, now_ms: u64) -> impl Iterator<Item = &UpstreamId> {
+    /// Engines that this host avoids at `now_ms`, and the times for which it does so, in ms.
+    pub(crate) fn engines(&mut self, now_ms: u64) -> impl Iterator<Item = (&UpstreamId, u64)> {
         self.0.retain(|_, until_ms| now_ms < *until_ms);
-        self.0.keys()
+        self.0.iter().map(move |(id, until_ms)| (id, until_ms - now_ms))
     }
 }
