Queue: requests that avoid engines do not hold up others

What callers saw: prompts waited beside idle engines while one of the same length that must not use these engines was ahead of them.

Cause: once a request finds no room, the queue does not try others of its length and urgency, whatever engines each may use.

Why it works: only those are not tried that exclude at least the same engines.

a_request_that_avoids_the_idle_engines_does_not_hold_up_others failed before.

--- a/clayplank-admission/src/order.rs
+++ b/clayplank-admission/src/order.rs
@@ -1,9 +1,10 @@
 //! Order in which queued requests are tried.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
 
 use clayplank_placement::PlacementId;
+use clayplank_types::UpstreamId;
 
 use crate::account_shares::AccountShares;
 use crate::ledger::{Ahead, Ledger};
@@ -40,7 +41,7 @@
     }
 }
 
-/// Requests that are alike: if one finds no room, no other does.
+/// Requests that are alike: if one finds no room, no other does that may use the same engines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Alike {
     urgency: Urgency,
@@ -56,6 +57,22 @@
     }
 }
 
+/// Alike requests that found no room, each kind with the engines that they must not use.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct WithoutRoom(BTreeMap<Alike, Vec<Vec<UpstreamId>>>);
+
+impl WithoutRoom {
+    pub(crate) fn insert(&mut self, alike: Alike, avoid: &[UpstreamId]) {
+        self.0.entry(alike).or_default().push(avoid.to_vec());
+    }
+
+    /// Whether an alike request found no room that could use all engines which this one can use.
+    pub(crate) fn includes(&self, alike: Alike, avoid: &[UpstreamId]) -> bool {
+        let mut tried = self.0.get(&alike).into_iter().flatten();
+        tried.any(|avoided| avoided.iter().all(|engine| avoid.contains(engine)))
+    }
+}
+
 fn turn_without_round(now_ms: f64, entry: &Entry, backlog_ms: f64) -> Turn {
     let in_time_until_ms = entry.in_time_until_ms(backlog_ms);
     if now_ms > in_time_until_ms {
--- a/clayplank-admission/src/re_examine.rs
+++ b/clayplank-admission/src/re_examine.rs
@@ -1,14 +1,12 @@
 //! Re-examines queued requests when time has passed or slots have become free.
 
-use std::collections::BTreeSet;
-
 use clayplank_placement::{Event, PlacementOutcome};
 
 use crate::admission::Admission;
 use crate::decided::Verdict;
 use crate::decision_log::DecisionKind;
 use crate::ledger::Ahead;
-use crate::order::{Alike, update_turns};
+use crate::order::{Alike, WithoutRoom, update_turns};
 
 /// Upper bound of the late requests for which one update forecasts whether they can still be served.
 const MAX_CHECKS: usize = 64;
@@ -42,7 +40,7 @@
         let (order, mut queued) =
             update_turns(now_ms, &mut self.queue, &self.shares, pool, &ledger);
         let mut free_slots = ledger.capacity.free_slots;
-        let mut without_room = BTreeSet::new();
+        let mut without_room = WithoutRoom::default();
         let mut ahead = Ahead::default();
         let mut checks_left = MAX_CHECKS;
         for id in order {
@@ -53,7 +51,7 @@
             let on_any_slot = entry.is_returning && entry.is_last_chance(now_ms, backlog_ms);
             let is_over = now_ms >= entry.last_chance_ms(backlog_ms);
             let alike = Alike::of(entry, on_any_slot);
-            let may_fit = free_slots > 0 && !without_room.contains(&alike);
+            let may_fit = free_slots > 0 && !without_room.includes(alike, &entry.request.avoid);
             let is_checked = checks_left > 0 && entry.take_check(now_ms);
             checks_left -= usize::from(is_checked);
             let is_hopeless = is_checked && {
@@ -76,7 +74,7 @@
                     self.decided.insert(now_ms, id, Verdict::Placed(assignment));
                     continue;
                 }
-                without_room.insert(alike);
+                without_room.insert(alike, &entry.request.avoid);
             }
             if is_over || is_hopeless {
                 self.stats.refused_total += 1;
--- a/clayplank-admission/tests/queue.rs
+++ b/clayplank-admission/tests/queue.rs
@@ -124,6 +124,21 @@
     assert!(is_placed(&mut admission, request.id));
 }
 
+/// Guards against requests that wait beside an idle engine for others of the same length, which must not
+/// use that engine.
+#[test]
+fn a_request_that_avoids_the_idle_engines_does_not_hold_up_others() {
+    let mut admission = empty(1, SLOTS);
+    let mut avoiding = short(id(WAITING, 1));
+    avoiding.avoid = vec![UpstreamId::new("engine-0")];
+    queue(&mut admission, 0.0, &avoiding);
+    let other = short(id(WAITING, 2));
+    let outcome = admission.place(10.0, &other);
+    admission.advance(20.0);
+    let is_placed_at_once = matches!(outcome, PlacementOutcome::At(_));
+    assert!(is_placed_at_once || is_placed(&mut admission, other.id), "{outcome:?}");
+}
+
 /// A host asks again when a reply was lost; a second placement would occupy a second slot.
 #[test]
 fn a_placement_is_answered_again_when_the_reply_was_lost() {
