--- a/clayplank-turns/tests/turns/calls.rs
+++ b/clayplank-turns/tests/turns/calls.rs
@@ -4,6 +4,7 @@
 
 use clayplank_placement::{PlacementOutcome, RunningPlacement};
 use clayplank_turns::{AWAIT_HOLD_MS, HostCall};
+use clayplank_types::UpstreamId;
 use tokio::sync::oneshot::error::TryRecvError;
 use tokio::time::Instant;
 
@@ -92,6 +93,27 @@
     assert!((deadline_ms - (DEADLINE_MS - waited_ms)).abs() < 1e-6);
 }
 
+/// Guards against requests that wait beside an idle engine, since their host could not use it when they
+/// were queued.
+#[tokio::test(start_paused = true)]
+async fn listed_requests_no_longer_avoid_engines_that_their_host_may_use_again() {
+    const AVOIDED_MS: f64 = 300.0;
+    let (failed, refusing) = (UpstreamId::new("failed"), UpstreamId::new("refusing"));
+    let mut request = request(1);
+    request.avoid = vec![failed.clone()];
+    request.avoid_for(refusing, AVOIDED_MS);
+    let system = System::start(1);
+    system.start_calls();
+    let _waiting = system.queue_request_at(0, request);
+    sleep_ms(2 * AVOIDED_MS as u64).await;
+    let sent = {
+        let mut queue = system.keepers.all[0].queue.lock().unwrap();
+        queue.apply_event(now_ms(), id(1_000), clayplank_placement::Event::Ended);
+        queue.advance(now_ms())
+    };
+    assert_eq!(sent[0].request.avoid, [failed]);
+}
+
 fn call(system: &System, listed: &[u64]) -> HostCall {
     let queued: Vec<_> = listed.iter().map(|number| request(*number)).collect();
     let mut queue = system.keepers.all[0].queue.lock().unwrap();
--- a/clayplank-turns/tests/turns/common.rs
+++ b/clayplank-turns/tests/turns/common.rs
@@ -326,7 +326,15 @@
         keeper: usize,
         number: u64,
     ) -> tokio::task::JoinHandle<PlacementOutcome> {
-        let request = request(number);
+        self.queue_request_at(keeper, request(number))
+    }
+
+    /// Like `queue_at`, with a request of its own.
+    pub fn queue_request_at(
+        &self,
+        keeper: usize,
+        request: PlacementRequest,
+    ) -> tokio::task::JoinHandle<PlacementOutcome> {
         let asked = self.turns.ask(&*self.keepers, &request).unwrap();
         let keeper = &self.keepers.all[keeper];
         let placed = keeper.queue.lock().unwrap().place(now_ms(), &request);
