Tests: lose a departure at one keeper at a time

a_leader_that_has_lost_a_departure_learns_it_from_the_other_keepers removes the saved upstreams of the leader until that leads again. The test now waits until all keepers have saved their upstreams.

--- a/clayplankd/tests/seeded/departures.rs
+++ b/clayplankd/tests/seeded/departures.rs
@@ -155,10 +155,15 @@
 fn a_leader_that_has_lost_a_departure_learns_it_from_the_other_keepers(#[case] report: Report) {
     let mut system = System::start_with(Topology { entries: 6, ..Topology::default() });
     let last_ready = report.end_all_upstreams(&mut system);
+    let saved_upstreams = |keeper: &Host| keeper.data.join("upstreams");
     wait_for("a leader that has lost the departure", || {
+        // No more than one keeper loses it at a time.
+        wait_for("saved upstreams", || {
+            system.keepers.iter().all(|keeper| saved_upstreams(keeper).exists())
+        });
         let forgetful = leader(&system);
         system.keepers[forgetful].kill();
-        std::fs::remove_file(system.keepers[forgetful].data.join("upstreams")).unwrap();
+        std::fs::remove_file(saved_upstreams(&system.keepers[forgetful])).unwrap();
         system.restart_all();
         wait_for("readiness", || system.entries.iter().all(Host::is_ready));
         leader(&system) == forgetful
