Tool: read answers of hosts up to a limit

What operators saw: nothing yet. A host whose answer does not end would use up the memory of the machine at which the tool runs, for 15 s.

Cause: the body was read with a time-out alone, and the connection without one.

--- a/clayplank-ctl/src/seeded.rs
+++ b/clayplank-ctl/src/seeded.rs
@@ -88,7 +88,9 @@
             Err(error @ (ClientError::Connect(..) | ClientError::NoAnswer(_))) => {
                 last_error = CommandError::Client(error);
             }
-            Err(error @ ClientError::NotJson(_)) => return Err(CommandError::Client(error).into()),
+            Err(error @ (ClientError::NotJson(_) | ClientError::TooLong(_))) => {
+                return Err(CommandError::Client(error).into());
+            }
         }
     }
     Err(last_error.into())
--- a/clayplank-ctl/tests/tool.rs
+++ b/clayplank-ctl/tests/tool.rs
@@ -4,6 +4,9 @@
 
 mod support;
 
+use std::io::{Read, Write};
+use std::net::TcpListener;
+
 use rstest::rstest;
 
 use crate::support::{file, run};
@@ -40,6 +43,34 @@
     assert_eq!(run(arguments, "").status.code(), Some(code));
 }
 
+/// Guards against a host whose answer never ends, which was read into memory until the time-out.
+#[test]
+fn an_answer_without_end_is_read_up_to_its_limit() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let host = listener.local_addr().unwrap().to_string();
+    let answering = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        // An answer before the request is an error of another kind.
+        stream.read_exact(&mut [0]).unwrap();
+        stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n[").unwrap();
+        let zeros = vec![b'0'; 1 << 20];
+        let mut sent_bytes = 0;
+        while stream.write_all(&zeros).is_ok() {
+            sent_bytes += zeros.len();
+        }
+        sent_bytes
+    });
+    let key = file("secret");
+    let arguments = ["--host", &host, "--key-file", key.path().to_str().unwrap(), "status"];
+    let output = run(&arguments, "");
+    let error = String::from_utf8(output.stderr).unwrap();
+    assert!(error.contains("more than 16777216 bytes"), "{error}");
+    /// What the limit and the buffers of the connection hold.
+    const MAX_SENT_BYTES: usize = 64 << 20;
+    let sent_bytes = answering.join().unwrap();
+    assert!(sent_bytes < MAX_SENT_BYTES, "{sent_bytes} bytes");
+}
+
 /// Log lines of an entry host, with a prefix before each line as a log collector may add it.
 const ENTRY_LOG: &str = r#"
 1.0 edge-1 {"time":"2026-12-02T10:00:00.000Z","host":"edge-1","level":"INFO","part":"settings","message":"A plan is in force","version":7}
