Tests: one system with streams beside a leader's kill, one check of a served prompt

Two tests of failover and two of departing engines set up the same thing. Their assertions are as before.

--- a/clayplank-forward/tests/entry/departing.rs
+++ b/clayplank-forward/tests/entry/departing.rs
@@ -71,6 +71,20 @@
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
 }
 
+/// Asserts that a host whose engines `placer` chooses serves a prompt.
+async fn assert_prompt_is_served(directory: Arc<Directory>, placer: TestPlacer) {
+    let host = Host::start(
+        EntryBuilder::default(),
+        route(RequestKind::ResumableStream),
+        ServiceGroup { engine: Some(EngineModel::default()), ..plain_service() },
+        directory,
+        Arc::new(placer) as Arc<dyn Placer>,
+    )
+    .await;
+    let answer = host.call().await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
 /// Guards against prompts that wait beside an idle engine, which their host learned of while they were
 /// deferred.
 #[tokio::test]
@@ -92,16 +106,7 @@
         let (engine, helpers) = (engine.clone(), Vec::new());
         PlacementOutcome::At(Assignment { engine, helpers, first_token_ms: 10.0 })
     });
-    let host = Host::start(
-        EntryBuilder::default(),
-        route(RequestKind::ResumableStream),
-        ServiceGroup { engine: Some(EngineModel::default()), ..plain_service() },
-        directory,
-        Arc::new(placer) as Arc<dyn Placer>,
-    )
-    .await;
-    let answer = host.call().await;
-    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert_prompt_is_served(directory, placer).await;
 }
 
 /// The caller was refused, although another engine was idle.
@@ -130,14 +135,5 @@
             first_token_ms: 10.0,
         })
     });
-    let host = Host::start(
-        EntryBuilder::default(),
-        route(RequestKind::ResumableStream),
-        ServiceGroup { engine: Some(EngineModel::default()), ..plain_service() },
-        directory,
-        Arc::new(placer) as Arc<dyn Placer>,
-    )
-    .await;
-    let answer = host.call().await;
-    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert_prompt_is_served(directory, placer).await;
 }
--- a/clayplankd/tests/seeded/failover.rs
+++ b/clayplankd/tests/seeded/failover.rs
@@ -102,6 +102,58 @@
     assert_eq!(of(&failed_ip), 0, "{unanswered:?}");
 }
 
+/// A system with one engine, before a failure of its leader.
+struct StreamSystem {
+    system: System,
+    leader: usize,
+}
+
+impl StreamSystem {
+    const TOKENS: [(&str, &str); 1] = [("x-clayplank-tokens", "2000,700")];
+
+    fn start() -> Self {
+        let system = System::start_with(Topology { keepers: 3, entries: 1, ..Topology::default() });
+        system.start_engine("e1", 31, EngineModel::default());
+        system.wait_for_plan(&plan_with_engines(2, &EngineModel::default()));
+        wait_for("an answer to a prompt", || {
+            system.send(0, "first", "/prompt/x", &Self::TOKENS).status == 200
+        });
+        let leader = leader(&system);
+        Self { system, leader }
+    }
+
+    /// Starts twelve streams at this interval, kills the leader meanwhile, and waits until the streams
+    /// have ended, one after the other while another keeper takes over.
+    fn kill_leader_beside_streams(&self, interval: Duration, killed_after: Duration) {
+        const STREAMS: u32 = 12;
+        std::thread::scope(|scope| {
+            for number in 0..STREAMS {
+                scope.spawn(move || {
+                    std::thread::sleep(interval * number);
+                    let attempt = format!("stream-{number}");
+                    self.system.send(0, &attempt, "/prompt/x", &Self::TOKENS)
+                });
+            }
+            std::thread::sleep(killed_after);
+            self.system.keepers[self.leader].signal("-KILL");
+        });
+    }
+
+    /// The keepers that were not killed.
+    fn others(&self) -> impl Iterator<Item = &Host> {
+        let keepers = self.system.keepers.iter().enumerate();
+        keepers.filter(|(at, _)| *at != self.leader).map(|(_, keeper)| keeper)
+    }
+
+    fn wait_until_idle(&self) {
+        wait_for("the end of all placements", || {
+            let is_idle =
+                |keeper: &Host| keeper.metrics().contains("clayplank_keeper_placements 0\n");
+            self.others().all(is_idle)
+        });
+    }
+}
+
 /// Guards against slots that a new leader counts as taken for as long as a request may take. A
 /// renewal that was on its way when a stream ended adds its placement again; the host must renew
 /// once more after that, although nothing runs there any more.
@@ -109,36 +161,12 @@
 fn a_new_leader_does_not_keep_placements_that_ended_while_it_took_over() {
     /// Time for the renewals to end; without them, a placement is kept for 14 s.
     const FORGET_TIME: Duration = Duration::from_secs(8);
-    const STREAMS: usize = 12;
-    let mut system = System::start_with(Topology { keepers: 3, entries: 1, ..Topology::default() });
-    system.start_engine("e1", 31, EngineModel::default());
-    system.wait_for_plan(&plan_with_engines(2, &EngineModel::default()));
-    let tokens = [("x-clayplank-tokens", "2000,700")];
-    wait_for("an answer to a prompt", || {
-        system.send(0, "first", "/prompt/x", &tokens).status == 200
-    });
-    let killed = leader(&system);
-    std::thread::scope(|scope| {
-        for number in 0..STREAMS {
-            let system = &system;
-            scope.spawn(move || {
-                // The streams end one after the other while another keeper takes over.
-                std::thread::sleep(Duration::from_millis(60) * number as u32);
-                system.send(0, &format!("stream-{number}"), "/prompt/x", &tokens)
-            });
-        }
-        std::thread::sleep(Duration::from_millis(600));
-        system.keepers[killed].signal("-KILL");
-    });
+    let streams = StreamSystem::start();
+    let (interval, killed_after) = (Duration::from_millis(60), Duration::from_millis(600));
+    streams.kill_leader_beside_streams(interval, killed_after);
     let ended = Instant::now();
-    let has_placements =
-        |keeper: &Host| !keeper.metrics().contains("clayplank_keeper_placements 0\n");
-    wait_for("the end of all placements", || {
-        let others = system.keepers.iter().enumerate().filter(|(at, _)| *at != killed);
-        !others.into_iter().any(|(_, keeper)| has_placements(keeper))
-    });
+    streams.wait_until_idle();
     let took = ended.elapsed();
-    system.keepers[killed].kill();
     assert!(took < FORGET_TIME, "{took:?}");
 }
 
@@ -146,36 +174,12 @@
 /// their host contradict it: ends that were reported to the former leader or its deputy were lost.
 #[test]
 fn the_next_leader_learns_of_streams_that_ended_while_there_was_no_leader() {
-    const STREAMS: u32 = 12;
     /// The last stream has started, and the first one is about to end.
     const ALL_STARTED: Duration = Duration::from_millis(750);
-    let mut system = System::start_with(Topology { keepers: 3, entries: 1, ..Topology::default() });
-    system.start_engine("e1", 31, EngineModel::default());
-    system.wait_for_plan(&plan_with_engines(2, &EngineModel::default()));
-    let tokens = [("x-clayplank-tokens", "2000,700")];
-    wait_for("an answer to a prompt", || {
-        system.send(0, "first", "/prompt/x", &tokens).status == 200
-    });
-    let killed = leader(&system);
-    std::thread::scope(|scope| {
-        for number in 0..STREAMS {
-            let system = &system;
-            scope.spawn(move || {
-                std::thread::sleep(Duration::from_millis(50) * number);
-                system.send(0, &format!("stream-{number}"), "/prompt/x", &tokens)
-            });
-        }
-        std::thread::sleep(ALL_STARTED);
-        system.keepers[killed].signal("-KILL");
-    });
-    system.keepers[killed].kill();
-    let others: Vec<_> =
-        system.keepers.iter().enumerate().filter(|(at, _)| *at != killed).collect();
-    wait_for("the end of all placements", || {
-        let is_idle = |keeper: &Host| keeper.metrics().contains("clayplank_keeper_placements 0\n");
-        others.iter().all(|(_, keeper)| is_idle(keeper))
-    });
-    for (_, keeper) in others {
+    let streams = StreamSystem::start();
+    streams.kill_leader_beside_streams(Duration::from_millis(50), ALL_STARTED);
+    streams.wait_until_idle();
+    for keeper in streams.others() {
         let metrics = keeper.metrics();
         let is_told = metrics.contains("clayplank_keeper_unlisted_placements_total 0\n");
         assert!(is_told, "{metrics}");
