Review: one kill of the core right after a change ends the control plane for good

The case shows LOST and RECOVER broken: 117 changes of 71 kB, one kill of all five keepers, and the acknowledged manifest is never read back, also after 18 s.

--- a/review/stand-2/common.rs
+++ b/review/stand-2/common.rs
@@ -514,6 +514,19 @@
         }
     }
 
+    /// Ends several processes at the same moment.
+    pub fn kill_all(&mut self, all: &[u8]) {
+        for last in all {
+            let index = self.index(*last);
+            if let Some(child) = &mut self.hosts[index].child {
+                child.kill().ok();
+            }
+        }
+        for last in all {
+            self.kill(*last);
+        }
+    }
+
     /// Waits for the end of a process, up to a time.
     pub fn wait_for_end(&mut self, last: u8, timeout: Duration) -> Option<String> {
         let index = self.index(last);
