--- a/review/stand-2/crowded_changes.rs
+++ b/review/stand-2/crowded_changes.rs
@@ -20,6 +20,9 @@
 /// Orders in progress at once.
 const AT_ONCE: usize = 8;
 
+/// Time between two changes, in ms: the shortest `gap_s` of a `config_storm` of the site.
+const GAP_MS: u64 = 60;
+
 /// Time for which the operators send, in ms; the changes take a few seconds.
 const SEND_MS: u64 = 20_000;
 
@@ -105,6 +108,7 @@
     let is_over = Arc::new(AtomicBool::new(false));
     let net = system.net;
     let nodes = system.keepers();
+    let began = Instant::now();
     let operators: Vec<_> = (0..at_once)
         .map(|operator| {
             let (next, newest, is_over, nodes) = (Arc::clone(&next), Arc::clone(&newest), Arc::clone(&is_over), nodes.clone());
@@ -116,6 +120,8 @@
                         return;
                     }
                     let manifest = big_manifest(version);
+                    let due = began + ms((version - 2) * GAP_MS);
+                    thread::sleep(due.saturating_duration_since(Instant::now()));
                     let mut pause_ms = 100;
                     // The same order is sent again, to another node, until it is acknowledged.
                     loop {
--- a/review/stand-2/spot_unframed.rs
+++ b/review/stand-2/spot_unframed.rs
@@ -12,7 +12,7 @@
 
 const EVENTS: usize = 35;
 const PAUSE_MS: u64 = 100;
-const STREAMS: usize = 8;
+const STREAMS: usize = 16;
 
 fn main() {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
@@ -72,7 +72,7 @@
     let net = system.net;
     let control: Vec<String> = system.keepers().iter().map(|last| net.control(*last).to_string()).collect();
     let mut workers = Vec::new();
-    for number in 0..3u8 {
+    for number in 0..8u8 {
         let mut arguments = vec!["worker".to_owned(), format!("i-{number}"), net.worker(101 + number).to_string()];
         arguments.extend(control.iter().cloned());
         workers.push(WorkerProcess::spawn(&arguments)?);
